--- /dev/null
+++ b/bundle/bundle.go
@@ -0,0 +1,264 @@
+// Package bundle holds the operators' versioned description of services, upstreams, tenants and rules.
+package bundle
+
+import (
+	"net"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/radishgate/radishgate/common/inifile"
+)
+
+// Bounds of a bundle's values.
+const (
+	maxSlots       = 4096
+	maxConnections = 65536
+	maxWeight      = 1000
+	maxBytes       = 1 << 30
+	maxTasks       = 100_000
+	maxSpan        = time.Hour
+	maxPartitions  = 4096
+)
+
+// Service is one kind of work. Hint is the declared run time, which is only a
+// start value: measured times replace it.
+type Service struct {
+	Name       string
+	Path       string
+	Class      string
+	Repeatable bool
+	Limit      time.Duration // longest time from arrival to answer
+	Hint       time.Duration
+	Body       int64 // bytes
+	Answer     int64 // bytes
+	Needs      []string
+}
+
+// Upstream is one back end with its slots, in one availability zone.
+type Upstream struct {
+	Name        string
+	Zone        string
+	Address     string
+	Slots       int
+	Connections int
+	Labels      []string
+	Leaving     bool
+	Lease       bool // the platform grants its lease; no start that could outlive it
+}
+
+// Tenant is a customer or team with its weight and quota (task starts a second, 0 for none).
+type Tenant struct {
+	Name   string
+	Weight float64
+	Quota  float64
+}
+
+// Class orders work within a tenant.
+type Class struct {
+	Name   string
+	Weight float64
+}
+
+// Rules are settings of the whole fleet.
+type Rules struct {
+	Placement  string  // home, static, random, robin, least or two
+	Partitions int     // of chosen keys
+	Retry      float64 // share of requests that may be repeated
+	Hedge      float64 // share of requests that may be hedged
+	Eject      float64 // largest share of a zone's upstreams put aside as outliers
+	Tasks      int     // largest job
+	Queue      int     // longest queue of an entry, in tasks
+	Spill      bool    // work may go to other availability zones
+}
+
+// Bundle is one version of the description. It is never changed after Parse.
+type Bundle struct {
+	Version   int64
+	Text      string
+	Rules     Rules
+	Services  map[string]*Service
+	Upstreams map[string]*Upstream
+	Tenants   map[string]*Tenant
+	Classes   map[string]*Class
+}
+
+// Parse reads and validates the INI text of a bundle. The version is not part
+// of the text: the signed record carries it. Errors are *inifile.Error.
+func Parse(name string, version int64, text string) (*Bundle, error) {
+	file, err := inifile.Parse(name, []byte(text))
+	if err != nil {
+		return nil, err
+	}
+	b := &Bundle{
+		Version: version, Text: text,
+		Services: map[string]*Service{}, Upstreams: map[string]*Upstream{},
+		Tenants: map[string]*Tenant{}, Classes: map[string]*Class{},
+	}
+	b.readRules(file)
+	for _, section := range file.Sections() {
+		b.readSection(file, section)
+	}
+	b.check(file)
+	if err := file.Err(); err != nil {
+		return nil, err
+	}
+	return b, nil
+}
+
+func (b *Bundle) readRules(file *inifile.File) {
+	const section = "rules"
+	b.Rules = Rules{
+		Placement:  file.String(section, "placement", "home"),
+		Partitions: int(file.Int(section, "partitions", 8, 1, maxPartitions)),
+		Retry:      file.Float(section, "retry", 0.1, 0, 1),
+		Hedge:      file.Float(section, "hedge", 0.05, 0, 1),
+		Eject:      file.Float(section, "eject", 0.3, 0, 0.9),
+		Tasks:      int(file.Int(section, "tasks", 1000, 1, maxTasks)),
+		Queue:      int(file.Int(section, "queue", 20_000, 1, 10_000_000)),
+		Spill:      file.Bool(section, "spill", true),
+	}
+	switch b.Rules.Placement {
+	case "home", "static", "random", "robin", "least", "two":
+	default:
+		file.Fail(section, "placement", "is none of home, static, random, robin, least, two")
+	}
+}
+
+func (b *Bundle) readSection(file *inifile.File, section string) {
+	kind, name, _ := strings.Cut(section, " ")
+	name = strings.TrimSpace(name)
+	if kind == "rules" && name == "" {
+		file.Know(section)
+		return
+	}
+	if name == "" {
+		file.Fail(section, "", "section needs a kind and a name, such as [service recall]")
+		return
+	}
+	switch kind {
+	case "service":
+		b.Services[name] = readService(file, section, name)
+	case "upstream":
+		b.Upstreams[name] = readUpstream(file, section, name)
+	case "tenant":
+		file.Know(section)
+		b.Tenants[name] = &Tenant{
+			Name: name, Weight: file.Float(section, "weight", 1, 0.01, maxWeight),
+			Quota: file.Float(section, "quota", 0, 0, 1e9),
+		}
+	case "class":
+		file.Know(section)
+		b.Classes[name] = &Class{Name: name, Weight: file.Float(section, "weight", 1, 0.01, maxWeight)}
+	}
+}
+
+func readService(file *inifile.File, section, name string) *Service {
+	s := &Service{
+		Name:       name,
+		Path:       file.Must(section, "path"),
+		Class:      file.String(section, "class", "default"),
+		Repeatable: file.Bool(section, "repeatable", false),
+		Limit:      file.Span(section, "limit", 10*time.Second, time.Millisecond, maxSpan),
+		Hint:       file.Span(section, "hint", 100*time.Millisecond, time.Millisecond, maxSpan),
+		Body:       file.Int(section, "body", 1<<20, 1, maxBytes),
+		Answer:     file.Int(section, "answer", 4<<20, 1, maxBytes),
+		Needs:      file.List(section, "needs"),
+	}
+	if !strings.HasPrefix(s.Path, "/") {
+		file.Fail(section, "path", "does not begin with /")
+	}
+	return s
+}
+
+func readUpstream(file *inifile.File, section, name string) *Upstream {
+	u := &Upstream{
+		Name:        name,
+		Zone:        file.Must(section, "zone"),
+		Address:     file.Must(section, "address"),
+		Slots:       int(file.Int(section, "slots", 8, 1, maxSlots)),
+		Connections: int(file.Int(section, "connections", 60, 1, maxConnections)),
+		Labels:      file.List(section, "labels"),
+		Leaving:     file.Bool(section, "leaving", false),
+		Lease:       file.Bool(section, "lease", false),
+	}
+	if host, _, err := net.SplitHostPort(u.Address); err != nil || net.ParseIP(host) == nil {
+		file.Fail(section, "address", "is not an IP number with a port")
+	}
+	if u.Connections < u.Slots {
+		file.Fail(section, "connections", "is less than slots")
+	}
+	return u
+}
+
+func (b *Bundle) check(file *inifile.File) {
+	addresses := map[string]string{}
+	for _, name := range sortedNames(b.Upstreams) {
+		u := b.Upstreams[name]
+		if other, seen := addresses[u.Address]; seen && u.Address != "" {
+			file.Fail("upstream "+name, "address", "is also the address of upstream "+other)
+		}
+		addresses[u.Address] = name
+	}
+	if len(b.Services) == 0 {
+		file.Fail("service", "", "a bundle needs at least one service")
+	}
+	if len(b.Tenants) == 0 {
+		file.Fail("tenant", "", "a bundle needs at least one tenant")
+	}
+}
+
+func sortedNames[V any](table map[string]V) []string {
+	names := make([]string, 0, len(table))
+	for name := range table {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	return names
+}
+
+// Zones lists the availability zones that have upstreams, sorted.
+func (b *Bundle) Zones() []string {
+	zones := map[string]bool{}
+	for _, u := range b.Upstreams {
+		zones[u.Zone] = true
+	}
+	return sortedNames(zones)
+}
+
+// Weight is the weight of a class; classes that are not listed weigh 1.
+func (b *Bundle) Weight(class string) float64 {
+	if c, ok := b.Classes[class]; ok {
+		return c.Weight
+	}
+	return 1
+}
+
+// Suits tells whether the upstream has every label that the service needs.
+func (u *Upstream) Suits(s *Service) bool {
+	for _, need := range s.Needs {
+		if !contains(u.Labels, need) {
+			return false
+		}
+	}
+	return true
+}
+
+func contains(words []string, word string) bool {
+	for _, w := range words {
+		if w == word {
+			return true
+		}
+	}
+	return false
+}
+
+// Runnable tells whether any upstream of any zone can ever run the service.
+func (b *Bundle) Runnable(s *Service) bool {
+	for _, u := range b.Upstreams {
+		if u.Suits(s) {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/bundle/change.go
@@ -0,0 +1,99 @@
+package bundle
+
+import (
+	"strings"
+
+	"github.com/radishgate/radishgate/common/inifile"
+)
+
+// dropLine is the one line of a section in a change that removes the section.
+const dropLine = "drop = true"
+
+// Section is one section of a bundle's text, comments left out.
+type Section struct {
+	Name  string
+	Lines []string
+}
+
+// Sections splits a bundle's text. The text has passed inifile.Parse.
+func Sections(text string) []Section {
+	var sections []Section
+	for line := range strings.SplitSeq(text, "\n") {
+		line = strings.TrimSpace(line)
+		if line == "" || line[0] == '#' || line[0] == ';' {
+			continue
+		}
+		if line[0] == '[' {
+			name := strings.TrimSpace(strings.Trim(line, "[]"))
+			sections = append(sections, Section{Name: name})
+			continue
+		}
+		last := len(sections) - 1
+		sections[last].Lines = append(sections[last].Lines, line)
+	}
+	return sections
+}
+
+// Join is the inverse of Sections.
+func Join(sections []Section) string {
+	var text strings.Builder
+	for _, s := range sections {
+		text.WriteString("[" + s.Name + "]\n")
+		for _, line := range s.Lines {
+			text.WriteString(line + "\n")
+		}
+		text.WriteString("\n")
+	}
+	return text.String()
+}
+
+// Apply puts a change onto a whole text: sections of the change replace those
+// of the same name, new ones go to the end, and a section whose only line is
+// "drop = true" is removed. The result is the same on every entry.
+func Apply(whole, change string) (string, error) {
+	if _, err := inifile.Parse("change", []byte(change)); err != nil {
+		return "", err
+	}
+	changed := map[string]Section{}
+	order := Sections(change)
+	for _, s := range order {
+		changed[s.Name] = s
+	}
+	var result []Section
+	for _, s := range Sections(whole) {
+		if c, ok := changed[s.Name]; ok {
+			delete(changed, s.Name)
+			s = c
+		}
+		if !drops(s) {
+			result = append(result, s)
+		}
+	}
+	for _, s := range order {
+		if _, fresh := changed[s.Name]; fresh && !drops(s) {
+			result = append(result, s)
+		}
+	}
+	return Join(result), nil
+}
+
+func drops(s Section) bool { return len(s.Lines) == 1 && s.Lines[0] == dropLine }
+
+// Diff gives the change that turns one text into another.
+func Diff(from, to string) string {
+	old := map[string]string{}
+	for _, s := range Sections(from) {
+		old[s.Name] = strings.Join(s.Lines, "\n")
+	}
+	var change []Section
+	for _, s := range Sections(to) {
+		if lines, ok := old[s.Name]; !ok || lines != strings.Join(s.Lines, "\n") {
+			change = append(change, s)
+		}
+		delete(old, s.Name)
+	}
+	for _, name := range sortedNames(old) {
+		change = append(change, Section{Name: name, Lines: []string{dropLine}})
+	}
+	return Join(change)
+}
--- /dev/null
+++ b/caller/server.go
@@ -0,0 +1,367 @@
+// Package caller serves the callers' interface over HTTP, as docs/openapi.json describes it.
+package caller
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/labstack/echo/v4"
+
+	"github.com/radishgate/radishgate/job"
+	"github.com/radishgate/radishgate/keeper"
+	"github.com/radishgate/radishgate/origin"
+	"github.com/radishgate/radishgate/refusal"
+)
+
+// Headers of the callers' interface.
+const (
+	HeaderKey    = "Idempotency-Key"
+	HeaderTenant = "Radishgate-Tenant"
+	HeaderLimit  = "Radishgate-Limit" // longest time to the answer, such as 800ms
+	HeaderOrigin = "Radishgate-Origin"
+)
+
+// problemBase begins the type URI of every problem.
+const problemBase = "https://radishgate.example/problems/"
+
+// Options of a server.
+type Options struct {
+	Keeper   *keeper.Keeper
+	Refused  func(*refusal.Refusal) // counts refusals
+	Closing  func() bool            // connections are handed back after their answer
+	Ready    func() bool
+	Body     int64         // largest body of a job in bytes
+	Patience time.Duration // for a caller to send a body or take an answer
+	Now      func() time.Time
+}
+
+// Server is an http.Handler.
+type Server struct {
+	*echo.Echo
+	options Options
+}
+
+// New makes the server with its routes.
+func New(options Options) *Server {
+	if options.Now == nil {
+		options.Now = time.Now
+	}
+	if options.Patience == 0 {
+		options.Patience = 10 * time.Second
+	}
+	if options.Body == 0 {
+		options.Body = 16 << 20
+	}
+	s := &Server{Echo: echo.New(), options: options}
+	s.HTTPErrorHandler = s.fail
+	s.Use(s.frame)
+	s.POST("/v1/requests/:service", s.request)
+	s.PUT("/v1/jobs/:key", s.submit)
+	s.GET("/v1/jobs/:key", s.look)
+	s.DELETE("/v1/jobs/:key", s.cancel)
+	s.GET("/v1/origin", s.origin)
+	s.GET("/ready", s.ready)
+	s.GET("/live", func(c echo.Context) error { return c.String(http.StatusOK, "live\n") })
+	return s
+}
+
+// frame puts the origin token on every answer and hands connections back while
+// the entry stops.
+func (s *Server) frame(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		c.Response().Header().Set(HeaderOrigin, s.options.Keeper.Token())
+		if s.options.Closing() {
+			c.Response().Header().Set("Connection", "close")
+		}
+		return next(c)
+	}
+}
+
+// problem is the body of a refusal (RFC 9457).
+type problem struct {
+	Type    string          `json:"type"`
+	Title   string          `json:"title"`
+	Status  int             `json:"status"`
+	Detail  string          `json:"detail"`
+	Outcome refusal.Outcome `json:"outcome"`
+	RetryAt string          `json:"retryat,omitempty"`
+}
+
+// fail writes a refusal, or an error of the router, as problem+json.
+func (s *Server) fail(err error, c echo.Context) {
+	if c.Response().Committed {
+		return
+	}
+	var r *refusal.Refusal
+	if !errors.As(err, &r) {
+		r = routerRefusal(err)
+	}
+	s.options.Refused(r)
+	body := problem{
+		Type: problemBase + string(r.Kind), Title: string(r.Kind), Status: r.Status(),
+		Detail: r.Detail, Outcome: r.Outcome,
+	}
+	if !r.RetryAt.IsZero() {
+		body.RetryAt = r.RetryAt.UTC().Format(time.RFC3339Nano)
+		seconds := max(1, int(r.RetryAt.Sub(s.options.Now()).Seconds()+0.999))
+		c.Response().Header().Set("Retry-After", strconv.Itoa(seconds))
+	}
+	data, _ := json.Marshal(body)
+	s.bound(c)
+	_ = c.Blob(r.Status(), "application/problem+json", data)
+}
+
+func routerRefusal(err error) *refusal.Refusal {
+	var route *echo.HTTPError
+	if errors.As(err, &route) && (route.Code == http.StatusNotFound || route.Code == http.StatusMethodNotAllowed) {
+		return refusal.New(refusal.NoRoute, refusal.NotRun, "no such path or method")
+	}
+	return refusal.New(refusal.BadBody, refusal.NotRun, "%v", err)
+}
+
+// bound gives the caller a time in which to take its answer.
+func (s *Server) bound(c echo.Context) {
+	control := http.NewResponseController(c.Response().Writer)
+	_ = control.SetWriteDeadline(s.options.Now().Add(s.options.Patience))
+}
+
+func (s *Server) read(c echo.Context) ([]byte, error) {
+	control := http.NewResponseController(c.Response().Writer)
+	_ = control.SetReadDeadline(s.options.Now().Add(s.options.Patience))
+	body := http.MaxBytesReader(c.Response().Writer, c.Request().Body, s.options.Body)
+	data, err := io.ReadAll(body)
+	var large *http.MaxBytesError
+	switch {
+	case errors.As(err, &large):
+		return nil, refusal.New(refusal.BodyTooLarge, refusal.NotRun, "body is over %d bytes", s.options.Body)
+	case isTimeout(err):
+		return nil, refusal.New(refusal.SlowCaller, refusal.NotRun, "body did not arrive within %s", s.options.Patience)
+	case err != nil:
+		return nil, refusal.New(refusal.BadBody, refusal.NotRun, "body is cut off: %v", err)
+	}
+	_ = control.SetReadDeadline(time.Time{})
+	return data, nil
+}
+
+func isTimeout(err error) bool {
+	var timeout interface{ Timeout() bool }
+	return errors.As(err, &timeout) && timeout.Timeout()
+}
+
+// base reads what requests and jobs have in common.
+func (s *Server) base(c echo.Context, key string) (keeper.Submission, error) {
+	submission := keeper.Submission{Key: key, Tenant: c.Request().Header.Get(HeaderTenant)}
+	if submission.Tenant == "" {
+		return submission, refusal.New(refusal.BadHeader, refusal.NotRun, "header %s is missing", HeaderTenant)
+	}
+	if key != "" {
+		if err := origin.Check(key); err != nil {
+			return submission, refusal.New(refusal.BadKey, refusal.NotRun, "%v", err)
+		}
+	}
+	deadline, err := s.deadline(c.Request().Header.Get(HeaderLimit), HeaderLimit)
+	submission.Deadline = deadline
+	return submission, err
+}
+
+func (s *Server) deadline(text, name string) (time.Time, error) {
+	if text == "" {
+		return time.Time{}, nil
+	}
+	span, err := time.ParseDuration(text)
+	if err != nil || span <= 0 {
+		return time.Time{}, refusal.New(refusal.BadHeader, refusal.NotRun, "%s %q is not a length of time", name, text)
+	}
+	return s.options.Now().Add(span), nil
+}
+
+func digest(parts ...[]byte) string {
+	h := sha256.New()
+	for _, part := range parts {
+		_, _ = h.Write(part)
+		_, _ = h.Write([]byte{0})
+	}
+	return hex.EncodeToString(h.Sum(nil)[:16])
+}
+
+// longWait is how long a request may wait for its answer; its deadline ends it sooner.
+const longWait = time.Hour
+
+func (s *Server) request(c echo.Context) error {
+	submission, err := s.base(c, c.Request().Header.Get(HeaderKey))
+	if err != nil {
+		return err
+	}
+	body, err := s.read(c)
+	if err != nil {
+		return err
+	}
+	submission.Service = c.Param("service")
+	submission.Request = true
+	submission.Digest = digest([]byte(submission.Tenant), []byte(submission.Service), body)
+	kind := c.Request().Header.Get("Content-Type")
+	submission.Tasks = []job.Task{{Body: body, Type: kind}}
+	submission.WaitUntil = s.options.Now().Add(longWait)
+	result := s.options.Keeper.Submit(c.Request().Context(), submission)
+	if result.Refusal != nil {
+		return result.Refusal
+	}
+	if result.State != job.Complete {
+		return refusal.New(refusal.Cancelled, refusal.Unknown, "the caller stopped waiting")
+	}
+	s.bound(c)
+	answer := result.Answers[0]
+	return c.Blob(answer.Status, answer.Type, answer.Body)
+}
+
+// Body is the body of a job.
+type Body struct {
+	Service string     `json:"service"`
+	Limit   string     `json:"limit,omitempty"`
+	Tasks   []BodyTask `json:"tasks"`
+}
+
+// BodyTask is one task of a job: any JSON value, and a guess of its run time.
+type BodyTask struct {
+	Body json.RawMessage `json:"body"`
+	Hint string          `json:"hint,omitempty"`
+}
+
+// State is the answer about a job.
+type State struct {
+	Key     string        `json:"key"`
+	State   job.State     `json:"state"`
+	Done    int           `json:"done"`
+	Tasks   int           `json:"tasks"`
+	Answers []StateAnswer `json:"answers,omitempty"`
+}
+
+// StateAnswer is the answer of one task: the upstream's status and its JSON value.
+type StateAnswer struct {
+	Status int             `json:"status"`
+	Body   json.RawMessage `json:"body"`
+}
+
+func (s *Server) submit(c echo.Context) error {
+	key, err := url.PathUnescape(c.Param("key"))
+	if err != nil {
+		return refusal.New(refusal.BadKey, refusal.NotRun, "key is badly escaped")
+	}
+	submission, err := s.base(c, key)
+	if err != nil {
+		return err
+	}
+	data, err := s.read(c)
+	if err != nil {
+		return err
+	}
+	if err := s.parse(data, &submission); err != nil {
+		return err
+	}
+	return s.answer(c, key, func(until time.Time) keeper.Result {
+		submission.WaitUntil = until
+		return s.options.Keeper.Submit(c.Request().Context(), submission)
+	})
+}
+
+func (s *Server) parse(data []byte, submission *keeper.Submission) error {
+	var body Body
+	if err := json.Unmarshal(data, &body); err != nil {
+		return refusal.New(refusal.BadBody, refusal.NotRun, "body is not a job: %v", err)
+	}
+	if len(body.Tasks) == 0 {
+		return refusal.New(refusal.BadBody, refusal.NotRun, "job has no tasks")
+	}
+	if body.Limit != "" {
+		deadline, err := s.deadline(body.Limit, "limit")
+		if err != nil {
+			return err
+		}
+		submission.Deadline = deadline
+	}
+	submission.Service = body.Service
+	submission.Digest = digest([]byte(submission.Tenant), data)
+	for i, t := range body.Tasks {
+		task, err := parseTask(t)
+		if err != nil {
+			return refusal.New(refusal.BadBody, refusal.NotRun, "task %d: %v", i, err)
+		}
+		submission.Tasks = append(submission.Tasks, task)
+	}
+	return nil
+}
+
+func parseTask(t BodyTask) (job.Task, error) {
+	task := job.Task{Body: t.Body, Type: echo.MIMEApplicationJSON}
+	if len(t.Body) == 0 {
+		task.Body = []byte("null")
+	}
+	if t.Hint == "" {
+		return task, nil
+	}
+	hint, err := time.ParseDuration(t.Hint)
+	if err != nil || hint < 0 {
+		return task, refusal.New(refusal.BadBody, refusal.NotRun, "hint %q is not a length of time", t.Hint)
+	}
+	task.Hint = hint
+	return task, nil
+}
+
+// answer runs a call with the wait that the query names and writes the job's state.
+func (s *Server) answer(c echo.Context, key string, call func(until time.Time) keeper.Result) error {
+	until, err := s.deadline(c.QueryParam("wait"), "wait")
+	if err != nil {
+		return err
+	}
+	result := call(until)
+	if result.Refusal != nil {
+		return result.Refusal
+	}
+	state := State{Key: key, State: result.State, Done: result.Done, Tasks: result.Tasks}
+	status := http.StatusAccepted
+	if result.State == job.Complete {
+		status = http.StatusOK
+		for _, a := range result.Answers {
+			state.Answers = append(state.Answers, StateAnswer{Status: a.Status, Body: a.Body})
+		}
+	}
+	// The whole answer is built before a byte of it leaves.
+	data, err := json.Marshal(state)
+	if err != nil {
+		return refusal.New(refusal.CorruptAnswer, refusal.Unknown, "an upstream's answer is not JSON")
+	}
+	s.bound(c)
+	return c.Blob(status, echo.MIMEApplicationJSON, data)
+}
+
+func (s *Server) look(c echo.Context) error { return s.lookOr(c, false) }
+
+func (s *Server) cancel(c echo.Context) error { return s.lookOr(c, true) }
+
+func (s *Server) lookOr(c echo.Context, cancel bool) error {
+	key, err := url.PathUnescape(c.Param("key"))
+	if err != nil || origin.Check(key) != nil {
+		return refusal.New(refusal.BadKey, refusal.NotRun, "key is badly formed")
+	}
+	return s.answer(c, key, func(until time.Time) keeper.Result {
+		return s.options.Keeper.Look(c.Request().Context(), keeper.Look{Key: key, WaitUntil: until, Cancel: cancel})
+	})
+}
+
+func (s *Server) origin(c echo.Context) error {
+	return c.JSON(http.StatusOK, map[string]string{"token": s.options.Keeper.Token()})
+}
+
+func (s *Server) ready(c echo.Context) error {
+	if !s.options.Ready() {
+		return c.String(http.StatusServiceUnavailable, "not ready\n")
+	}
+	return c.String(http.StatusOK, "ready\n")
+}
--- /dev/null
+++ b/client/client.go
@@ -0,0 +1,205 @@
+// Package client is the callers' library: it sends requests and jobs to any entry and resubmits under the same key.
+package client
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/radishgate/radishgate/caller"
+	"github.com/radishgate/radishgate/refusal"
+)
+
+// maxAnswer bounds an answer in bytes.
+const maxAnswer = 256 << 20
+
+// Refused is a refusal by an entry.
+type Refused struct {
+	Kind    refusal.Kind
+	Outcome refusal.Outcome
+	Status  int
+	Detail  string
+	RetryAt time.Time
+}
+
+// Error gives kind, outcome and detail.
+func (r *Refused) Error() string { return fmt.Sprintf("%s (%s): %s", r.Kind, r.Outcome, r.Detail) }
+
+// LostError is a call that brought no answer from an entry.
+type LostError struct {
+	Entry string
+	Cause error
+}
+
+// Error names the entry.
+func (e *LostError) Error() string { return fmt.Sprintf("entry %s: %v", e.Entry, e.Cause) }
+
+// Unwrap gives the cause.
+func (e *LostError) Unwrap() error { return e.Cause }
+
+// Client sends as one tenant to a list of entries, one after the other.
+type Client struct {
+	Tenant  string
+	Entries []string // addresses of IP number and port
+	HTTP    *http.Client
+
+	turn  atomic.Uint64
+	mu    sync.Mutex
+	token string
+	by    string
+	until time.Time
+}
+
+// New makes a client.
+func New(tenant string, entries ...string) *Client {
+	transport := &http.Transport{MaxIdleConnsPerHost: 256, IdleConnTimeout: 30 * time.Second}
+	return &Client{Tenant: tenant, Entries: entries, HTTP: &http.Client{Transport: transport}}
+}
+
+// Close drops idle connections.
+func (c *Client) Close() { c.HTTP.CloseIdleConnections() }
+
+// Next gives the next entry in turn.
+func (c *Client) Next() string { return c.Entries[c.turn.Add(1)%uint64(len(c.Entries))] }
+
+// Call is one HTTP call to an entry.
+type Call struct {
+	Method string
+	Path   string
+	Key    string // Idempotency-Key, empty for none
+	Type   string
+	Limit  time.Duration // 0 for the service's own
+	Body   []byte
+}
+
+// Do sends a call to one entry. Errors are *Refused and *LostError.
+func (c *Client) Do(ctx context.Context, entry string, call Call) (int, []byte, error) {
+	request, err := http.NewRequestWithContext(ctx, call.Method, "http://"+entry+call.Path, bytes.NewReader(call.Body))
+	if err != nil {
+		return 0, nil, &LostError{Entry: entry, Cause: err}
+	}
+	request.Header.Set(caller.HeaderTenant, c.Tenant)
+	if call.Key != "" {
+		request.Header.Set(caller.HeaderKey, call.Key)
+		request.GetBody = nil // the transport must not repeat a keyed call on its own
+	}
+	if call.Type != "" {
+		request.Header.Set("Content-Type", call.Type)
+	}
+	if call.Limit > 0 {
+		request.Header.Set(caller.HeaderLimit, call.Limit.String())
+	}
+	response, err := c.HTTP.Do(request)
+	if err != nil {
+		return 0, nil, &LostError{Entry: entry, Cause: err}
+	}
+	defer response.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(response.Body, maxAnswer))
+	if err != nil {
+		return 0, nil, &LostError{Entry: entry, Cause: err}
+	}
+	if response.Header.Get("Content-Type") == "application/problem+json" {
+		return response.StatusCode, data, parse(response.StatusCode, data)
+	}
+	return response.StatusCode, data, nil
+}
+
+func parse(status int, data []byte) error {
+	var body struct {
+		Title   refusal.Kind    `json:"title"`
+		Detail  string          `json:"detail"`
+		Outcome refusal.Outcome `json:"outcome"`
+		RetryAt time.Time       `json:"retryat"`
+	}
+	if err := json.Unmarshal(data, &body); err != nil {
+		return &Refused{Kind: "unreadable", Outcome: refusal.Unknown, Status: status, Detail: err.Error()}
+	}
+	return &Refused{Kind: body.Title, Outcome: body.Outcome, Status: status, Detail: body.Detail, RetryAt: body.RetryAt}
+}
+
+// tokenSpan is how long a token is used before a new one is taken.
+const tokenSpan = time.Second
+
+// Origin gives an entry and a key of which that entry is the origin.
+func (c *Client) Origin(ctx context.Context, own string) (string, string, error) {
+	c.mu.Lock()
+	if time.Now().Before(c.until) {
+		defer c.mu.Unlock()
+		return c.by, c.token + "." + own, nil
+	}
+	c.mu.Unlock()
+	entry := c.Next()
+	token, err := c.Token(ctx, entry)
+	if err != nil {
+		return entry, "", err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.token, c.by, c.until = token, entry, time.Now().Add(tokenSpan)
+	return entry, token + "." + own, nil
+}
+
+// Token asks an entry for its present origin token.
+func (c *Client) Token(ctx context.Context, entry string) (string, error) {
+	_, data, err := c.Do(ctx, entry, Call{Method: http.MethodGet, Path: "/v1/origin"})
+	if err != nil {
+		return "", err
+	}
+	var body struct {
+		Token string `json:"token"`
+	}
+	if err := json.Unmarshal(data, &body); err != nil {
+		return "", &LostError{Entry: entry, Cause: err}
+	}
+	return body.Token, nil
+}
+
+// Request sends one request.
+func (c *Client) Request(ctx context.Context, entry, service, key string, limit time.Duration, body []byte) (int, []byte, error) {
+	return c.Do(ctx, entry, Call{
+		Method: http.MethodPost, Path: "/v1/requests/" + url.PathEscape(service), Key: key,
+		Type: "application/json", Limit: limit, Body: body,
+	})
+}
+
+// Submit sends a job and waits for it for so long.
+func (c *Client) Submit(ctx context.Context, entry, key string, job caller.Body, wait time.Duration) (caller.State, error) {
+	data, err := json.Marshal(job)
+	if err != nil {
+		return caller.State{}, &LostError{Entry: entry, Cause: err}
+	}
+	return c.job(ctx, entry, Call{Method: http.MethodPut, Type: "application/json", Body: data}, key, wait)
+}
+
+// Look asks for a job and waits for it for so long.
+func (c *Client) Look(ctx context.Context, entry, key string, wait time.Duration) (caller.State, error) {
+	return c.job(ctx, entry, Call{Method: http.MethodGet}, key, wait)
+}
+
+// Cancel cancels a job.
+func (c *Client) Cancel(ctx context.Context, entry, key string) (caller.State, error) {
+	return c.job(ctx, entry, Call{Method: http.MethodDelete}, key, 0)
+}
+
+func (c *Client) job(ctx context.Context, entry string, call Call, key string, wait time.Duration) (caller.State, error) {
+	call.Path = "/v1/jobs/" + url.PathEscape(key)
+	if wait > 0 {
+		call.Path += "?wait=" + wait.String()
+	}
+	var state caller.State
+	_, data, err := c.Do(ctx, entry, call)
+	if err != nil {
+		return state, err
+	}
+	if err := json.Unmarshal(data, &state); err != nil {
+		return state, &LostError{Entry: entry, Cause: err}
+	}
+	return state, nil
+}
--- /dev/null
+++ b/commands/commands.go
@@ -0,0 +1,127 @@
+// Package commands holds the command line, one file a command.
+package commands
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alexflint/go-arg"
+
+	"github.com/radishgate/radishgate/client"
+	"github.com/radishgate/radishgate/common/inifile"
+	"github.com/radishgate/radishgate/demo"
+	"github.com/radishgate/radishgate/refusal"
+	"github.com/radishgate/radishgate/settings"
+)
+
+// Exit codes, as docs/operating/commands.md lists them.
+const (
+	exitOK      = 0
+	exitFailed  = 1
+	exitUsage   = 2 // arguments, settings, bundles or files
+	exitNotRun  = 3 // refused, not run
+	exitUnknown = 4 // the outcome is unknown
+	exitBroken  = 5 // a promise was broken
+)
+
+// Version of this build.
+const Version = "0.1.0"
+
+type arguments struct {
+	Serve    *serveCommand    `arg:"subcommand:serve" help:"run an entry"`
+	Settings *settingsCommand `arg:"subcommand:settings" help:"check or print settings"`
+	Keys     *keysCommand     `arg:"subcommand:keys" help:"make keys"`
+	Request  *requestCommand  `arg:"subcommand:request" help:"send one request"`
+	Job      *jobCommand      `arg:"subcommand:job" help:"submit, look at or cancel a job"`
+	Status   *statusCommand   `arg:"subcommand:status" help:"show the state of an entry"`
+	Standin  *standinCommand  `arg:"subcommand:standin" help:"run a stand-in platform or upstream"`
+	Demo     *demoCommand     `arg:"subcommand:demo" help:"run both firms' examples in one process"`
+	Version  *versionCommand  `arg:"subcommand:version" help:"print the version"`
+}
+
+// Description tells what the program is, above its usage.
+func (arguments) Description() string {
+	return "radishgate dispatches tasks of under a second to upstreams in several availability zones."
+}
+
+// command is one subcommand with its arguments filled in.
+type command interface {
+	run(ctx context.Context, out, problems io.Writer) error
+}
+
+// UsageError is a command line that cannot be run.
+type UsageError struct{ Reason string }
+
+// Error gives the reason.
+func (e *UsageError) Error() string { return e.Reason }
+
+// Main runs the command line and gives the exit code. The first SIGTERM or
+// interrupt ends the context; a second one ends the process at once.
+func Main(words []string, out, problems io.Writer) int {
+	var given arguments
+	parser, err := arg.NewParser(arg.Config{Program: "radishgate", Out: out}, &given)
+	if err != nil {
+		fmt.Fprintln(problems, err)
+		return exitUsage
+	}
+	switch err := parser.Parse(words); {
+	case errors.Is(err, arg.ErrHelp):
+		_ = parser.WriteHelpForSubcommand(out, parser.SubcommandNames()...)
+		return exitOK
+	case err != nil:
+		fmt.Fprintln(problems, "radishgate:", err)
+		return exitUsage
+	}
+	chosen, ok := parser.Subcommand().(command)
+	if !ok {
+		_ = parser.WriteHelpForSubcommand(problems, parser.SubcommandNames()...)
+		return exitUsage
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	context.AfterFunc(ctx, stop)
+	defer stop()
+	if err := chosen.run(ctx, out, problems); err != nil {
+		fmt.Fprintln(problems, "radishgate:", err)
+		return code(err)
+	}
+	return exitOK
+}
+
+// code turns an error into an exit code.
+func code(err error) int {
+	var place *inifile.Error
+	var file *settings.Error
+	var usage *UsageError
+	var refused *client.Refused
+	var lost *client.LostError
+	var broken *demo.BrokenError
+	switch {
+	case errors.As(err, &place), errors.As(err, &file), errors.As(err, &usage):
+		return exitUsage
+	case errors.As(err, &broken):
+		return exitBroken
+	case errors.As(err, &refused) && refused.Outcome == refusal.NotRun:
+		return exitNotRun
+	case errors.As(err, &refused) && refused.Outcome == refusal.Unknown, errors.As(err, &lost):
+		return exitUnknown
+	}
+	return exitFailed
+}
+
+func printJSON(out io.Writer, value any) error {
+	encoder := json.NewEncoder(out)
+	return encoder.Encode(value)
+}
+
+type versionCommand struct{}
+
+func (versionCommand) run(_ context.Context, out, _ io.Writer) error {
+	_, err := fmt.Fprintln(out, "radishgate", Version)
+	return err
+}
--- /dev/null
+++ b/commands/serve.go
@@ -0,0 +1,65 @@
+package commands
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+
+	"github.com/radishgate/radishgate/entry"
+	"github.com/radishgate/radishgate/settings"
+)
+
+type serveCommand struct {
+	Settings string `arg:"--settings,required" help:"settings file (INI)"`
+}
+
+func (c *serveCommand) run(ctx context.Context, _, problems io.Writer) error {
+	s, err := settings.Load(c.Settings)
+	if err != nil {
+		return err
+	}
+	e, err := entry.New(entry.Options{Settings: s, Log: logger(s, problems)})
+	if err != nil {
+		return &UsageError{Reason: fmt.Sprintf("%s: %v", c.Settings, err)}
+	}
+	return e.Run(ctx)
+}
+
+func logger(s *settings.Settings, out io.Writer) *slog.Logger {
+	levels := map[string]slog.Level{"debug": slog.LevelDebug, "info": slog.LevelInfo, "warn": slog.LevelWarn, "error": slog.LevelError}
+	options := &slog.HandlerOptions{Level: levels[s.Level]}
+	if s.Form == "json" {
+		return slog.New(slog.NewJSONHandler(out, options))
+	}
+	return slog.New(slog.NewTextHandler(out, options))
+}
+
+type settingsCommand struct {
+	Check *settingsCheck `arg:"subcommand:check" help:"check a settings file"`
+	Print *settingsPrint `arg:"subcommand:print" help:"print all settings with their defaults"`
+}
+
+func (c *settingsCommand) run(context.Context, io.Writer, io.Writer) error {
+	return &UsageError{Reason: "settings: check or print"}
+}
+
+type settingsCheck struct {
+	File string `arg:"positional,required"`
+}
+
+func (c *settingsCheck) run(_ context.Context, out, _ io.Writer) error {
+	s, err := settings.Load(c.File)
+	if err != nil {
+		return err
+	}
+	_, err = fmt.Fprintf(out, "%s: settings of VM %s in availability zone %s are good\n", c.File, s.VM, s.Zone)
+	return err
+}
+
+type settingsPrint struct{}
+
+func (settingsPrint) run(_ context.Context, out, _ io.Writer) error {
+	_, err := io.WriteString(out, settings.Print())
+	return err
+}
--- /dev/null
+++ b/common/inifile/file.go
@@ -0,0 +1,245 @@
+// Package inifile reads INI files so that every mistake is reported with file, line and key.
+package inifile
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"gopkg.in/ini.v1"
+)
+
+// Error names the place of a mistake in an INI file. Line is 0 where the key is missing.
+type Error struct {
+	File    string
+	Line    int
+	Section string
+	Key     string
+	Reason  string
+}
+
+// Error gives file, line, section and key in one line.
+func (e *Error) Error() string {
+	place := e.File
+	if e.Line > 0 {
+		place = fmt.Sprintf("%s:%d", e.File, e.Line)
+	}
+	if e.Key != "" {
+		return fmt.Sprintf("%s: [%s] %s: %s", place, e.Section, e.Key, e.Reason)
+	}
+	if e.Section != "" {
+		return fmt.Sprintf("%s: [%s]: %s", place, e.Section, e.Reason)
+	}
+	return fmt.Sprintf("%s: %s", place, e.Reason)
+}
+
+// File is a parsed INI file that remembers the first mistake found in it, so
+// that callers read all keys first and check Err once.
+type File struct {
+	name     string
+	file     *ini.File
+	sections []string
+	lines    map[string]int
+	used     map[string]bool
+	failure  *Error
+}
+
+// Parse reads data; name is used in errors only. Keys that stand twice in one
+// section and sections that stand twice are errors.
+func Parse(name string, data []byte) (*File, error) {
+	f := &File{name: name, lines: map[string]int{}, used: map[string]bool{}}
+	if err := f.scan(string(data)); err != nil {
+		return nil, err
+	}
+	options := ini.LoadOptions{IgnoreInlineComment: true, KeyValueDelimiters: "=", SkipUnrecognizableLines: false}
+	file, err := ini.LoadSources(options, data)
+	if err != nil {
+		return nil, &Error{File: name, Reason: err.Error()}
+	}
+	f.file = file
+	return f, nil
+}
+
+func place(section, key string) string { return section + "\x00" + key }
+
+func (f *File) scan(text string) error {
+	section := ""
+	for i, line := range strings.Split(text, "\n") {
+		line = strings.TrimSpace(line)
+		if line == "" || line[0] == '#' || line[0] == ';' {
+			continue
+		}
+		if err := f.scanLine(line, i+1, &section); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (f *File) scanLine(line string, number int, section *string) error {
+	if line[0] == '[' {
+		name, ok := strings.CutSuffix(line[1:], "]")
+		name = strings.TrimSpace(name)
+		if !ok || name == "" {
+			return &Error{File: f.name, Line: number, Reason: "section line lacks its closing bracket or its name"}
+		}
+		if _, seen := f.lines[place(name, "")]; seen {
+			return &Error{File: f.name, Line: number, Section: name, Reason: "section stands twice"}
+		}
+		f.lines[place(name, "")] = number
+		f.sections = append(f.sections, name)
+		*section = name
+		return nil
+	}
+	key, _, ok := strings.Cut(line, "=")
+	key = strings.TrimSpace(key)
+	if !ok || key == "" {
+		return &Error{File: f.name, Line: number, Section: *section, Reason: "line is neither a section nor key = value"}
+	}
+	if *section == "" {
+		return &Error{File: f.name, Line: number, Key: key, Reason: "key stands before the first section"}
+	}
+	if _, seen := f.lines[place(*section, key)]; seen {
+		return &Error{File: f.name, Line: number, Section: *section, Key: key, Reason: "key stands twice"}
+	}
+	f.lines[place(*section, key)] = number
+	return nil
+}
+
+// Sections lists the sections in file order.
+func (f *File) Sections() []string { return f.sections }
+
+// Has tells whether the key stands in the file.
+func (f *File) Has(section, key string) bool {
+	_, ok := f.lines[place(section, key)]
+	return ok
+}
+
+// Fail records a mistake at a key; only the first one is kept.
+func (f *File) Fail(section, key, reason string) {
+	if f.failure != nil {
+		return
+	}
+	line := f.lines[place(section, key)]
+	if line == 0 {
+		line = f.lines[place(section, "")]
+	}
+	f.failure = &Error{File: f.name, Line: line, Section: section, Key: key, Reason: reason}
+}
+
+// String reads a text, or fallback where the key is missing.
+func (f *File) String(section, key, fallback string) string {
+	f.used[place(section, key)] = true
+	if !f.Has(section, key) {
+		return fallback
+	}
+	return strings.TrimSpace(f.file.Section(section).Key(key).Value())
+}
+
+// Must reads a text that has to be there.
+func (f *File) Must(section, key string) string {
+	text := f.String(section, key, "")
+	if text == "" {
+		f.Fail(section, key, "is required")
+	}
+	return text
+}
+
+// Int reads a whole number between low and high.
+func (f *File) Int(section, key string, fallback, low, high int64) int64 {
+	text := f.String(section, key, "")
+	if text == "" && !f.Has(section, key) {
+		return fallback
+	}
+	number, err := strconv.ParseInt(text, 10, 64)
+	if err != nil || number < low || number > high {
+		f.Fail(section, key, fmt.Sprintf("%q is not a whole number from %d to %d", text, low, high))
+		return fallback
+	}
+	return number
+}
+
+// Float reads a number between low and high.
+func (f *File) Float(section, key string, fallback, low, high float64) float64 {
+	text := f.String(section, key, "")
+	if text == "" && !f.Has(section, key) {
+		return fallback
+	}
+	number, err := strconv.ParseFloat(text, 64)
+	if err != nil || !(number >= low && number <= high) {
+		f.Fail(section, key, fmt.Sprintf("%q is not a number from %g to %g", text, low, high))
+		return fallback
+	}
+	return number
+}
+
+// Bool reads true or false.
+func (f *File) Bool(section, key string, fallback bool) bool {
+	text := f.String(section, key, strconv.FormatBool(fallback))
+	switch text {
+	case "true":
+		return true
+	case "false":
+		return false
+	}
+	f.Fail(section, key, fmt.Sprintf("%q is neither true nor false", text))
+	return fallback
+}
+
+// Span reads a length of time between low and high, such as 250ms.
+func (f *File) Span(section, key string, fallback, low, high time.Duration) time.Duration {
+	text := f.String(section, key, "")
+	if text == "" && !f.Has(section, key) {
+		return fallback
+	}
+	span, err := time.ParseDuration(text)
+	if err != nil || span < low || span > high {
+		f.Fail(section, key, fmt.Sprintf("%q is not a length of time from %s to %s", text, low, high))
+		return fallback
+	}
+	return span
+}
+
+// List reads words separated by commas.
+func (f *File) List(section, key string) []string {
+	var words []string
+	for word := range strings.SplitSeq(f.String(section, key, ""), ",") {
+		if word = strings.TrimSpace(word); word != "" {
+			words = append(words, word)
+		}
+	}
+	return words
+}
+
+// Err gives the first mistake, counting keys and sections nobody read as
+// mistakes: a misspelt key must never pass for a default.
+func (f *File) Err() error {
+	if f.failure != nil {
+		return f.failure
+	}
+	for _, section := range f.sections {
+		if err := f.unread(section); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (f *File) unread(section string) error {
+	known := f.used[place(section, "")]
+	for _, key := range f.file.Section(section).KeyStrings() {
+		if f.used[place(section, key)] {
+			known = true
+			continue
+		}
+		return &Error{File: f.name, Line: f.lines[place(section, key)], Section: section, Key: key, Reason: "unknown key"}
+	}
+	if known {
+		return nil
+	}
+	return &Error{File: f.name, Line: f.lines[place(section, "")], Section: section, Reason: "unknown section"}
+}
+
+// Know marks a section as known even when it holds no keys.
+func (f *File) Know(section string) { f.used[place(section, "")] = true }
--- /dev/null
+++ b/dispatch/dispatcher.go
@@ -0,0 +1,261 @@
+// Package dispatch decides which waiting task starts next, on which upstream, and what follows when it fails.
+package dispatch
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/radishgate/radishgate/budget"
+	"github.com/radishgate/radishgate/bundle"
+	"github.com/radishgate/radishgate/estimate"
+	"github.com/radishgate/radishgate/job"
+	"github.com/radishgate/radishgate/limit"
+	"github.com/radishgate/radishgate/loan"
+	"github.com/radishgate/radishgate/outlier"
+	"github.com/radishgate/radishgate/queue"
+	"github.com/radishgate/radishgate/upstream"
+)
+
+// Placements that borrow slots or keep to their own; all others are open, which
+// means that entries do not agree on slots at all.
+const (
+	placementHome   = "home"
+	placementStatic = "static"
+)
+
+// Outcome is what became of one start, for counters and histograms.
+type Outcome struct {
+	Job      *job.Job
+	Upstream string
+	Result   string // ok, not-run, failed, unknown, corrupt, cancelled
+	Hedge    bool
+	Wait     time.Duration // from arrival to start
+	Service  time.Duration // from start to answer
+}
+
+// Options of a dispatcher. The functions are its seams to the rest of the entry.
+type Options struct {
+	Zone      string
+	Ledger    *loan.Ledger
+	Estimator *estimate.Estimator
+	Board     *outlier.Board
+	Send      func(ctx context.Context, name string, call upstream.Call) (upstream.Answer, error)
+	Leaving   func(name string) bool
+	Lease     func(name string) (time.Time, bool) // end of the worker's lease
+	Wake      func()                              // tasks wait that own slots do not take soon
+	Spare     func()                              // borrowed slots may be idle
+	Seen      func(Outcome)
+	Now       func() time.Time
+}
+
+// target is one upstream as the dispatcher sees it.
+type target struct {
+	name    string
+	bundle  *bundle.Upstream
+	near    bool
+	limit   *limit.Limit
+	budget  *budget.Budget
+	running []*run
+
+	// The fields below are filled anew for each match.
+	free  int
+	held  int
+	speed float64
+	ends  []time.Time
+}
+
+// task is one waiting or running task.
+type task struct {
+	job      *job.Job
+	index    int
+	estimate time.Duration // on the fastest upstream
+	avoid    string
+	attempts int
+	done     bool
+	runs     []*run
+}
+
+func (t *task) hint() time.Duration { return t.job.Tasks[t.index].Hint }
+
+// run is one start of a task.
+type run struct {
+	task   *task
+	target *target
+	permit loan.Permit
+	began  time.Time
+	end    time.Time // expected
+	used   float64   // share of the slots here that were busy at the start
+	hedge  bool
+	cancel context.CancelFunc
+}
+
+// Dispatcher is the aggregate of waiting tasks, running tasks and targets. It
+// is safe for concurrent use.
+type Dispatcher struct {
+	options Options
+
+	mu       sync.Mutex
+	bundle   *bundle.Bundle
+	targets  map[string]*target
+	order    []*target
+	requests *queue.Queue[*task]
+	jobs     *queue.Queue[*task]
+	urgent   []*task // next requests
+	staged   []*task // next tasks of jobs
+	waiting  map[*job.Job]int
+	backlog  int           // live tasks that wait
+	work     time.Duration // their estimates
+	want     int
+	head     string
+	group    int64
+	starts   uint64
+	retries  map[string]*budget.Budget
+	hedges   map[string]*budget.Budget
+	turn     int
+	runs     sync.WaitGroup
+}
+
+// New makes a dispatcher without upstreams.
+func New(options Options) *Dispatcher {
+	if options.Now == nil {
+		options.Now = time.Now
+	}
+	if options.Leaving == nil {
+		options.Leaving = func(string) bool { return false }
+	}
+	if options.Lease == nil {
+		options.Lease = func(string) (time.Time, bool) { return time.Time{}, false }
+	}
+	if options.Wake == nil {
+		options.Wake = func() {}
+	}
+	if options.Spare == nil {
+		options.Spare = func() {}
+	}
+	if options.Seen == nil {
+		options.Seen = func(Outcome) {}
+	}
+	if options.Board == nil {
+		options.Board = outlier.New(outlier.Options{Now: options.Now})
+	}
+	return &Dispatcher{
+		options: options, targets: map[string]*target{},
+		requests: queue.New[*task](), jobs: queue.New[*task](), waiting: map[*job.Job]int{},
+		retries: map[string]*budget.Budget{}, hedges: map[string]*budget.Budget{},
+	}
+}
+
+// Apply puts a bundle in force for placement. Jobs keep the bundle they were
+// admitted under for all else.
+func (d *Dispatcher) Apply(b *bundle.Bundle) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.bundle = b
+	d.order = d.order[:0]
+	for name, u := range b.Upstreams {
+		t, ok := d.targets[name]
+		if !ok {
+			t = &target{name: name, limit: limit.New(d.options.Now), budget: budget.New(b.Rules.Retry, repeatsSaved)}
+			d.targets[name] = t
+		}
+		t.bundle, t.near = u, u.Zone == d.options.Zone
+		d.order = append(d.order, t)
+	}
+	for name := range d.targets {
+		if _, ok := b.Upstreams[name]; !ok {
+			delete(d.targets, name)
+			d.options.Estimator.Forget(name)
+			d.options.Board.Forget(name)
+		}
+	}
+	slices.SortFunc(d.order, func(a, b *target) int { return strings.Compare(a.name, b.name) })
+	d.options.Board.Limit(int(b.Rules.Eject * float64(d.near())))
+	d.match()
+}
+
+func (d *Dispatcher) near() int {
+	count := 0
+	for _, t := range d.order {
+		if t.near {
+			count++
+		}
+	}
+	return count
+}
+
+// Kick looks again for tasks that can start, after slots have come or news of
+// upstreams.
+func (d *Dispatcher) Kick() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.match()
+}
+
+// Backlog counts the tasks that wait.
+func (d *Dispatcher) Backlog() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.backlog
+}
+
+// Idle waits until no start is under way.
+func (d *Dispatcher) Idle() { d.runs.Wait() }
+
+// Need tells what the exchange should borrow for.
+func (d *Dispatcher) Need() (want, backlog, held int, service string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, t := range d.order {
+		if t.near {
+			held += d.options.Ledger.Held(t.name)
+		}
+	}
+	return d.want, d.backlog, held, d.head
+}
+
+// Demand is the backlog by held slot, which decides between this entry and a
+// holder that asks for its slots.
+func (d *Dispatcher) Demand() float64 {
+	_, backlog, held, _ := d.Need()
+	return float64(backlog) / float64(max(1, held))
+}
+
+// Room counts the free slots of the own zone that others could borrow now.
+func (d *Dispatcher) Room() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.backlog > 0 {
+		return 0
+	}
+	room := 0
+	for _, t := range d.order {
+		if t.near && d.usable(t) {
+			room += d.options.Ledger.Free(t.name)
+		}
+	}
+	return room
+}
+
+// Lendable lists the upstreams of the own zone, the fastest first, without
+// those that should get no work.
+func (d *Dispatcher) Lendable() []string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var names []string
+	speeds := map[string]float64{}
+	for _, t := range d.order {
+		if t.near && d.usable(t) {
+			names = append(names, t.name)
+			speeds[t.name] = d.options.Estimator.Speed(t.name)
+		}
+	}
+	sortBySpeed(names, speeds)
+	return names
+}
+
+func (d *Dispatcher) usable(t *target) bool {
+	return !t.bundle.Leaving && !d.options.Leaving(t.name) && !d.options.Board.Aside(t.name)
+}
--- /dev/null
+++ b/dispatch/match.go
@@ -0,0 +1,291 @@
+package dispatch
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/radishgate/radishgate/loan"
+	"github.com/radishgate/radishgate/refusal"
+)
+
+const (
+	// lookLeast and lookMost bound the tasks that are placed together.
+	lookLeast = 16
+	lookMost  = 256
+	// jobTurn is the number of starts after which a task of a job goes before requests.
+	jobTurn = 8
+	// content is the response against the fastest one that is worth no message.
+	content = 1.25
+	// contentWait is a wait that is worth no message.
+	contentWait = 2 * time.Millisecond
+	// overdue is the share of its estimate after which a late task is expected to end.
+	overdue = 0.25
+	// leaseShare is how many times its estimate a task may need within a lease.
+	leaseShare = 3
+)
+
+// match starts what can start. The caller holds the lock.
+func (d *Dispatcher) match() {
+	if d.bundle == nil || d.backlog == 0 {
+		d.want = 0
+		d.options.Spare()
+		return
+	}
+	now := d.options.Now()
+	free, held := d.survey(now)
+	look := min(max(2*held, lookLeast), lookMost)
+	d.stage(look)
+	if d.open() {
+		d.matchOpen(now)
+		return
+	}
+	hold := d.requests.Len()+d.jobs.Len() == 0
+	if hold {
+		d.expect(now)
+	}
+	d.want, d.head = 0, ""
+	if d.starts%jobTurn == jobTurn-1 {
+		d.staged = d.place(d.staged, now, hold, &free)
+		d.urgent = d.place(d.urgent, now, hold, &free)
+	} else {
+		d.urgent = d.place(d.urgent, now, hold, &free)
+		d.staged = d.place(d.staged, now, hold, &free)
+	}
+	if d.want > 0 {
+		d.want += d.requests.Len() + d.jobs.Len()
+		if d.bundle.Rules.Placement == placementHome {
+			d.options.Wake()
+		}
+	}
+}
+
+func (d *Dispatcher) open() bool {
+	placement := d.bundle.Rules.Placement
+	return placement != placementHome && placement != placementStatic
+}
+
+// survey fills in what each target offers now.
+func (d *Dispatcher) survey(now time.Time) (int, int) {
+	free, held := 0, 0
+	for _, t := range d.order {
+		t.free, t.held = 0, 0
+		if !d.usable(t) {
+			continue
+		}
+		t.held = d.options.Ledger.Held(t.name)
+		allowed := t.limit.Allow(t.held) - len(t.running)
+		t.free = max(0, min(d.options.Ledger.Free(t.name), allowed))
+		t.speed = max(d.options.Estimator.Speed(t.name), 0.01)
+		free += t.free
+		held += t.held
+	}
+	return free, held
+}
+
+// expect lists when the busy slots of each target will come free.
+func (d *Dispatcher) expect(now time.Time) {
+	for _, t := range d.order {
+		t.ends = t.ends[:0]
+		if t.held == 0 || !t.near {
+			continue
+		}
+		for _, r := range t.running {
+			end := r.end
+			if end.Before(now) {
+				late := now.Sub(r.began)
+				end = now.Add(time.Duration(float64(late) * overdue))
+			}
+			t.ends = append(t.ends, end)
+		}
+		slices.SortFunc(t.ends, time.Time.Compare)
+	}
+}
+
+// stage takes the next tasks out of the queues, so that they are placed together.
+func (d *Dispatcher) stage(look int) {
+	for len(d.urgent) < look {
+		item, ok := d.requests.Pop()
+		if !ok {
+			break
+		}
+		if item.Value.job.Live() {
+			d.urgent = append(d.urgent, item.Value)
+		}
+	}
+	for len(d.staged) < look {
+		item, ok := d.jobs.Pop()
+		if !ok {
+			break
+		}
+		if item.Value.job.Live() {
+			d.staged = append(d.staged, item.Value)
+		}
+	}
+}
+
+// place starts the tasks whose best slot is free and keeps the others. With
+// hold, a task waits for a fast slot that ends it sooner than a free slow one.
+func (d *Dispatcher) place(tasks []*task, now time.Time, hold bool, free *int) []*task {
+	kept := tasks[:0]
+	for _, t := range tasks {
+		if !t.job.Live() {
+			continue
+		}
+		if t.job.Deadline.Sub(now) < t.estimate/2 {
+			d.giveUp(t)
+			continue
+		}
+		if *free == 0 && !hold {
+			d.wish(t, now)
+			kept = append(kept, t)
+			continue
+		}
+		if !d.placeOne(t, now, hold, free) {
+			kept = append(kept, t)
+		}
+	}
+	clear(tasks[len(kept):])
+	return kept
+}
+
+// giveUp answers at once what can no longer be answered in time.
+func (d *Dispatcher) giveUp(t *task) {
+	detail := "no slot came free in time for a run of about %s"
+	r := refusal.New(refusal.TooLate, refusal.NotRun, detail, t.estimate)
+	wait := time.Duration(float64(d.work) / max(1, d.speed()))
+	back := d.options.Now().Add(min(max(wait, soonest), latest))
+	d.leave(t)
+	go t.job.Fail(r.Later(back))
+}
+
+// wish counts a task that borrowed slots would help.
+func (d *Dispatcher) wish(t *task, _ time.Time) {
+	d.want++
+	if d.head == "" {
+		d.head = t.job.Service.Name
+	}
+}
+
+func (d *Dispatcher) placeOne(t *task, now time.Time, hold bool, free *int) bool {
+	best, finish, isFree := d.best(t, now, hold)
+	if best == nil {
+		d.wish(t, now)
+		return false
+	}
+	if !isFree {
+		best.ends[0] = finish
+		slices.SortFunc(best.ends, time.Time.Compare)
+		fastest := time.Duration(float64(t.estimate) * content)
+		if finish.Sub(now) > fastest+contentWait {
+			d.wish(t, now)
+		}
+		return false
+	}
+	permit, ok := d.options.Ledger.Take(best.name)
+	if !ok {
+		*free -= best.free
+		best.free = 0
+		return d.placeOne(t, now, hold, free)
+	}
+	best.free--
+	*free--
+	if hold && best.near {
+		best.ends = append(best.ends, finish)
+		slices.SortFunc(best.ends, time.Time.Compare)
+	}
+	d.start(t, best, permit, now, false)
+	return true
+}
+
+// best finds the target on which the task would end first.
+func (d *Dispatcher) best(t *task, now time.Time, hold bool) (*target, time.Time, bool) {
+	var best *target
+	var finish time.Time
+	isFree := false
+	for _, g := range d.order {
+		if g.free == 0 && (!hold || len(g.ends) == 0) {
+			continue
+		}
+		if g.name == t.avoid || !g.bundle.Suits(t.job.Service) {
+			continue
+		}
+		need := time.Duration(float64(t.estimate) / g.speed)
+		if !d.leased(g, now, need) {
+			continue
+		}
+		end := now.Add(need)
+		if g.free == 0 {
+			end = g.ends[0].Add(need)
+		}
+		if best == nil || end.Before(finish) {
+			best, finish, isFree = g, end, g.free > 0
+		}
+	}
+	if best == nil && t.avoid != "" {
+		t.avoid = ""
+		return d.best(t, now, hold)
+	}
+	return best, finish, isFree
+}
+
+// leased tells whether the worker's lease surely outlives the task.
+func (d *Dispatcher) leased(g *target, now time.Time, need time.Duration) bool {
+	end, known := d.options.Lease(g.name)
+	if !known {
+		return !g.bundle.Lease
+	}
+	return end.After(now.Add(leaseShare * need))
+}
+
+// matchOpen serves the baselines, which do not agree on slots with other entries.
+func (d *Dispatcher) matchOpen(now time.Time) {
+	for _, list := range []*[]*task{&d.urgent, &d.staged} {
+		kept := (*list)[:0]
+		for _, t := range *list {
+			if !t.job.Live() {
+				continue
+			}
+			g := d.pick(t)
+			if g == nil {
+				kept = append(kept, t)
+				continue
+			}
+			d.start(t, g, loan.Permit{}, now, false)
+		}
+		clear((*list)[len(kept):])
+		*list = kept
+	}
+}
+
+func (d *Dispatcher) pick(t *task) *target {
+	var fit []*target
+	for _, g := range d.order {
+		if g.near && d.usable(g) && len(g.running) < g.bundle.Connections && g.bundle.Suits(t.job.Service) {
+			fit = append(fit, g)
+		}
+	}
+	if len(fit) == 0 {
+		return nil
+	}
+	switch d.bundle.Rules.Placement {
+	case "robin":
+		d.turn++
+		return fit[d.turn%len(fit)]
+	case "least":
+		return slices.MinFunc(fit, func(a, b *target) int { return len(a.running) - len(b.running) })
+	case "two":
+		a, b := fit[rand.IntN(len(fit))], fit[rand.IntN(len(fit))]
+		if d.load(b) < d.load(a) {
+			return b
+		}
+		return a
+	default:
+		return fit[rand.IntN(len(fit))]
+	}
+}
+
+// load is the expected time that one more task takes on a target.
+func (d *Dispatcher) load(g *target) float64 {
+	return float64(len(g.running)+1) / max(d.options.Estimator.Speed(g.name), 0.01)
+}
--- /dev/null
+++ b/estimate/estimate.go
@@ -0,0 +1,191 @@
+// Package estimate learns run times of services and speeds of upstreams from finished tasks.
+package estimate
+
+import (
+	"math"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// Learning rates: the share of one observation in the estimate once it has settled.
+const (
+	serviceRate = 0.01
+	speedRate   = 0.05
+	errorRate   = 0.02
+)
+
+// Histogram bounds in microseconds, and the span after which old values go.
+const (
+	lowest  = 1
+	highest = 3_600_000_000
+	digits  = 2
+	turn    = 30 * time.Second
+	fewest  = 20 // observations before a quantile is trusted
+)
+
+// service holds two models of the run time on the fastest upstream: one mean,
+// and a factor on the caller's hint. The one that errs less is used.
+type service struct {
+	seen      int
+	hinted    int
+	mean      float64 // logarithm of seconds
+	factor    float64 // logarithm of run time by hint
+	meanError float64
+	hintError float64
+	now, past *hdrhistogram.Histogram
+	turnAt    time.Time
+}
+
+type speed struct {
+	seen  int
+	value float64 // logarithm, 0 is the reference
+}
+
+// Estimator is safe for concurrent use.
+type Estimator struct {
+	now func() time.Time
+
+	mu       sync.Mutex
+	services map[string]*service
+	speeds   map[string]*speed
+	fastest  float64
+}
+
+// New makes an estimator that knows nothing.
+func New(now func() time.Time) *Estimator {
+	return &Estimator{now: now, services: map[string]*service{}, speeds: map[string]*speed{}}
+}
+
+func rate(settled float64, seen int) float64 {
+	return math.Max(settled, 0.5/float64(seen+1))
+}
+
+// Observe takes the time that a task took on an upstream.
+func (e *Estimator) Observe(name, upstream string, hint, took time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	s := e.service(name, took)
+	u := e.speed(upstream)
+	value := math.Log(max(took, time.Microsecond).Seconds())
+	gap := value - (e.expect(s, hint) - u.value)
+	e.learn(s, hint, value+u.value)
+	u.value -= rate(speedRate, u.seen) * gap
+	u.seen++
+	e.settle()
+	if now := e.now(); now.After(s.turnAt) {
+		s.past, s.now = s.now, s.past
+		s.now.Reset()
+		s.turnAt = now.Add(turn)
+	}
+	_ = s.now.RecordValue(min(max(took.Microseconds(), lowest), highest))
+}
+
+func (e *Estimator) service(name string, took time.Duration) *service {
+	s, ok := e.services[name]
+	if !ok {
+		s = &service{
+			mean:   math.Log(max(took, time.Microsecond).Seconds()),
+			now:    hdrhistogram.New(lowest, highest, digits),
+			past:   hdrhistogram.New(lowest, highest, digits),
+			turnAt: e.now().Add(turn),
+		}
+		e.services[name] = s
+	}
+	return s
+}
+
+func (e *Estimator) speed(name string) *speed {
+	u, ok := e.speeds[name]
+	if !ok {
+		u = &speed{}
+		e.speeds[name] = u
+	}
+	return u
+}
+
+// learn moves both models towards a value that is free of the upstream's speed.
+func (e *Estimator) learn(s *service, hint time.Duration, value float64) {
+	s.meanError += errorRate * (math.Abs(value-s.mean) - s.meanError)
+	s.mean += rate(serviceRate, s.seen) * (value - s.mean)
+	s.seen++
+	if hint <= 0 {
+		return
+	}
+	ratio := value - math.Log(hint.Seconds())
+	if s.hinted == 0 {
+		s.factor = ratio
+	}
+	s.hintError += errorRate * (math.Abs(ratio-s.factor) - s.hintError)
+	s.factor += rate(serviceRate, s.hinted) * (ratio - s.factor)
+	s.hinted++
+}
+
+func (e *Estimator) expect(s *service, hint time.Duration) float64 {
+	if hint > 0 && s.hinted > 0 && s.hintError <= s.meanError {
+		return s.factor + math.Log(hint.Seconds())
+	}
+	return s.mean
+}
+
+// settle keeps the fastest speed for Speed, which is relative to it.
+func (e *Estimator) settle() {
+	e.fastest = math.Inf(-1)
+	for _, u := range e.speeds {
+		e.fastest = math.Max(e.fastest, u.value)
+	}
+}
+
+// Predict gives the run time of a task on the fastest upstream; hint is the
+// caller's guess for this task and declared the bundle's for the service.
+func (e *Estimator) Predict(name string, hint, declared time.Duration) time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	s, ok := e.services[name]
+	if !ok {
+		if hint > 0 {
+			return hint
+		}
+		return declared
+	}
+	return time.Duration(math.Exp(e.expect(s, hint)-e.fastest) * float64(time.Second))
+}
+
+// Speed gives the speed of an upstream, 1 for the fastest.
+func (e *Estimator) Speed(upstream string) float64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	u, ok := e.speeds[upstream]
+	if !ok {
+		return 1
+	}
+	return math.Exp(u.value - e.fastest)
+}
+
+// Forget drops an upstream that is gone.
+func (e *Estimator) Forget(upstream string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	delete(e.speeds, upstream)
+	e.settle()
+}
+
+// Quantile gives a quantile (0 to 100) of the service's run times over the last
+// half minute or so, and false while too few are known.
+func (e *Estimator) Quantile(name string, q float64) (time.Duration, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	s, ok := e.services[name]
+	if !ok {
+		return 0, false
+	}
+	histogram := s.now
+	if histogram.TotalCount() < fewest {
+		histogram = s.past
+	}
+	if histogram.TotalCount() < fewest {
+		return 0, false
+	}
+	return time.Duration(histogram.ValueAtQuantile(q)) * time.Microsecond, true
+}
--- /dev/null
+++ b/exchange/exchange.go
@@ -0,0 +1,261 @@
+// Package exchange borrows slots from peers while tasks wait here and returns them in batches.
+package exchange
+
+import (
+	"context"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/radishgate/radishgate/loan"
+)
+
+// Peer is a member that may lend, with the number of free slots it last told.
+type Peer struct {
+	ID   string
+	Zone string
+	Free int
+}
+
+// Need is what waits here: the tasks that no slot of this entry takes soon, the
+// whole backlog, the slots held, and the service at the head of the queue.
+type Need struct {
+	Want    int
+	Backlog int
+	Held    int
+	Service string
+}
+
+// Options of an exchange. Ask sends one message to a peer; Peers lists those of
+// the own zone, Far those of other zones; Got is called when slots have come.
+type Options struct {
+	Ledger  *loan.Ledger
+	Self    string
+	Ask     func(ctx context.Context, peer string, ask loan.Ask, service string) (loan.Grant, int, error)
+	Peers   func() []Peer
+	Far     func() []Peer
+	Need    func() Need
+	Got     func()
+	Count   func(kind string) // messages sent, one call each
+	Linger  time.Duration     // how long idle loans are kept for the next task
+	Wait    time.Duration     // how long a home may hold an ask
+	Breath  time.Duration     // pause after an ask that brought nothing
+	Timeout time.Duration
+}
+
+// hint is what a peer's last answer told of its free slots.
+type hint struct {
+	free  int
+	until time.Time
+}
+
+// hintSpan is how long an answer counts for more than heartbeats.
+const hintSpan = 500 * time.Millisecond
+
+// Exchange runs one loop of asks for each peer that is worth one.
+type Exchange struct {
+	options Options
+	wake    chan struct{}
+	idle    chan struct{}
+
+	mu   sync.Mutex
+	busy map[string]bool      // peers with an ask under way
+	rest map[string]time.Time // peers not to be asked before
+	free map[string]hint
+}
+
+// New makes an exchange; Run starts it.
+func New(options Options) *Exchange {
+	if options.Linger == 0 {
+		options.Linger = 3 * time.Millisecond
+	}
+	if options.Wait == 0 {
+		options.Wait = 150 * time.Millisecond
+	}
+	if options.Breath == 0 {
+		options.Breath = 25 * time.Millisecond
+	}
+	if options.Timeout == 0 {
+		options.Timeout = time.Second
+	}
+	return &Exchange{
+		options: options, wake: make(chan struct{}, 1), idle: make(chan struct{}, 1),
+		busy: map[string]bool{}, rest: map[string]time.Time{}, free: map[string]hint{},
+	}
+}
+
+// Wake tells that tasks wait. It never blocks.
+func (e *Exchange) Wake() { poke(e.wake) }
+
+// Spare tells that borrowed slots lie idle. It never blocks.
+func (e *Exchange) Spare() { poke(e.idle) }
+
+func poke(signal chan struct{}) {
+	select {
+	case signal <- struct{}{}:
+	default:
+	}
+}
+
+// Run serves until the context ends, then returns what is borrowed.
+func (e *Exchange) Run(ctx context.Context) {
+	var group sync.WaitGroup
+	defer group.Wait()
+	renew := time.NewTicker(100 * time.Millisecond)
+	defer renew.Stop()
+	var linger <-chan time.Time
+	for {
+		select {
+		case <-ctx.Done():
+			e.giveBack(context.WithoutCancel(ctx), &group)
+			return
+		case <-e.wake:
+			e.ask(ctx, &group)
+		case <-e.idle:
+			if linger == nil {
+				linger = time.After(e.options.Linger)
+			}
+		case <-linger:
+			linger = nil
+			if e.options.Need().Backlog == 0 {
+				e.giveBack(ctx, &group)
+			}
+		case <-renew.C:
+			e.options.Ledger.Expire()
+			e.renew(ctx, &group)
+			if e.options.Need().Want > 0 {
+				e.ask(ctx, &group)
+			}
+		}
+	}
+}
+
+// ask spreads the want over the peers with the most free slots; peers of other
+// zones are asked only when the own zone shows too little room.
+func (e *Exchange) ask(ctx context.Context, group *sync.WaitGroup) {
+	need := e.options.Need()
+	if need.Want <= 0 {
+		return
+	}
+	left := e.spread(ctx, group, e.options.Peers(), need, true)
+	if left > 0 && e.options.Far != nil {
+		need.Want = left
+		e.spread(ctx, group, e.options.Far(), need, false)
+	}
+}
+
+// maxAsked bounds the peers asked at once, whatever the size of the zone.
+const maxAsked = 3
+
+func (e *Exchange) spread(ctx context.Context, group *sync.WaitGroup, peers []Peer, need Need, near bool) int {
+	e.adjust(peers)
+	sort.SliceStable(peers, func(a, b int) bool { return peers[a].Free > peers[b].Free })
+	left, asked := need.Want, 0
+	for _, p := range peers {
+		if left <= 0 || asked >= maxAsked || (!near && p.Free == 0) {
+			break
+		}
+		asked++
+		left -= p.Free
+		if !e.claim(p.ID) {
+			continue
+		}
+		ask := loan.Ask{Holder: e.options.Self, Want: need.Want, Backlog: need.Backlog, Held: need.Held}
+		if near {
+			ask.Until = time.Now().Add(e.options.Wait)
+		}
+		group.Go(func() { e.borrow(ctx, p.ID, ask, need.Service) })
+	}
+	return left
+}
+
+// adjust replaces what heartbeats told of free slots by later answers.
+func (e *Exchange) adjust(peers []Peer) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for i := range peers {
+		if h, ok := e.free[peers[i].ID]; ok && time.Now().Before(h.until) {
+			peers[i].Free = h.free
+		}
+	}
+}
+
+func (e *Exchange) claim(peer string) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.busy[peer] || time.Now().Before(e.rest[peer]) {
+		return false
+	}
+	e.busy[peer] = true
+	return true
+}
+
+func (e *Exchange) release(peer string, got, free int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	delete(e.busy, peer)
+	e.free[peer] = hint{free: free, until: time.Now().Add(hintSpan)}
+	if got == 0 {
+		e.rest[peer] = time.Now().Add(e.options.Breath)
+	}
+}
+
+func (e *Exchange) note(peer string, free int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.free[peer] = hint{free: free, until: time.Now().Add(hintSpan)}
+}
+
+// forgetHint drops the last answers, which age quickly.
+func (e *Exchange) forgetHint(peer string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	delete(e.free, peer)
+}
+
+func (e *Exchange) borrow(ctx context.Context, peer string, ask loan.Ask, service string) {
+	idle := e.options.Ledger.Ending()
+	ask.Renew = idle[peer]
+	grant, free, err := e.send(ctx, peer, ask, service)
+	if err != nil {
+		e.release(peer, 0, 0)
+		e.forgetHint(peer)
+		return
+	}
+	e.release(peer, len(grant.Loans), free)
+	if len(grant.Loans) > 0 {
+		e.options.Got()
+	}
+}
+
+func (e *Exchange) send(ctx context.Context, peer string, ask loan.Ask, service string) (loan.Grant, int, error) {
+	ctx, cancel := context.WithTimeout(ctx, e.options.Timeout)
+	defer cancel()
+	e.options.Count("borrow")
+	sent := time.Now()
+	grant, free, err := e.options.Ask(ctx, peer, ask, service)
+	if err == nil {
+		e.options.Ledger.Receive(peer, grant, sent)
+	}
+	return grant, free, err
+}
+
+func (e *Exchange) giveBack(ctx context.Context, group *sync.WaitGroup) {
+	for peer, ids := range e.options.Ledger.Idle() {
+		ask := loan.Ask{Holder: e.options.Self, Return: ids}
+		group.Go(func() {
+			_, free, err := e.send(ctx, peer, ask, "")
+			if err == nil {
+				e.note(peer, free)
+			}
+		})
+	}
+}
+
+func (e *Exchange) renew(ctx context.Context, group *sync.WaitGroup) {
+	need := e.options.Need()
+	for peer, ids := range e.options.Ledger.Ending() {
+		ask := loan.Ask{Holder: e.options.Self, Renew: ids, Backlog: need.Backlog, Held: need.Held}
+		group.Go(func() { _, _, _ = e.send(ctx, peer, ask, "") })
+	}
+}
--- /dev/null
+++ b/keeper/keeper.go
@@ -0,0 +1,437 @@
+// Package keeper answers each key by the one process able to start its job: here, at its origin, or at its partition's owner.
+package keeper
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/radishgate/radishgate/bundle"
+	"github.com/radishgate/radishgate/claim"
+	"github.com/radishgate/radishgate/job"
+	"github.com/radishgate/radishgate/member"
+	"github.com/radishgate/radishgate/origin"
+	"github.com/radishgate/radishgate/refusal"
+	"github.com/radishgate/radishgate/shelf"
+	"github.com/radishgate/radishgate/window"
+)
+
+// Submission is a job as a caller sent it, checked for form.
+type Submission struct {
+	Key       string // empty for a request that may run more than once
+	Digest    string
+	Tenant    string
+	Service   string
+	Request   bool
+	Tasks     []job.Task
+	Deadline  time.Time
+	WaitUntil time.Time // zero for no wait
+	Forwarded bool      // came from a peer and must not go on to another
+}
+
+// Look asks for a job by its key.
+type Look struct {
+	Key       string
+	WaitUntil time.Time
+	Cancel    bool
+	Forwarded bool
+}
+
+// Result is a job's state with its answers or its refusal.
+type Result struct {
+	State   job.State
+	Answers []job.Answer
+	Done    int
+	Tasks   int
+	Refusal *refusal.Refusal
+	Earlier string // VM and incarnation of the earlier owner that claimed the key
+}
+
+// Options of a keeper. Admit hands a job to the dispatcher; Submit and Look
+// forward to a member. Owner names the member that should own a partition.
+type Options struct {
+	Self      origin.Key // zone, VM and incarnation
+	Life      context.Context
+	Window    *window.Window[*job.Job]
+	Shelf     *shelf.Shelf
+	Partition func(index int) *claim.Partition[*job.Job]
+	Owner     func(index int) string
+	Find      func(id string) (member.Record, member.State, bool)
+	Bundle    func() *bundle.Bundle
+	Admit     func(*job.Job) *refusal.Refusal
+	Submit    func(ctx context.Context, to member.Record, s Submission) (Result, error)
+	Look      func(ctx context.Context, to member.Record, l Look) (Result, error)
+	Accepting func() bool
+	Now       func() time.Time
+}
+
+// Keeper is safe for concurrent use.
+type Keeper struct{ options Options }
+
+// New makes a keeper.
+func New(options Options) *Keeper {
+	if options.Now == nil {
+		options.Now = time.Now
+	}
+	return &Keeper{options: options}
+}
+
+// Token gives the present origin token of this entry.
+func (k *Keeper) Token() string {
+	token := k.options.Self
+	token.Slot = k.options.Window.Slot()
+	return token.Token()
+}
+
+func refuse(r *refusal.Refusal) Result { return Result{State: job.Failed, Refusal: r} }
+
+// Submit admits a job or attaches to the one that its key names.
+func (k *Keeper) Submit(ctx context.Context, s Submission) Result {
+	b := k.options.Bundle()
+	if b == nil {
+		return refuse(refusal.New(refusal.NotReady, refusal.NotRun, "no bundle is in force yet"))
+	}
+	if r := check(b, s); r != nil {
+		return refuse(r)
+	}
+	switch {
+	case s.Key == "":
+		return k.unkeyed(ctx, b, s)
+	case origin.Is(s.Key):
+		return k.byOrigin(ctx, b, s)
+	default:
+		return k.byPartition(ctx, b, s)
+	}
+}
+
+func check(b *bundle.Bundle, s Submission) *refusal.Refusal {
+	service, ok := b.Services[s.Service]
+	if !ok {
+		return refusal.New(refusal.NoService, refusal.NotRun, "service %q is not in bundle %d", s.Service, b.Version)
+	}
+	if _, ok := b.Tenants[s.Tenant]; !ok {
+		return refusal.New(refusal.NoTenant, refusal.NotRun, "tenant %q is not in bundle %d", s.Tenant, b.Version)
+	}
+	if len(s.Tasks) > b.Rules.Tasks {
+		return refusal.New(refusal.TooManyTasks, refusal.NotRun, "%d tasks are more than %d", len(s.Tasks), b.Rules.Tasks)
+	}
+	for i := range s.Tasks {
+		if int64(len(s.Tasks[i].Body)) > service.Body {
+			return refusal.New(refusal.BodyTooLarge, refusal.NotRun, "task %d is over the %d bytes of service %s", i, service.Body, s.Service)
+		}
+	}
+	if s.Key == "" && !(s.Request && service.Repeatable) {
+		return refusal.New(refusal.KeyRequired, refusal.NotRun, "service %s is not repeatable and needs an Idempotency-Key", s.Service)
+	}
+	return nil
+}
+
+func (k *Keeper) unkeyed(ctx context.Context, b *bundle.Bundle, s Submission) Result {
+	if r := k.closed(); r != nil {
+		return refuse(r)
+	}
+	j := k.build(b, s, "unkeyed-"+strconv.FormatUint(rand.Uint64(), 36))
+	if r := k.options.Admit(j); r != nil {
+		j.Fail(r)
+	} else {
+		stop := context.AfterFunc(ctx, func() {
+			j.Fail(refusal.New(refusal.Cancelled, refusal.NotRun, "the caller went away"))
+		})
+		defer stop()
+	}
+	return k.await(ctx, j, s.WaitUntil)
+}
+
+func (k *Keeper) closed() *refusal.Refusal {
+	if k.options.Accepting() {
+		return nil
+	}
+	r := refusal.New(refusal.Draining, refusal.NotRun, "this entry is about to stop")
+	return r.Later(k.options.Now().Add(100 * time.Millisecond))
+}
+
+// build makes a job; nothing of it starts before it is admitted.
+func (k *Keeper) build(b *bundle.Bundle, s Submission, key string) *job.Job {
+	service := b.Services[s.Service]
+	now := k.options.Now()
+	deadline := now.Add(service.Limit)
+	if !s.Deadline.IsZero() && s.Deadline.Before(deadline) {
+		deadline = s.Deadline
+	}
+	return job.New(k.options.Life, &job.Job{
+		Key: key, Digest: s.Digest, Tenant: s.Tenant, Service: service, Bundle: b,
+		Request: s.Request, Tasks: s.Tasks, Arrived: now, Deadline: deadline,
+	})
+}
+
+// begin builds and admits a keyed job. It runs once for a key.
+func (k *Keeper) begin(b *bundle.Bundle, s Submission) *job.Job {
+	j := k.build(b, s, s.Key)
+	if r := k.options.Admit(j); r != nil {
+		j.Fail(r)
+	}
+	context.AfterFunc(j.Context(), func() {
+		<-j.Done()
+		k.options.Shelf.Put(j)
+	})
+	return j
+}
+
+func (k *Keeper) byOrigin(ctx context.Context, b *bundle.Bundle, s Submission) Result {
+	key, err := origin.Parse(s.Key)
+	if err != nil {
+		return refuse(refusal.New(refusal.BadKey, refusal.NotRun, "%v", err))
+	}
+	if !k.mine(key) {
+		return k.forward(key, s.Forwarded, func(to member.Record) (Result, error) {
+			return k.options.Submit(ctx, to, s)
+		})
+	}
+	// A job that was refused whole, not run, may be submitted again.
+	for {
+		j, made, err := k.options.Window.Claim(key.Slot, s.Key, func() *job.Job { return k.gate(b, s) })
+		if err != nil {
+			return refuse(keyRefusal(err))
+		}
+		if j.Digest != s.Digest {
+			return refuse(refusal.New(refusal.KeyConflict, refusal.NotRun, "key was used with another body"))
+		}
+		if !made && refusedWhole(j) {
+			k.options.Window.Remove(key.Slot, s.Key, func(other *job.Job) bool { return other == j })
+			continue
+		}
+		return k.await(ctx, j, s.WaitUntil)
+	}
+}
+
+// gate begins a job unless this entry is about to stop.
+func (k *Keeper) gate(b *bundle.Bundle, s Submission) *job.Job {
+	if r := k.closed(); r != nil {
+		j := k.build(b, s, s.Key)
+		j.Fail(r)
+		return j
+	}
+	return k.begin(b, s)
+}
+
+// refusedWhole tells whether a job ended without any start.
+func refusedWhole(j *job.Job) bool {
+	state, _, r := j.Result()
+	return state == job.Failed && r != nil && r.Outcome == refusal.NotRun && r.Kind != refusal.Cancelled
+}
+
+func (k *Keeper) mine(key origin.Key) bool {
+	self := k.options.Self
+	return key.Zone == self.Zone && key.VM == self.VM && key.Incarnation == self.Incarnation
+}
+
+func keyRefusal(err error) *refusal.Refusal {
+	var expired *window.ExpiredError
+	var future *window.FutureError
+	var full *window.FullError
+	switch {
+	case errors.As(err, &expired):
+		return refusal.New(refusal.KeyExpired, refusal.Unknown, "%v", err)
+	case errors.As(err, &future):
+		return refusal.New(refusal.BadKey, refusal.NotRun, "%v", err)
+	case errors.As(err, &full):
+		return refusal.New(refusal.Overloaded, refusal.NotRun, "%v", err)
+	}
+	return refusal.New(refusal.BadKey, refusal.NotRun, "%v", err)
+}
+
+// forward sends a key to its origin, at most one hop and only to a member that
+// is known with the key's incarnation.
+func (k *Keeper) forward(key origin.Key, forwarded bool, send func(member.Record) (Result, error)) Result {
+	to, _, known := k.options.Find(key.VM)
+	if !known || to.Zone != key.Zone {
+		return refuse(refusal.New(refusal.OwnerDown, refusal.Unknown, "entry %s of the key is not known here", key.VM))
+	}
+	if to.Incarnation != key.Incarnation {
+		return refuse(refusal.New(refusal.Lost, refusal.Unknown, "entry %s has been replaced since the key was given out", key.VM))
+	}
+	if forwarded {
+		return refuse(refusal.New(refusal.OwnerDown, refusal.Unknown, "key was forwarded to an entry that is not its origin"))
+	}
+	result, err := send(to)
+	if err != nil {
+		r := refusal.New(refusal.OwnerDown, refusal.Unknown, "entry %s of the key does not answer: %v", key.VM, err)
+		return refuse(r.Later(k.options.Now().Add(time.Second)))
+	}
+	return result
+}
+
+// partitionOf gives the partition of a chosen key.
+func partitionOf(b *bundle.Bundle, key string) int {
+	return int(xxhash.Sum64String(key) % uint64(b.Rules.Partitions))
+}
+
+func (k *Keeper) byPartition(ctx context.Context, b *bundle.Bundle, s Submission) Result {
+	index := partitionOf(b, s.Key)
+	partition := k.options.Partition(index)
+	owner := k.options.Owner(index)
+	if owner != k.options.Self.VM {
+		if j, ok, _ := partition.Get(ctx, s.Key); ok {
+			return k.attach(ctx, j, s)
+		}
+		send := func(to member.Record) (Result, error) { return k.options.Submit(ctx, to, s) }
+		return k.follow(k.toOwner(owner, s.Forwarded, send), s.Forwarded, send)
+	}
+	if err := partition.Acquire(ctx); err != nil {
+		return refuse(k.claimRefusal(err))
+	}
+	build := func() *job.Job { return k.gate(b, s) }
+	j, made, err := partition.Claim(ctx, s.Key, s.Digest, build)
+	if err != nil {
+		send := func(to member.Record) (Result, error) { return k.options.Submit(ctx, to, s) }
+		return k.follow(k.lost(err), s.Forwarded, send)
+	}
+	if !made && refusedWhole(j) {
+		same := func(other *job.Job) bool { return other == j }
+		if next, ok := partition.Rebuild(s.Key, same, build); ok {
+			j = next
+		}
+	}
+	return k.await(ctx, j, s.WaitUntil)
+}
+
+// attach answers a resubmission from a job that this entry claimed before
+// another became the owner.
+func (k *Keeper) attach(ctx context.Context, j *job.Job, s Submission) Result {
+	if j.Digest != s.Digest {
+		return refuse(refusal.New(refusal.KeyConflict, refusal.NotRun, "key was used with another body"))
+	}
+	return k.await(ctx, j, s.WaitUntil)
+}
+
+// lost makes the result of a failed claim and names the earlier owner, if any.
+func (k *Keeper) lost(err error) Result {
+	result := refuse(k.claimRefusal(err))
+	var lost *claim.LostError
+	if errors.As(err, &lost) {
+		result.Earlier = lost.Owner
+	}
+	return result
+}
+
+// follow asks the earlier owner that claimed a key, while it is still there. It
+// alone can tell what became of the job.
+func (k *Keeper) follow(result Result, forwarded bool, send func(member.Record) (Result, error)) Result {
+	if result.Earlier == "" || forwarded {
+		return result
+	}
+	vm, incarnation, _ := strings.Cut(result.Earlier, "~")
+	to, state, known := k.options.Find(vm)
+	if !known || state == member.Dead || strconv.FormatUint(to.Incarnation, 16) != incarnation || vm == k.options.Self.VM {
+		return result
+	}
+	if earlier, err := send(to); err == nil {
+		return earlier
+	}
+	return result
+}
+
+func (k *Keeper) claimRefusal(err error) *refusal.Refusal {
+	var conflict *claim.ConflictError
+	var lost *claim.LostError
+	var full *claim.FullError
+	var other *claim.NotOwnerError
+	back := k.options.Now().Add(500 * time.Millisecond)
+	switch {
+	case errors.As(err, &conflict):
+		return refusal.New(refusal.KeyConflict, refusal.NotRun, "%v", err)
+	case errors.As(err, &lost):
+		return refusal.New(refusal.Lost, refusal.Unknown, "%v", err)
+	case errors.As(err, &full):
+		return refusal.New(refusal.Overloaded, refusal.NotRun, "%v", err).Later(back)
+	case errors.As(err, &other):
+		return refusal.New(refusal.OwnerDown, refusal.NotRun, "%v", err).Later(back)
+	}
+	return refusal.New(refusal.LogDown, refusal.NotRun, "%v", err).Later(back)
+}
+
+// toOwner sends a chosen key to the owner of its partition, at most one hop.
+func (k *Keeper) toOwner(owner string, forwarded bool, send func(member.Record) (Result, error)) Result {
+	back := k.options.Now().Add(500 * time.Millisecond)
+	to, _, known := k.options.Find(owner)
+	if forwarded || !known {
+		r := refusal.New(refusal.OwnerDown, refusal.NotRun, "the owner of the key's partition is not settled")
+		return refuse(r.Later(back))
+	}
+	result, err := send(to)
+	if err != nil {
+		r := refusal.New(refusal.OwnerDown, refusal.Unknown, "owner %s of the key's partition does not answer: %v", owner, err)
+		return refuse(r.Later(back))
+	}
+	return result
+}
+
+// Look gives the state of a keyed job, waits for it, or cancels it.
+func (k *Keeper) Look(ctx context.Context, l Look) Result {
+	if !origin.Is(l.Key) {
+		return k.lookChosen(ctx, l)
+	}
+	key, err := origin.Parse(l.Key)
+	if err != nil {
+		return refuse(refusal.New(refusal.BadKey, refusal.NotRun, "%v", err))
+	}
+	if !k.mine(key) {
+		return k.forward(key, l.Forwarded, func(to member.Record) (Result, error) {
+			return k.options.Look(ctx, to, l)
+		})
+	}
+	j, ok, err := k.options.Window.Get(key.Slot, l.Key)
+	if err != nil {
+		return refuse(keyRefusal(err))
+	}
+	return k.look(ctx, j, ok, l)
+}
+
+func (k *Keeper) lookChosen(ctx context.Context, l Look) Result {
+	b := k.options.Bundle()
+	if b == nil {
+		return refuse(refusal.New(refusal.NotReady, refusal.Unknown, "no bundle is in force yet"))
+	}
+	index := partitionOf(b, l.Key)
+	owner := k.options.Owner(index)
+	send := func(to member.Record) (Result, error) { return k.options.Look(ctx, to, l) }
+	j, ok, err := k.options.Partition(index).Get(ctx, l.Key)
+	if owner != k.options.Self.VM && !ok {
+		return k.follow(k.toOwner(owner, l.Forwarded, send), l.Forwarded, send)
+	}
+	if err != nil {
+		return k.follow(k.lost(err), l.Forwarded, send)
+	}
+	return k.look(ctx, j, ok, l)
+}
+
+func (k *Keeper) look(ctx context.Context, j *job.Job, ok bool, l Look) Result {
+	if !ok || j == nil {
+		return refuse(refusal.New(refusal.KeyUnknown, refusal.NotRun, "no job was submitted here under this key"))
+	}
+	if l.Cancel {
+		j.Fail(refusal.New(refusal.Cancelled, refusal.NotRun, "the caller cancelled the job"))
+	}
+	return k.await(ctx, j, l.WaitUntil)
+}
+
+// await waits for a job until it is done, the wait is over or the caller gone.
+func (k *Keeper) await(ctx context.Context, j *job.Job, until time.Time) Result {
+	if wait := until.Sub(k.options.Now()); wait > 0 {
+		timer := time.NewTimer(wait)
+		defer timer.Stop()
+		select {
+		case <-j.Done():
+		case <-timer.C:
+		case <-ctx.Done():
+		}
+	}
+	state, answers, r := j.Result()
+	done, tasks := j.Progress()
+	return Result{State: state, Answers: answers, Done: done, Tasks: tasks, Refusal: r}
+}
--- /dev/null
+++ b/load/report.go
@@ -0,0 +1,174 @@
+package load
+
+import (
+	"fmt"
+	"io"
+	"sync"
+	"sync/atomic"
+	"text/tabwriter"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/radishgate/radishgate/client"
+	"github.com/radishgate/radishgate/history"
+	"github.com/radishgate/radishgate/refusal"
+)
+
+// Outcomes of calls besides complete and refused.
+const (
+	outcomePartial = "partial"
+	outcomeLost    = "lost"
+)
+
+// Histogram bounds: microseconds for responses, thousandths for ratios.
+const (
+	responseMost = 600_000_000
+	ratioMost    = 10_000_000
+	digits       = 3
+)
+
+type flowResult struct {
+	flow        Flow
+	resubmitted atomic.Int64
+
+	mu       sync.Mutex
+	calls    int64
+	tasks    int64
+	done     int64
+	counts   map[string]int64
+	response *hdrhistogram.Histogram
+	ratio    *hdrhistogram.Histogram
+}
+
+func newFlowResult(flow Flow) *flowResult {
+	return &flowResult{
+		flow: flow, counts: map[string]int64{},
+		response: hdrhistogram.New(1, responseMost, digits), ratio: hdrhistogram.New(1, ratioMost, digits),
+	}
+}
+
+func (f *flowResult) count(outcome string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.calls++
+	f.counts[outcome]++
+}
+
+func (f *flowResult) refuse(r *client.Refused) {
+	f.count(string(r.Outcome) + ":" + string(r.Kind))
+}
+
+func (f *flowResult) complete(tasks int, response, ideal time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.calls++
+	f.done++
+	f.tasks += int64(tasks)
+	_ = f.response.RecordValue(min(max(1, response.Microseconds()), responseMost))
+	if ideal > 0 {
+		ratio := int64(1000 * float64(response) / float64(ideal))
+		_ = f.ratio.RecordValue(min(max(1, ratio), ratioMost))
+	}
+}
+
+// Row is one flow's figures.
+type Row struct {
+	Flow        string           `json:"flow"`
+	Calls       int64            `json:"calls"`
+	Tasks       int64            `json:"tasks"`
+	Complete    int64            `json:"complete"`
+	Resubmitted int64            `json:"resubmitted"`
+	Others      map[string]int64 `json:"others"` // calls by other outcomes
+	P50         float64          `json:"p50_ms"`
+	P99         float64          `json:"p99_ms"`
+	RatioP50    float64          `json:"p50_ratio"`
+	RatioP99    float64          `json:"p99_ratio"`
+}
+
+// Report is the result of a run.
+type Report struct {
+	Tasks    int64          `json:"tasks"`
+	Calls    int64          `json:"calls"`
+	Complete int64          `json:"complete"`
+	Failed   int64          `json:"failed"`  // calls told failed or unknown, or lost
+	Refused  int64          `json:"refused"` // calls told not run
+	Partial  int            `json:"partial"`
+	Doubled  int            `json:"doubled"`
+	RatioP50 float64        `json:"p50_ratio"`
+	RatioP99 float64        `json:"p99_ratio"`
+	Messages float64        `json:"messages_per_task"` // wasted ones: beyond one dispatch and one answer
+	Control  float64        `json:"control_bytes_per_second"`
+	Seconds  float64        `json:"seconds"`
+	Check    history.Report `json:"check"`
+	Rows     []Row          `json:"flows"`
+}
+
+// Report makes the report; starts is the upstreams' record.
+func (r *Run) Report(starts []string) Report {
+	report := Report{Check: r.record.Check(starts)}
+	all := hdrhistogram.New(1, ratioMost, digits)
+	for _, f := range r.flows {
+		f.mu.Lock()
+		all.Merge(f.ratio)
+		report.Rows = append(report.Rows, f.row())
+		report.Tasks += f.tasks
+		report.Calls += f.calls
+		report.Complete += f.done
+		for outcome, count := range f.counts {
+			if len(outcome) > len(refusal.NotRun) && outcome[:len(refusal.NotRun)] == string(refusal.NotRun) {
+				report.Refused += count
+			} else {
+				report.Failed += count
+			}
+		}
+		f.mu.Unlock()
+	}
+	report.Partial, report.Doubled = report.Check.Partial, report.Check.Doubled
+	report.RatioP50 = float64(all.ValueAtQuantile(50)) / 1000
+	report.RatioP99 = float64(all.ValueAtQuantile(99)) / 1000
+	return report
+}
+
+func (f *flowResult) row() Row {
+	return Row{
+		Flow: f.flow.Name, Calls: f.calls, Tasks: f.tasks, Complete: f.done, Resubmitted: f.resubmitted.Load(), Others: f.counts,
+		P50: float64(f.response.ValueAtQuantile(50)) / 1000, P99: float64(f.response.ValueAtQuantile(99)) / 1000,
+		RatioP50: float64(f.ratio.ValueAtQuantile(50)) / 1000, RatioP99: float64(f.ratio.ValueAtQuantile(99)) / 1000,
+	}
+}
+
+// Waste counts the messages beyond one dispatch and one answer a task. Control
+// traffic (heartbeats, bundles) is counted in bytes, not here.
+func Waste(counts map[string]float64, tasks int64) float64 {
+	if tasks == 0 {
+		return 0
+	}
+	sent := counts["task"] + counts["answer"] + 2*(counts["borrow"]+counts["forward"])
+	return max(0, sent-2*float64(tasks)) / float64(tasks)
+}
+
+// Broken tells whether a promise was broken.
+func (r Report) Broken() bool { return r.Check.Broken() }
+
+// Write prints the report as a table.
+func (r Report) Write(w io.Writer) {
+	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(table, "flow\tcalls\ttasks\tcomplete\tresubmitted\tp50 ms\tp99 ms\tp50/ideal\tp99/ideal\t")
+	for _, row := range r.Rows {
+		fmt.Fprintf(table, "%s\t%d\t%d\t%d\t%d\t%.1f\t%.1f\t%.3f\t%.3f\t\n",
+			row.Flow, row.Calls, row.Tasks, row.Complete, row.Resubmitted, row.P50, row.P99, row.RatioP50, row.RatioP99)
+	}
+	_ = table.Flush()
+	for _, row := range r.Rows {
+		for outcome, count := range row.Others {
+			fmt.Fprintf(w, "  %s: %d calls ended %s\n", row.Flow, count, outcome)
+		}
+	}
+	fmt.Fprintf(w, "all: %d tasks, p50/ideal %.3f, p99/ideal %.3f, wasted messages a task %.4f\n", r.Tasks, r.RatioP50, r.RatioP99, r.Messages)
+	fmt.Fprintf(w, "promises: %d starts checked, doubled %d, partial %d, answered without a start %d, refused as not run but started %d\n",
+		r.Check.Starts, r.Check.Doubled, r.Check.Partial, r.Check.Unstarted, r.Check.FalseNotRun)
+	for _, example := range r.Check.Examples {
+		fmt.Fprintln(w, "  broken:", example)
+	}
+}
--- /dev/null
+++ b/measure/measures.go
@@ -0,0 +1,120 @@
+// Package measure holds the counters and histograms of an entry.
+package measure
+
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/radishgate/radishgate/dispatch"
+	"github.com/radishgate/radishgate/job"
+)
+
+// spans are the bounds of the histograms of time, in seconds.
+var spans = []float64{.001, .0025, .005, .01, .025, .05, .1, .25, .5, 1, 2.5, 5, 10, 30}
+
+// ratios are the bounds of the histogram of response against the ideal.
+var ratios = []float64{1.02, 1.05, 1.1, 1.15, 1.25, 1.4, 1.6, 2, 3, 5, 10, 30}
+
+// Measures of one entry. Labels are bounded: tenants and classes come from the
+// bundle, all else from fixed lists.
+type Measures struct {
+	Registry *prometheus.Registry
+	Messages *prometheus.CounterVec // kind
+	Changes  *prometheus.CounterVec // what
+	Jobs     *prometheus.CounterVec // tenant, class, result
+	Refusals *prometheus.CounterVec // kind, outcome
+	Starts   *prometheus.CounterVec // tenant, class, result
+	Response *prometheus.HistogramVec
+	Wait     *prometheus.HistogramVec
+	Service  *prometheus.HistogramVec
+	Ratio    *prometheus.HistogramVec
+	Bytes    *prometheus.CounterVec // direction
+}
+
+func histogram(name, help string, bounds []float64) *prometheus.HistogramVec {
+	options := prometheus.HistogramOpts{Namespace: "radishgate", Name: name, Help: help, Buckets: bounds}
+	return prometheus.NewHistogramVec(options, []string{"tenant", "class"})
+}
+
+func counter(name, help string, labels ...string) *prometheus.CounterVec {
+	options := prometheus.CounterOpts{Namespace: "radishgate", Name: name, Help: help}
+	return prometheus.NewCounterVec(options, labels)
+}
+
+// New makes the measures on a registry of their own.
+func New() *Measures {
+	m := &Measures{
+		Registry: prometheus.NewRegistry(),
+		Messages: counter("messages_total", "Messages sent, by kind; an answer counts as one of its own.", "kind"),
+		Changes:  counter("changes_total", "Changes of state, by what changed.", "what"),
+		Jobs:     counter("jobs_total", "Jobs and requests answered, by result.", "tenant", "class", "result"),
+		Refusals: counter("refusals_total", "Refusals to callers, by kind and known outcome.", "kind", "outcome"),
+		Starts:   counter("starts_total", "Starts of tasks on upstreams, by result.", "tenant", "class", "result"),
+		Bytes:    counter("control_bytes_total", "Bytes of messages between entries.", "direction"),
+		Response: histogram("response_seconds", "Arrival to whole answer.", spans),
+		Wait:     histogram("wait_seconds", "Arrival of a job to start of a task.", spans),
+		Service:  histogram("service_seconds", "Start of a task to its answer.", spans),
+		Ratio:    histogram("ideal_ratio", "Response against the estimated ideal.", ratios),
+	}
+	m.Registry.MustRegister(m.Messages, m.Changes, m.Jobs, m.Refusals, m.Starts, m.Bytes, m.Response, m.Wait, m.Service, m.Ratio)
+	return m
+}
+
+// Gauge registers a value that is read when it is asked for.
+func (m *Measures) Gauge(name, help string, read func() float64) {
+	options := prometheus.GaugeOpts{Namespace: "radishgate", Name: name, Help: help}
+	m.Registry.MustRegister(prometheus.NewGaugeFunc(options, read))
+}
+
+// Start counts what became of one start.
+func (m *Measures) Start(o dispatch.Outcome) {
+	tenant, class := o.Job.Tenant, o.Job.Service.Class
+	m.Starts.WithLabelValues(tenant, class, o.Result).Inc()
+	m.Messages.WithLabelValues("task").Inc()
+	m.Wait.WithLabelValues(tenant, class).Observe(o.Wait.Seconds())
+	if o.Result == "ok" {
+		m.Messages.WithLabelValues("answer").Inc()
+		m.Service.WithLabelValues(tenant, class).Observe(o.Service.Seconds())
+	}
+	if o.Hedge {
+		m.Messages.WithLabelValues("hedge").Inc()
+	}
+}
+
+// Job counts an ended job and its response against the ideal.
+func (m *Measures) Job(j *job.Job, ideal time.Duration) {
+	tenant, class := j.Tenant, j.Service.Class
+	state, _, r := j.Result()
+	result := string(state)
+	if r != nil {
+		result = string(r.Outcome)
+	}
+	m.Jobs.WithLabelValues(tenant, class, result).Inc()
+	if state != job.Complete {
+		return
+	}
+	response := j.Ended().Sub(j.Arrived)
+	m.Response.WithLabelValues(tenant, class).Observe(response.Seconds())
+	if ideal > 0 {
+		m.Ratio.WithLabelValues(tenant, class).Observe(float64(response) / float64(ideal))
+	}
+}
+
+// Counts reads the messages sent so far, by kind.
+func (m *Measures) Counts() map[string]float64 {
+	counts := map[string]float64{}
+	families, err := m.Registry.Gather()
+	if err != nil {
+		return counts
+	}
+	for _, family := range families {
+		if family.GetName() != "radishgate_messages_total" {
+			continue
+		}
+		for _, metric := range family.GetMetric() {
+			counts[metric.GetLabel()[0].GetValue()] = metric.GetCounter().GetValue()
+		}
+	}
+	return counts
+}
--- /dev/null
+++ b/origin/key.go
@@ -0,0 +1,78 @@
+// Package origin holds keys that name the one process able to start their job.
+package origin
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+)
+
+// prefix marks an origin key; chosen keys may not begin with it.
+const prefix = "o1~"
+
+// maxKey bounds a key's length in bytes.
+const maxKey = 256
+
+// Key is `<token>.<own>`: the token names zone, VM, incarnation and the slot of
+// that process's monotonic clock; Own is the caller's part.
+type Key struct {
+	Zone        string
+	VM          string
+	Incarnation uint64
+	Slot        int64
+	Own         string
+}
+
+// KeyError is a key that cannot be read.
+type KeyError struct {
+	Key    string
+	Reason string
+}
+
+// Error names the key.
+func (e *KeyError) Error() string { return fmt.Sprintf("key %q: %s", e.Key, e.Reason) }
+
+// Is tells whether a text claims to be an origin key.
+func Is(text string) bool { return strings.HasPrefix(text, prefix) }
+
+// Check bounds a key of either kind: printable ASCII without spaces, 1 to 256 bytes.
+func Check(text string) error {
+	if text == "" || len(text) > maxKey {
+		return &KeyError{Key: text[:min(len(text), 40)], Reason: fmt.Sprintf("is not 1 to %d bytes long", maxKey)}
+	}
+	for _, r := range text {
+		if r <= ' ' || r > '~' {
+			return &KeyError{Key: text, Reason: "holds a byte that is not printable ASCII"}
+		}
+	}
+	return nil
+}
+
+// Token is the part that the entry gives out.
+func (k Key) Token() string {
+	return fmt.Sprintf("%s%s~%s~%016x~%d", prefix, k.Zone, k.VM, k.Incarnation, k.Slot)
+}
+
+// String is the whole key.
+func (k Key) String() string { return k.Token() + "." + k.Own }
+
+// Parse reads a whole key. The error is a *KeyError.
+func Parse(text string) (Key, error) {
+	token, own, ok := strings.Cut(text, ".")
+	if !ok || own == "" {
+		return Key{}, &KeyError{Key: text, Reason: "lacks the caller's own part after a full stop"}
+	}
+	parts := strings.Split(token, "~")
+	if len(parts) != 5 || parts[0]+"~" != prefix || parts[1] == "" || parts[2] == "" {
+		return Key{}, &KeyError{Key: text, Reason: "token is not o1~zone~vm~incarnation~slot"}
+	}
+	incarnation, err := strconv.ParseUint(parts[3], 16, 64)
+	if err != nil || len(parts[3]) != 16 {
+		return Key{}, &KeyError{Key: text, Reason: "incarnation is not 16 hexadecimal digits"}
+	}
+	slot, err := strconv.ParseInt(parts[4], 10, 64)
+	if err != nil || slot < 0 || strconv.FormatInt(slot, 10) != parts[4] {
+		return Key{}, &KeyError{Key: text, Reason: "slot is not a number"}
+	}
+	return Key{Zone: parts[1], VM: parts[2], Incarnation: incarnation, Slot: slot, Own: own}, nil
+}
--- /dev/null
+++ b/peer/server.go
@@ -0,0 +1,140 @@
+// Package peer carries the messages between entries over twirp, with mutual TLS when keys are set.
+package peer
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/radishgate/radishgate/bundle"
+	"github.com/radishgate/radishgate/job"
+	"github.com/radishgate/radishgate/keeper"
+	"github.com/radishgate/radishgate/loan"
+	"github.com/radishgate/radishgate/member"
+	"github.com/radishgate/radishgate/peer/wire"
+	"github.com/radishgate/radishgate/refusal"
+)
+
+// Server answers the messages of other entries. The functions are its seams.
+type Server struct {
+	OnBeat   func(beat *wire.Beat) *wire.Beat
+	OnBorrow func(ctx context.Context, ask loan.Ask, service string) (loan.Grant, int)
+	OnSubmit func(ctx context.Context, s keeper.Submission) keeper.Result
+	OnLook   func(ctx context.Context, l keeper.Look) keeper.Result
+	Chain    func(above int64) []bundle.Record
+}
+
+// Gossip takes a heartbeat.
+func (s *Server) Gossip(_ context.Context, beat *wire.Beat) (*wire.Beat, error) {
+	return s.OnBeat(beat), nil
+}
+
+// Borrow lends, renews and takes back slots.
+func (s *Server) Borrow(ctx context.Context, r *wire.BorrowRequest) (*wire.BorrowReply, error) {
+	ask := loan.Ask{
+		Holder: r.Holder, Want: int(r.Want), Backlog: int(r.Backlog), Held: int(r.Held),
+		Return: r.Returned, Renew: r.Renew,
+	}
+	if r.WaitMs > 0 {
+		ask.Until = time.Now().Add(time.Duration(r.WaitMs) * time.Millisecond)
+	}
+	grant, free := s.OnBorrow(ctx, ask, r.Service)
+	reply := &wire.BorrowReply{
+		Renewed: grant.Renewed, Recalled: grant.Recalled,
+		LifeMs: uint32(grant.Life.Milliseconds()), Free: uint32(max(0, free)),
+	}
+	for _, l := range grant.Loans {
+		reply.Loans = append(reply.Loans, &wire.Loan{Id: l.ID, Upstream: l.Upstream})
+	}
+	return reply, nil
+}
+
+// Submit takes a job that another entry forwards by its key.
+func (s *Server) Submit(ctx context.Context, r *wire.SubmitRequest) (*wire.JobReply, error) {
+	now := time.Now()
+	submission := keeper.Submission{
+		Key: r.Key, Digest: r.Digest, Tenant: r.Tenant, Service: r.Service, Request: r.Request, Forwarded: true,
+	}
+	if r.LimitMs > 0 {
+		submission.Deadline = now.Add(time.Duration(r.LimitMs) * time.Millisecond)
+	}
+	if r.WaitMs > 0 {
+		submission.WaitUntil = now.Add(time.Duration(r.WaitMs) * time.Millisecond)
+	}
+	for _, t := range r.Tasks {
+		hint := time.Duration(t.HintMs) * time.Millisecond
+		submission.Tasks = append(submission.Tasks, job.Task{Body: t.Body, Type: t.Type, Hint: hint})
+	}
+	return pack(s.OnSubmit(ctx, submission)), nil
+}
+
+// Look takes a question about a job that another entry forwards by its key.
+func (s *Server) Look(ctx context.Context, r *wire.LookRequest) (*wire.JobReply, error) {
+	l := keeper.Look{Key: r.Key, Cancel: r.Cancel, Forwarded: true}
+	if r.WaitMs > 0 {
+		l.WaitUntil = time.Now().Add(time.Duration(r.WaitMs) * time.Millisecond)
+	}
+	return pack(s.OnLook(ctx, l)), nil
+}
+
+// Fetch gives the bundle in force to a peer that has an older one.
+func (s *Server) Fetch(_ context.Context, r *wire.FetchRequest) (*wire.FetchReply, error) {
+	chain := s.Chain(r.Version)
+	if len(chain) == 0 {
+		return &wire.FetchReply{}, nil
+	}
+	data, err := json.Marshal(chain)
+	return &wire.FetchReply{Chain: data}, err
+}
+
+func pack(r keeper.Result) *wire.JobReply {
+	reply := &wire.JobReply{
+		State: string(r.State), Done: uint32(r.Done), Tasks: uint32(r.Tasks), Earlier: r.Earlier,
+	}
+	for _, a := range r.Answers {
+		reply.Answers = append(reply.Answers, &wire.Answer{Status: uint32(a.Status), Type: a.Type, Body: a.Body})
+	}
+	if r.Refusal == nil {
+		return reply
+	}
+	reply.Kind, reply.Outcome, reply.Detail = string(r.Refusal.Kind), string(r.Refusal.Outcome), r.Refusal.Detail
+	if !r.Refusal.RetryAt.IsZero() {
+		reply.RetryMs = uint32(max(1, time.Until(r.Refusal.RetryAt).Milliseconds()))
+	}
+	return reply
+}
+
+func unpack(reply *wire.JobReply) keeper.Result {
+	r := keeper.Result{
+		State: job.State(reply.State), Done: int(reply.Done), Tasks: int(reply.Tasks), Earlier: reply.Earlier,
+	}
+	for _, a := range reply.Answers {
+		r.Answers = append(r.Answers, job.Answer{Status: int(a.Status), Type: a.Type, Body: a.Body})
+	}
+	if reply.Kind == "" {
+		return r
+	}
+	r.Refusal = refusal.New(refusal.Kind(reply.Kind), refusal.Outcome(reply.Outcome), reply.Detail)
+	if reply.RetryMs > 0 {
+		r.Refusal.RetryAt = time.Now().Add(time.Duration(reply.RetryMs) * time.Millisecond)
+	}
+	return r
+}
+
+// Pack turns a member's record into its message.
+func Pack(r member.Record) *wire.Member {
+	return &wire.Member{
+		Id: r.ID, Zone: r.Zone, Peer: r.Peer, Incarnation: r.Incarnation, Beat: r.Beat,
+		Leaving: r.Leaving, Ready: r.Ready, Weight: uint32(r.Weight * 1000),
+		Free: uint32(max(0, r.Free)), Backlog: uint32(max(0, r.Backlog)), Version: r.Version,
+	}
+}
+
+// Unpack is the inverse of Pack.
+func Unpack(m *wire.Member) member.Record {
+	return member.Record{
+		ID: m.Id, Zone: m.Zone, Peer: m.Peer, Incarnation: m.Incarnation, Beat: m.Beat,
+		Leaving: m.Leaving, Ready: m.Ready, Weight: float64(m.Weight) / 1000,
+		Free: int(m.Free), Backlog: int(m.Backlog), Version: m.Version,
+	}
+}
--- /dev/null
+++ b/settings/settings.go
@@ -0,0 +1,240 @@
+// Package settings reads the settings of one entry from an INI file.
+package settings
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"regexp"
+	"runtime"
+	"strings"
+	"time"
+
+	"github.com/radishgate/radishgate/common/inifile"
+)
+
+// Settings of one entry. Spans are turned into deadlines where they are used.
+type Settings struct {
+	VM        string
+	Zone      string
+	Weight    float64
+	Listen    string // callers
+	Peers     string // other entries
+	Operators string
+
+	Platform string
+	Poll     time.Duration // of the VM list
+	Refresh  time.Duration // age at which a bundle checkpoint is written
+
+	Signers     []string // base64 ed25519 public keys
+	Certificate string   // files of the peers' mutual TLS
+	Key         string
+	Authority   string
+
+	Body     int64 // bytes
+	Answers  int64 // bytes
+	Keys     int
+	Window   time.Duration
+	Patience time.Duration
+	Drain    time.Duration
+	Notice   time.Duration // between not being ready and refusing connections
+
+	Beat  time.Duration
+	Loan  time.Duration
+	Level string
+	Form  string
+	Pprof bool
+}
+
+// Error is a settings file that cannot be read.
+type Error struct {
+	File  string
+	Cause error
+}
+
+// Error names the file.
+func (e *Error) Error() string { return fmt.Sprintf("%s: %v", e.File, e.Cause) }
+
+// Unwrap gives the cause.
+func (e *Error) Unwrap() error { return e.Cause }
+
+// Load reads and checks a file. Errors are *Error or *inifile.Error.
+func Load(name string) (*Settings, error) {
+	data, err := os.ReadFile(name)
+	if err != nil {
+		return nil, &Error{File: name, Cause: err}
+	}
+	return Parse(name, data)
+}
+
+var plainName = regexp.MustCompile(`^[a-z0-9][a-z0-9-]{0,39}$`)
+
+// Parse reads and checks settings; name is used in errors.
+func Parse(name string, data []byte) (*Settings, error) {
+	f, err := inifile.Parse(name, data)
+	if err != nil {
+		return nil, err
+	}
+	s := &Settings{}
+	s.readEntry(f)
+	s.readPlatform(f)
+	s.readKeys(f)
+	s.readLimits(f)
+	s.readRest(f)
+	if err := f.Err(); err != nil {
+		return nil, err
+	}
+	return s, nil
+}
+
+func (s *Settings) readEntry(f *inifile.File) {
+	const section = "entry"
+	s.VM = f.Must(section, "vm")
+	s.Zone = f.Must(section, "zone")
+	for key, value := range map[string]string{"vm": s.VM, "zone": s.Zone} {
+		if !plainName.MatchString(value) {
+			f.Fail(section, key, "is not 1 to 40 of a-z, 0-9 and -")
+		}
+	}
+	s.Weight = f.Float(section, "weight", float64(runtime.GOMAXPROCS(0)), 0.01, 4096)
+	s.Listen = address(f, section, "listen", true)
+	s.Peers = address(f, section, "peers", true)
+	s.Operators = address(f, section, "operators", true)
+}
+
+func address(f *inifile.File, section, key string, required bool) string {
+	text := f.String(section, key, "")
+	if text == "" {
+		if required {
+			f.Fail(section, key, "is required")
+		}
+		return ""
+	}
+	host, _, err := net.SplitHostPort(text)
+	if err != nil || net.ParseIP(host) == nil {
+		f.Fail(section, key, fmt.Sprintf("%q is not an IP number with a port", text))
+	}
+	return text
+}
+
+func (s *Settings) readPlatform(f *inifile.File) {
+	const section = "platform"
+	s.Platform = address(f, section, "address", true)
+	s.Poll = f.Span(section, "poll", time.Second, 10*time.Millisecond, 2*time.Second)
+	s.Refresh = f.Span(section, "refresh", 10*time.Minute, 100*time.Millisecond, 240*time.Hour)
+}
+
+func (s *Settings) readKeys(f *inifile.File) {
+	const section = "keys"
+	s.Signers = f.List(section, "signers")
+	if len(s.Signers) == 0 {
+		f.Fail(section, "signers", "is required: the operators' public keys, separated by commas")
+	}
+	s.Certificate = f.String(section, "certificate", "")
+	s.Key = f.String(section, "key", "")
+	s.Authority = f.String(section, "authority", "")
+	given := 0
+	for _, file := range []string{s.Certificate, s.Key, s.Authority} {
+		if file != "" {
+			given++
+		}
+	}
+	if given != 0 && given != 3 {
+		f.Fail(section, "certificate", "certificate, key and authority go together")
+	}
+}
+
+func (s *Settings) readLimits(f *inifile.File) {
+	const section = "limits"
+	s.Body = f.Int(section, "body", 16<<20, 1<<10, 1<<30)
+	s.Answers = f.Int(section, "answers", 64<<20, 1<<10, 1<<40)
+	s.Keys = int(f.Int(section, "keys", 200_000, 1, 100_000_000))
+	s.Window = f.Span(section, "window", 10*time.Minute, time.Second, 24*time.Hour)
+	s.Patience = f.Span(section, "patience", 10*time.Second, 10*time.Millisecond, time.Hour)
+	s.Drain = f.Span(section, "drain", 30*time.Second, 0, time.Hour)
+	s.Notice = f.Span(section, "notice", 2*time.Second, 0, time.Minute)
+	s.Beat = f.Span(section, "beat", 500*time.Millisecond, 10*time.Millisecond, 10*time.Second)
+	s.Loan = f.Span(section, "loan", time.Second, 50*time.Millisecond, time.Minute)
+}
+
+func (s *Settings) readRest(f *inifile.File) {
+	s.Level = f.String("logs", "level", "info")
+	switch s.Level {
+	case "debug", "info", "warn", "error":
+	default:
+		f.Fail("logs", "level", "is none of debug, info, warn, error")
+	}
+	s.Form = f.String("logs", "form", "text")
+	if s.Form != "text" && s.Form != "json" {
+		f.Fail("logs", "form", "is neither text nor json")
+	}
+	s.Pprof = f.Bool("operators", "pprof", false)
+}
+
+// Print gives a file with every setting at its default, commented.
+func Print() string {
+	return strings.TrimSpace(`
+# Settings of one radishgate entry. Required settings stand without a comment
+# sign; all others show their default.
+
+[entry]
+# Name of this VM, unique in the fleet: a-z, 0-9 and -.
+vm = entry-1
+# Availability zone of this VM, as the bundle names it.
+zone = zone-a
+# Share of the zone's slots that this entry is home to, against other entries.
+# Default: the number of processors.
+# weight = 4
+# Addresses (IP number and port) for callers, other entries and operators.
+listen = 127.0.0.1:8080
+peers = 127.0.0.1:8081
+operators = 127.0.0.1:8082
+
+[platform]
+# Address of the platform's log and VM list.
+address = 127.0.0.1:8070
+# Time between reads of the VM list.
+# poll = 1s
+# Age of the last checkpoint of the bundle at which a new one is written; at
+# most a third of the log's retention.
+# refresh = 10m
+
+[keys]
+# Public keys of the operators who may sign bundles (radishgate keys new).
+signers = BASE64
+# Mutual TLS among entries: PEM files, all three or none.
+# certificate =
+# key =
+# authority =
+
+[limits]
+# Largest body of a job, in bytes.
+# body = 16777216
+# Memory for kept answers, in bytes.
+# answers = 67108864
+# Keys remembered at most.
+# keys = 200000
+# Time for which a key is remembered; older ones are refused as expired.
+# window = 10m
+# Time for a caller to send its body or to take its answer.
+# patience = 10s
+# Time from SIGTERM until what still runs is given up.
+# drain = 30s
+# Time from SIGTERM until new connections are refused, for the balancer to notice.
+# notice = 2s
+# Time between heartbeats.
+# beat = 500ms
+# Life of a slot lent to another entry.
+# loan = 1s
+
+[logs]
+# debug, info, warn or error
+# level = info
+# text or json
+# form = text
+
+[operators]
+# Serve profiles under /debug/pprof on the operators' address.
+# pprof = false
+`) + "\n"
+}
--- /dev/null
+++ b/standin/runner/runner.go
@@ -0,0 +1,209 @@
+// Package runner is a small stand-in for an upstream: slots, run times, speed, switchable failures and a record of starts.
+package runner
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Headers of the contract between entries and upstreams.
+const (
+	HeaderTask    = "Radishgate-Task"
+	HeaderNotRun  = "Radishgate-Not-Run"
+	HeaderLeaving = "Radishgate-Leaving"
+)
+
+// Modes are the behaviours that can be switched on.
+type Modes struct {
+	Refuse   bool    `json:"refuse"`   // 503, proved not run
+	Fail     bool    `json:"fail"`     // 500 at once, after the start
+	Silent   bool    `json:"silent"`   // starts and never answers
+	Truncate bool    `json:"truncate"` // answers are cut off
+	Leaving  bool    `json:"leaving"`  // tells so and refuses new work
+	Speed    float64 `json:"speed"`    // 0 keeps the speed it has
+}
+
+// Start is one start of a task.
+type Start struct {
+	Task string    `json:"task"`
+	At   time.Time `json:"at"`
+}
+
+// Work is the body that the stand-in understands: its run time at speed 1.
+type Work struct {
+	Run string `json:"run"`
+	Tag string `json:"tag,omitempty"` // comes back in the answer
+}
+
+// Reply is the answer of the stand-in.
+type Reply struct {
+	Task   string `json:"task"`
+	Tag    string `json:"tag"`
+	Runner string `json:"runner"`
+}
+
+// Options of a runner.
+type Options struct {
+	Name  string
+	Slots int
+	Speed float64
+	Run   time.Duration // for bodies that name none
+}
+
+// Runner is an http.Handler. Tasks beyond its slots wait in order.
+type Runner struct {
+	options Options
+	slots   chan struct{}
+	served  atomic.Int64
+	running atomic.Int64
+	peak    atomic.Int64
+
+	mu     sync.Mutex
+	modes  Modes
+	starts []Start
+}
+
+// New makes a runner.
+func New(options Options) *Runner {
+	if options.Slots == 0 {
+		options.Slots = 8
+	}
+	if options.Speed == 0 {
+		options.Speed = 1
+	}
+	if options.Run == 0 {
+		options.Run = 20 * time.Millisecond
+	}
+	r := &Runner{options: options, slots: make(chan struct{}, options.Slots)}
+	r.modes.Speed = options.Speed
+	return r
+}
+
+// Set switches the modes.
+func (r *Runner) Set(modes Modes) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if modes.Speed == 0 {
+		modes.Speed = r.modes.Speed
+	}
+	r.modes = modes
+}
+
+// Starts is the record of starts so far.
+func (r *Runner) Starts() []Start {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return append([]Start(nil), r.starts...)
+}
+
+// Peak is the largest number of tasks that were here at once, waiting ones counted.
+func (r *Runner) Peak() int64 { return r.peak.Load() }
+
+// Handler serves tasks, and the record and the modes under /standin/.
+func (r *Runner) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /standin/starts", func(w http.ResponseWriter, _ *http.Request) {
+		_ = json.NewEncoder(w).Encode(r.Starts())
+	})
+	mux.HandleFunc("PUT /standin/modes", r.serveModes)
+	mux.HandleFunc("/", r.serveTask)
+	return mux
+}
+
+func (r *Runner) serveModes(w http.ResponseWriter, request *http.Request) {
+	var modes Modes
+	if err := json.NewDecoder(request.Body).Decode(&modes); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	r.Set(modes)
+}
+
+func (r *Runner) serveTask(w http.ResponseWriter, request *http.Request) {
+	body, err := io.ReadAll(request.Body)
+	if err != nil {
+		return
+	}
+	here := r.running.Add(1)
+	defer r.running.Add(-1)
+	if here > r.peak.Load() {
+		r.peak.Store(here)
+	}
+	r.mu.Lock()
+	modes := r.modes
+	r.mu.Unlock()
+	if modes.Leaving {
+		w.Header().Set(HeaderLeaving, "true")
+	}
+	if modes.Refuse || modes.Leaving {
+		w.Header().Set(HeaderNotRun, "true")
+		http.Error(w, "refused", http.StatusServiceUnavailable)
+		return
+	}
+	select {
+	case r.slots <- struct{}{}:
+		defer func() { <-r.slots }()
+	case <-request.Context().Done():
+		return
+	}
+	r.run(w, request, body, modes)
+}
+
+func (r *Runner) run(w http.ResponseWriter, request *http.Request, body []byte, modes Modes) {
+	task := request.Header.Get(HeaderTask)
+	r.mu.Lock()
+	r.starts = append(r.starts, Start{Task: task, At: time.Now()})
+	r.mu.Unlock()
+	if modes.Fail {
+		http.Error(w, `{"error":"failed"}`, http.StatusInternalServerError)
+		return
+	}
+	if modes.Silent {
+		<-request.Context().Done()
+		return
+	}
+	var work Work
+	_ = json.Unmarshal(body, &work)
+	sleep(request.Context(), r.span(work, modes.Speed))
+	r.served.Add(1)
+	answer, _ := json.Marshal(Reply{Task: task, Tag: work.Tag, Runner: r.options.Name})
+	w.Header().Set("Content-Type", "application/json")
+	if modes.Truncate {
+		w.Header().Set("Content-Length", "100000")
+		_, _ = w.Write(answer[:len(answer)/2])
+		return
+	}
+	_, _ = w.Write(answer)
+}
+
+func (r *Runner) span(work Work, speed float64) time.Duration {
+	run, err := time.ParseDuration(work.Run)
+	if err != nil {
+		run = r.options.Run
+	}
+	return time.Duration(float64(run) / speed)
+}
+
+// Free counts the slots that run nothing, and gives the present speed.
+func (r *Runner) Free() (int, float64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.options.Slots - len(r.slots), r.modes.Speed
+}
+
+// Slots is the number of tasks that run at once.
+func (r *Runner) Slots() int { return r.options.Slots }
+
+func sleep(ctx context.Context, span time.Duration) {
+	timer := time.NewTimer(span)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/standin/store/http.go
@@ -0,0 +1,106 @@
+package store
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/radishgate/radishgate/platform"
+)
+
+// maxRecord bounds one log record.
+const maxRecord = 8 << 20
+
+// maxWait bounds one long-poll read.
+const maxWait = 30 * time.Second
+
+// Handler serves the store over HTTP, in the form that platform.Client speaks.
+func (s *Store) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/streams/{stream}", s.serveAppend)
+	mux.HandleFunc("GET /v1/streams/{stream}", s.serveRead)
+	mux.HandleFunc("GET /v1/vms", s.serveVMs)
+	mux.HandleFunc("PUT /v1/vms/{id}", s.serveAnnounce)
+	mux.HandleFunc("DELETE /v1/vms/{id}", s.serveRemove)
+	mux.HandleFunc("PUT /v1/faults", s.serveFaults)
+	return mux
+}
+
+func (s *Store) serveAppend(w http.ResponseWriter, r *http.Request) {
+	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxRecord))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusRequestEntityTooLarge)
+		return
+	}
+	offset, err := s.Append(r.Context(), r.PathValue("stream"), data)
+	if err != nil {
+		fail(w, err)
+		return
+	}
+	reply(w, map[string]int64{"offset": offset})
+}
+
+func (s *Store) serveRead(w http.ResponseWriter, r *http.Request) {
+	from, err := strconv.ParseInt(r.URL.Query().Get("from"), 10, 64)
+	if err != nil {
+		http.Error(w, "from is not a number", http.StatusBadRequest)
+		return
+	}
+	wait, _ := time.ParseDuration(r.URL.Query().Get("wait"))
+	page, err := s.Read(r.Context(), r.PathValue("stream"), from, min(wait, maxWait))
+	if err != nil {
+		fail(w, err)
+		return
+	}
+	reply(w, page)
+}
+
+func (s *Store) serveVMs(w http.ResponseWriter, _ *http.Request) {
+	list, err := s.VMs()
+	if err != nil {
+		fail(w, err)
+		return
+	}
+	reply(w, list)
+}
+
+func (s *Store) serveAnnounce(w http.ResponseWriter, r *http.Request) {
+	var vm platform.VM
+	if err := json.NewDecoder(r.Body).Decode(&vm); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	vm.ID = r.PathValue("id")
+	s.Announce(vm)
+	reply(w, vm)
+}
+
+func (s *Store) serveRemove(w http.ResponseWriter, r *http.Request) {
+	s.Remove(r.PathValue("id"))
+	reply(w, map[string]bool{"removed": true})
+}
+
+func (s *Store) serveFaults(w http.ResponseWriter, r *http.Request) {
+	var faults Faults
+	if err := json.NewDecoder(r.Body).Decode(&faults); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.Set(faults)
+	reply(w, faults)
+}
+
+func fail(w http.ResponseWriter, err error) {
+	status := http.StatusServiceUnavailable
+	if fault, ok := err.(*FaultError); ok && fault.Uncertain {
+		status = http.StatusGatewayTimeout
+	}
+	http.Error(w, err.Error(), status)
+}
+
+func reply(w http.ResponseWriter, answer any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(answer)
+}
