claim: Keep another owner's claim that arrives beside a pending one

While an entry's own claim of a key was undecided, its fold skipped the claim of the same key by the new owner; the entry then dropped its void claim and knew nothing of the winner's. When it owned the partition again it claimed and started the job a second time. Ruled out: the offset proof and the void rule; both held in the trace. Change: the other claim is kept beside the pending one and takes its place. Entries also no longer acquire partitions before they are ready, and an owner that learns from the log that it was replaced takes the partition again. Conclusion: a fold must never skip a valid record because of local state.

--- a/claim/partition.go
+++ b/claim/partition.go
@@ -94,6 +94,7 @@
 	at     time.Time
 	state  chan struct{} // closed once the log has decided
 	err    error
+	other  *known[V] // claim of another owner, read while this one was undecided
 }
 
 // pending is a claim that waits for its record.
@@ -313,14 +314,34 @@
 	}
 }
 
-// learn remembers a claim read from the log, unless it is this process's own.
+// learn remembers a claim read from the log. A claim of this process's own is
+// known already, or was given up before anything started. While a claim of this
+// process for the same key is undecided, the other is kept beside it: it must
+// not be forgotten when this one turns out void.
 func (p *Partition[V]) learn(e entry, owner string) {
-	if _, ok := p.keys[e.Key]; ok {
+	if owner == p.options.Owner {
 		return
 	}
 	decided := make(chan struct{})
 	close(decided)
-	p.keep(e.Key, &known[V]{digest: e.Digest, owner: owner, at: p.options.Now(), state: decided})
+	learned := &known[V]{digest: e.Digest, owner: owner, at: p.options.Now(), state: decided}
+	k, ok := p.keys[e.Key]
+	switch {
+	case !ok:
+		p.keep(e.Key, learned)
+	case k.mine && !k.settled():
+		k.other = learned
+	}
+}
+
+// settled tells whether the log has decided.
+func (k *known[V]) settled() bool {
+	select {
+	case <-k.state:
+		return true
+	default:
+		return false
+	}
 }
 
 func (p *Partition[V]) keep(key string, k *known[V]) {
@@ -450,15 +471,38 @@
 	}
 }
 
+// batch takes the next pending claims. A key that another owner turned out to
+// have claimed meanwhile is answered as lost and left out.
 func (p *Partition[V]) batch() ([]pending[V], int64, int64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	size := min(len(p.pending), p.options.Batch)
-	batch := p.pending[:size:size]
-	p.pending = p.pending[size:]
+	var batch []pending[V]
+	for len(p.pending) > 0 && len(batch) < p.options.Batch {
+		next := p.pending[0]
+		p.pending = p.pending[1:]
+		if next.known.other == nil {
+			batch = append(batch, next)
+			continue
+		}
+		p.void(next, &LostError{Key: next.entry.Key, Owner: next.known.other.owner})
+		close(next.known.state)
+	}
 	return batch, p.mine, p.next
 }
 
+// void takes a claim back: the key is another's, or free again.
+func (p *Partition[V]) void(b pending[V], err error) {
+	b.known.err = err
+	if p.keys[b.entry.Key] != b.known {
+		return
+	}
+	if b.known.other != nil {
+		p.keys[b.entry.Key] = b.known.other
+		return
+	}
+	delete(p.keys, b.entry.Key)
+}
+
 // commit appends one record of claims. When the append gives the very offset
 // that was expected, nothing came between and no read is needed.
 func (p *Partition[V]) commit(ctx context.Context, batch []pending[V], own, expected int64) error {
@@ -496,18 +540,17 @@
 // confirmation are forgotten: this process has not started their jobs.
 func (p *Partition[V]) decide(batch []pending[V], err error) {
 	for _, b := range batch {
-		p.mu.Lock()
-		b.known.err = err
-		if err != nil && p.keys[b.entry.Key] == b.known {
-			delete(p.keys, b.entry.Key)
-		}
-		p.mu.Unlock()
-		if err == nil {
-			value := b.build()
+		if err != nil {
 			p.mu.Lock()
-			b.known.value = value
+			p.void(b, err)
 			p.mu.Unlock()
+			close(b.known.state)
+			continue
 		}
+		value := b.build()
+		p.mu.Lock()
+		b.known.value = value
+		p.mu.Unlock()
 		close(b.known.state)
 	}
 }
--- /dev/null
+++ b/claim/partition_test.go
@@ -0,0 +1,61 @@
+package claim
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/radishgate/radishgate/standin/store"
+)
+
+func TestClaimAfterAcquire(t *testing.T) {
+	s := store.New(store.Options{})
+	p := New[int](Options{Log: s.Log("claims-0"), Owner: "a~1", Nonce: rand.Uint64})
+	ctx := context.Background()
+	for i := range 3 {
+		if err := p.Acquire(ctx); err != nil {
+			t.Fatal(err)
+		}
+		value, made, err := p.Claim(ctx, string(rune('a'+i)), "d", func() int { return 7 })
+		if err != nil || !made || value != 7 {
+			t.Fatalf("claim %d: value %d, made %v, error %v", i, value, made, err)
+		}
+	}
+}
+
+// pair makes two processes on the same partition.
+func pair(s *store.Store) (*Partition[int], *Partition[int]) {
+	a := New[int](Options{Log: s.Log("claims-0"), Owner: "a~1", Nonce: rand.Uint64})
+	b := New[int](Options{Log: s.Log("claims-0"), Owner: "b~2", Nonce: rand.Uint64})
+	return a, b
+}
+
+// TestVoidClaimLearnsTheWinner has b lose the partition while its claim of the
+// same key is under way. b must remember a's claim when it owns the partition
+// again.
+func TestVoidClaimLearnsTheWinner(t *testing.T) {
+	s := store.New(store.Options{})
+	a, b := pair(s)
+	ctx := context.Background()
+	if err := b.Acquire(ctx); err != nil {
+		t.Fatal(err)
+	}
+	if err := a.Acquire(ctx); err != nil {
+		t.Fatal(err)
+	}
+	if _, made, err := a.Claim(ctx, "x", "d", func() int { return 1 }); err != nil || !made {
+		t.Fatalf("a claims: made %v, error %v", made, err)
+	}
+	var other *NotOwnerError
+	if _, _, err := b.Claim(ctx, "x", "d", func() int { return 2 }); !errors.As(err, &other) {
+		t.Fatalf("b claims without owning: %v", err)
+	}
+	if err := b.Acquire(ctx); err != nil {
+		t.Fatal(err)
+	}
+	var lost *LostError
+	if _, _, err := b.Claim(ctx, "x", "d", func() int { return 3 }); !errors.As(err, &lost) || lost.Owner != "a~1" {
+		t.Fatalf("b claims what a has started: %v", err)
+	}
+}
--- a/entry/fleet.go
+++ b/entry/fleet.go
@@ -288,9 +288,7 @@
 func (e *Entry) owner(index int) string {
 	ring := home.Ring{}
 	for _, r := range e.members.Live("") {
-		if r.Ready {
-			ring.Members = append(ring.Members, home.Member{ID: r.ID, Weight: 1})
-		}
+		ring.Members = append(ring.Members, home.Member{ID: r.ID, Weight: 1})
 	}
 	return ring.Home("partition/" + strconv.Itoa(index))
 }
@@ -307,7 +305,7 @@
 		case <-ticker.C:
 		}
 		b := e.rollout.Bundle()
-		if b == nil {
+		if b == nil || !e.Ready() {
 			continue
 		}
 		for index := range b.Rules.Partitions {
--- a/history/history.go
+++ b/history/history.go
@@ -6,14 +6,15 @@
 	"sync"
 )
 
-// Told is what a caller was told in the end about one job or request. Task
-// names it as the upstreams saw it: the key without the task's number.
+// Told is what a caller was told in the end about one submission. Key is the
+// key as the upstreams saw it, without the task's number; several submissions
+// may share one.
 type Told struct {
 	Key        string
 	Tasks      int
 	Complete   bool
 	Partial    bool // complete, but answers were missing or another's
-	NotRun     bool // refused with the outcome not-run, and not submitted again
+	NotRun     bool // refused with the outcome not-run
 	Repeatable bool // may start more than once
 }
 
@@ -61,10 +62,13 @@
 		}
 	}
 	repeatable := map[string]bool{}
+	otherwise := map[string]bool{} // keys of which a submission was told other than not run
 	for _, t := range r.told {
-		if t.Repeatable {
-			repeatable[t.Key] = true
-		}
+		repeatable[t.Key] = repeatable[t.Key] || t.Repeatable
+		otherwise[t.Key] = otherwise[t.Key] || !t.NotRun
+	}
+	for _, t := range r.told {
+		t.NotRun = t.NotRun && !otherwise[t.Key]
 		report.judge(t, started[t.Key])
 	}
 	for task, count := range times {
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -282,11 +282,8 @@
 		send := func(to member.Record) (Result, error) { return k.options.Submit(ctx, to, s) }
 		return k.follow(k.toOwner(owner, s.Forwarded, send), s.Forwarded, send)
 	}
-	if err := partition.Acquire(ctx); err != nil {
-		return refuse(k.claimRefusal(err))
-	}
 	build := func() *job.Job { return k.gate(b, s) }
-	j, made, err := partition.Claim(ctx, s.Key, s.Digest, build)
+	j, made, err := k.claim(ctx, partition, s, build)
 	if err != nil {
 		send := func(to member.Record) (Result, error) { return k.options.Submit(ctx, to, s) }
 		return k.follow(k.lost(err), s.Forwarded, send)
@@ -300,6 +297,36 @@
 	return k.await(ctx, j, s.WaitUntil)
 }
 
+// claimTries bounds how often ownership is taken anew for one claim.
+const claimTries = 3
+
+// claim claims a key as the owner. An entry that learns from the log that
+// another became the owner meanwhile takes the partition again, since by its
+// view of the members it should own it.
+func (k *Keeper) claim(ctx context.Context, p *claim.Partition[*job.Job], s Submission, build func() *job.Job) (*job.Job, bool, error) {
+	var failure error
+	for range claimTries {
+		if err := p.Acquire(ctx); err != nil {
+			failure = err
+			if !isNotOwner(err) {
+				break
+			}
+			continue
+		}
+		j, made, err := p.Claim(ctx, s.Key, s.Digest, build)
+		if !isNotOwner(err) {
+			return j, made, err
+		}
+		failure = err
+	}
+	return nil, false, failure
+}
+
+func isNotOwner(err error) bool {
+	var other *claim.NotOwnerError
+	return errors.As(err, &other)
+}
+
 // attach answers a resubmission from a job that this entry claimed before
 // another became the owner.
 func (k *Keeper) attach(ctx context.Context, j *job.Job, s Submission) Result {
--- a/load/run.go
+++ b/load/run.go
@@ -252,9 +252,7 @@
 		return
 	}
 	whole, err := r.once(ctx, cl, cl.Next(), c, key)
-	if err == nil && !whole {
-		r.record.Tell(history.Told{Partial: true})
-	}
+	r.record.Tell(told(c, key, whole, err))
 	c.flow.resubmitted.Add(1)
 }
 
@@ -329,24 +327,33 @@
 	return whole, nil
 }
 
+// told is what one submission was told in the end.
+func told(c *call, key string, whole bool, err error) history.Told {
+	t := history.Told{Key: key, Tasks: len(c.runs), Repeatable: c.flow.flow.Repeatable}
+	var refused *client.Refused
+	switch {
+	case err == nil:
+		t.Complete, t.Partial = whole, !whole
+	case errors.As(err, &refused):
+		t.NotRun = refused.Outcome == refusal.NotRun
+	}
+	return t
+}
+
 // note files what the caller was told.
 func (r *Run) note(c *call, key string, whole bool, err error, response, ideal time.Duration) {
-	told := history.Told{Key: key, Tasks: len(c.runs), Repeatable: c.flow.flow.Repeatable}
 	var refused *client.Refused
 	switch {
 	case err == nil && whole:
-		told.Complete = true
 		c.flow.complete(len(c.runs), response, ideal)
 	case err == nil:
-		told.Partial = true
 		c.flow.count(outcomePartial)
 	case errors.As(err, &refused):
-		told.NotRun = refused.Outcome == refusal.NotRun
 		c.flow.refuse(refused)
 	default:
 		c.flow.count(outcomeLost)
 	}
-	r.record.Tell(told)
+	r.record.Tell(told(c, key, whole, err))
 	r.calls.Add(1)
 	tasks := r.tasks.Add(int64(len(c.runs)))
 	if r.options.Progress != nil {
