exchange: Collect slots for waiting peers and return idle loans

Cause: heartbeats never arrived, since client and server put different prefixes before twirp's paths; entries knew no peers and nothing was lent. With peers known, loans came one slot a message. Change: default path prefix; a home collects what comes free for a waiting ask for 8 ms; a holder gives the home's own slots back in the answer to its ask; loans that run nothing for 20 ms go back; asks name the least useful speed.

--- a/client/client.go
+++ b/client/client.go
@@ -50,17 +50,21 @@
 	Entries []string // addresses of IP number and port
 	HTTP    *http.Client
 
-	turn  atomic.Uint64
-	mu    sync.Mutex
-	token string
-	by    string
+	turn   atomic.Uint64
+	mu     sync.Mutex
+	tokens map[string]token // by entry
+}
+
+// token is an origin token that an entry has given out.
+type token struct {
+	text  string
 	until time.Time
 }
 
 // New makes a client.
 func New(tenant string, entries ...string) *Client {
 	transport := &http.Transport{MaxIdleConnsPerHost: 256, IdleConnTimeout: 30 * time.Second}
-	return &Client{Tenant: tenant, Entries: entries, HTTP: &http.Client{Transport: transport}}
+	return &Client{Tenant: tenant, Entries: entries, HTTP: &http.Client{Transport: transport}, tokens: map[string]token{}}
 }
 
 // Close drops idle connections.
@@ -127,23 +131,26 @@
 // tokenSpan is how long a token is used before a new one is taken.
 const tokenSpan = time.Second
 
-// Origin gives an entry and a key of which that entry is the origin.
+// Origin gives the next entry in turn and a key of which it is the origin.
 func (c *Client) Origin(ctx context.Context, own string) (string, string, error) {
+	entry := c.Next()
 	c.mu.Lock()
-	if time.Now().Before(c.until) {
-		defer c.mu.Unlock()
-		return c.by, c.token + "." + own, nil
-	}
+	known, ok := c.tokens[entry]
 	c.mu.Unlock()
-	entry := c.Next()
-	token, err := c.Token(ctx, entry)
+	if ok && time.Now().Before(known.until) {
+		return entry, known.text + "." + own, nil
+	}
+	text, err := c.Token(ctx, entry)
 	if err != nil {
 		return entry, "", err
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.token, c.by, c.until = token, entry, time.Now().Add(tokenSpan)
-	return entry, token + "." + own, nil
+	if c.tokens == nil {
+		c.tokens = map[string]token{}
+	}
+	c.tokens[entry] = token{text: text, until: time.Now().Add(tokenSpan)}
+	return entry, text + "." + own, nil
 }
 
 // Token asks an entry for its present origin token.
--- a/commands/commands.go
+++ b/commands/commands.go
@@ -41,6 +41,7 @@
 	Job      *jobCommand      `arg:"subcommand:job" help:"submit, look at or cancel a job"`
 	Status   *statusCommand   `arg:"subcommand:status" help:"show the state of an entry"`
 	Standin  *standinCommand  `arg:"subcommand:standin" help:"run a stand-in platform or upstream"`
+	Load     *loadCommand     `arg:"subcommand:load" help:"send a scenario and compare with the ideal"`
 	Demo     *demoCommand     `arg:"subcommand:demo" help:"run both firms' examples in one process"`
 	Version  *versionCommand  `arg:"subcommand:version" help:"print the version"`
 }
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -46,7 +46,6 @@
 	Leaving   func(name string) bool
 	Lease     func(name string) (time.Time, bool) // end of the worker's lease
 	Wake      func()                              // tasks wait that own slots do not take soon
-	Spare     func()                              // borrowed slots may be idle
 	Seen      func(Outcome)
 	Now       func() time.Time
 }
@@ -110,6 +109,7 @@
 	work     time.Duration // their estimates
 	want     int
 	head     string
+	least    float64 // least speed of a slot that would help
 	group    int64
 	starts   uint64
 	retries  map[string]*budget.Budget
@@ -132,9 +132,6 @@
 	if options.Wake == nil {
 		options.Wake = func() {}
 	}
-	if options.Spare == nil {
-		options.Spare = func() {}
-	}
 	if options.Seen == nil {
 		options.Seen = func(Outcome) {}
 	}
@@ -204,23 +201,38 @@
 // Idle waits until no start is under way.
 func (d *Dispatcher) Idle() { d.runs.Wait() }
 
-// Need tells what the exchange should borrow for.
-func (d *Dispatcher) Need() (want, backlog, held int, service string) {
+// Need is what the exchange should borrow for: the tasks that no slot here
+// takes soon, the whole backlog, the slots held, the service at the head, and
+// the least speed of a slot that would help.
+type Need struct {
+	Want    int
+	Backlog int
+	Held    int
+	Service string
+	Speed   float64
+}
+
+// Need tells what to borrow for. Placements without loans need nothing.
+func (d *Dispatcher) Need() Need {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	n := Need{Backlog: d.backlog}
+	if d.bundle != nil && d.bundle.Rules.Placement == placementHome {
+		n.Want, n.Service, n.Speed = d.want, d.head, d.least
+	}
 	for _, t := range d.order {
 		if t.near {
-			held += d.options.Ledger.Held(t.name)
+			n.Held += d.options.Ledger.Held(t.name)
 		}
 	}
-	return d.want, d.backlog, held, d.head
+	return n
 }
 
 // Demand is the backlog by held slot, which decides between this entry and a
 // holder that asks for its slots.
 func (d *Dispatcher) Demand() float64 {
-	_, backlog, held, _ := d.Need()
-	return float64(backlog) / float64(max(1, held))
+	n := d.Need()
+	return float64(n.Backlog) / float64(max(1, n.Held))
 }
 
 // Room counts the free slots of the own zone that others could borrow now.
--- a/dispatch/match.go
+++ b/dispatch/match.go
@@ -29,7 +29,6 @@
 func (d *Dispatcher) match() {
 	if d.bundle == nil || d.backlog == 0 {
 		d.want = 0
-		d.options.Spare()
 		return
 	}
 	now := d.options.Now()
@@ -44,7 +43,7 @@
 	if hold {
 		d.expect(now)
 	}
-	d.want, d.head = 0, ""
+	d.want, d.head, d.least = 0, "", 0
 	if d.starts%jobTurn == jobTurn-1 {
 		d.staged = d.place(d.staged, now, hold, &free)
 		d.urgent = d.place(d.urgent, now, hold, &free)
@@ -137,7 +136,7 @@
 			continue
 		}
 		if *free == 0 && !hold {
-			d.wish(t, now)
+			d.wish(t, now, time.Time{})
 			kept = append(kept, t)
 			continue
 		}
@@ -159,18 +158,26 @@
 	go t.job.Fail(r.Later(back))
 }
 
-// wish counts a task that borrowed slots would help.
-func (d *Dispatcher) wish(t *task, _ time.Time) {
-	d.want++
-	if d.head == "" {
+// wish counts a task that borrowed slots would help, and the speed that a slot
+// must have to end it sooner than finish; the zero time means that any helps.
+func (d *Dispatcher) wish(t *task, now, finish time.Time) {
+	least := 0.0
+	if left := finish.Sub(now); left > 0 {
+		least = float64(t.estimate) / float64(left)
+	}
+	if d.want == 0 || least < d.least {
+		d.least = least
+	}
+	if d.want == 0 {
 		d.head = t.job.Service.Name
 	}
+	d.want++
 }
 
 func (d *Dispatcher) placeOne(t *task, now time.Time, hold bool, free *int) bool {
 	best, finish, isFree := d.best(t, now, hold)
 	if best == nil {
-		d.wish(t, now)
+		d.wish(t, now, time.Time{})
 		return false
 	}
 	if !isFree {
@@ -178,7 +185,7 @@
 		slices.SortFunc(best.ends, time.Time.Compare)
 		fastest := time.Duration(float64(t.estimate) * content)
 		if finish.Sub(now) > fastest+contentWait {
-			d.wish(t, now)
+			d.wish(t, now, finish)
 		}
 		return false
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -177,11 +177,11 @@
 	e.dispatcher = dispatch.New(dispatch.Options{
 		Zone: e.settings.Zone, Ledger: e.ledger, Estimator: e.estimator, Board: e.board,
 		Send: e.send, Leaving: e.isLeaving, Lease: e.lease, Seen: e.measures.Start,
-		Wake: func() { e.exchange.Wake() }, Spare: func() { e.exchange.Spare() },
+		Wake: func() { e.exchange.Wake() },
 	})
 	e.exchange = exchange.New(exchange.Options{
 		Ledger: e.ledger, Self: e.settings.VM, Ask: e.ask, Peers: e.nearPeers, Far: e.farPeers,
-		Need: e.need, Got: e.dispatcher.Kick,
+		Need: func() exchange.Need { return exchange.Need(e.dispatcher.Need()) }, Got: e.dispatcher.Kick,
 		Count: func(kind string) { e.measures.Messages.WithLabelValues(kind).Inc() },
 	})
 }
--- a/entry/fleet.go
+++ b/entry/fleet.go
@@ -401,11 +401,6 @@
 	return peers
 }
 
-func (e *Entry) need() exchange.Need {
-	want, backlog, held, service := e.dispatcher.Need()
-	return exchange.Need{Want: want, Backlog: backlog, Held: held, Service: service}
-}
-
 func (e *Entry) ask(ctx context.Context, id string, ask loan.Ask, service string) (loan.Grant, int, error) {
 	r, _, ok := e.members.Find(id)
 	if !ok {
@@ -424,21 +419,20 @@
 // Error names the member.
 func (e *UnknownMemberError) Error() string { return "member " + e.ID + " is not known" }
 
-// lend answers an ask for slots, and may hold it until one comes free.
+// coalesce is how long an answer is held back for more slots to come free.
+const coalesce = 8 * time.Millisecond
+
+// lend answers an ask for slots, and may hold it until some come free.
 func (e *Entry) lend(ctx context.Context, ask loan.Ask, service string) (loan.Grant, int) {
-	b := e.rollout.Bundle()
-	if b != nil && service != "" {
-		if s, ok := b.Services[service]; ok && len(s.Needs) > 0 {
-			ask.Fit = func(name string) bool { u, ok := b.Upstreams[name]; return ok && u.Suits(s) }
-		}
-	}
+	ask.Fit = e.fit(ask.Speed, service)
 	var order []string
 	if ask.Want > 0 {
 		order = e.dispatcher.Lendable()
 	}
 	grant := e.ledger.Lend(ask, order, e.dispatcher.Demand())
 	if ask.Want > 0 && len(grant.Loans) == 0 && ask.Until.After(time.Now()) {
-		grant.Loans = e.hold(ctx, ask)
+		held := e.hold(ctx, ask)
+		grant.Loans, grant.Returned = held.Loans, held.Returned
 	}
 	if len(ask.Return) > 0 {
 		e.dispatcher.Kick()
@@ -446,13 +440,29 @@
 	return grant, e.dispatcher.Room()
 }
 
-func (e *Entry) hold(ctx context.Context, ask loan.Ask) []loan.Loan {
+// fit tells which upstreams help the asker: fast enough, and with the labels
+// that the service needs.
+func (e *Entry) fit(speed float64, service string) func(string) bool {
+	b := e.rollout.Bundle()
+	return func(name string) bool {
+		if speed > 0 && e.estimator.Speed(name) < speed {
+			return false
+		}
+		if b == nil || service == "" {
+			return true
+		}
+		s, u := b.Services[service], b.Upstreams[name]
+		return s == nil || (u != nil && u.Suits(s))
+	}
+}
+
+func (e *Entry) hold(ctx context.Context, ask loan.Ask) loan.Grant {
 	ready, leave := e.ledger.Wait(ask)
 	timer := time.NewTimer(time.Until(ask.Until))
 	defer timer.Stop()
 	select {
-	case loans := <-ready:
-		return loans
+	case <-ready:
+		wait(ctx, coalesce)
 	case <-timer.C:
 	case <-ctx.Done():
 	}
--- a/entry/run.go
+++ b/entry/run.go
@@ -15,7 +15,6 @@
 	"github.com/radishgate/radishgate/member"
 	"github.com/radishgate/radishgate/peer"
 	"github.com/radishgate/radishgate/peer/wire"
-	"github.com/twitchtv/twirp"
 )
 
 // Bounds of the servers towards callers.
@@ -94,7 +93,7 @@
 func (e *Entry) servePeers() *http.Server {
 	handler := wire.NewPeerServer(&peer.Server{
 		OnBeat: e.heard, OnBorrow: e.lend, OnSubmit: e.keeper.Submit, OnLook: e.keeper.Look, Chain: e.chain,
-	}, twirp.WithServerPathPrefix("/"))
+	})
 	return &http.Server{Handler: handler, ReadHeaderTimeout: headerSpan, TLSConfig: e.keys}
 }
 
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -18,12 +18,14 @@
 }
 
 // Need is what waits here: the tasks that no slot of this entry takes soon, the
-// whole backlog, the slots held, and the service at the head of the queue.
+// whole backlog, the slots held, the service at the head of the queue, and the
+// least speed of an upstream that would help.
 type Need struct {
 	Want    int
 	Backlog int
 	Held    int
 	Service string
+	Speed   float64
 }
 
 // Options of an exchange. Ask sends one message to a peer; Peers lists those of
@@ -40,7 +42,7 @@
 	Linger  time.Duration     // how long idle loans are kept for the next task
 	Wait    time.Duration     // how long a home may hold an ask
 	Breath  time.Duration     // pause after an ask that brought nothing
-	Timeout time.Duration
+	Timeout time.Duration     // for the answer, beyond the wait
 }
 
 // hint is what a peer's last answer told of its free slots.
@@ -56,7 +58,6 @@
 type Exchange struct {
 	options Options
 	wake    chan struct{}
-	idle    chan struct{}
 
 	mu   sync.Mutex
 	busy map[string]bool      // peers with an ask under way
@@ -67,65 +68,52 @@
 // New makes an exchange; Run starts it.
 func New(options Options) *Exchange {
 	if options.Linger == 0 {
-		options.Linger = 3 * time.Millisecond
+		options.Linger = 20 * time.Millisecond
 	}
 	if options.Wait == 0 {
-		options.Wait = 150 * time.Millisecond
+		options.Wait = time.Second
 	}
 	if options.Breath == 0 {
-		options.Breath = 25 * time.Millisecond
+		options.Breath = 200 * time.Millisecond
 	}
 	if options.Timeout == 0 {
 		options.Timeout = time.Second
 	}
 	return &Exchange{
-		options: options, wake: make(chan struct{}, 1), idle: make(chan struct{}, 1),
+		options: options, wake: make(chan struct{}, 1),
 		busy: map[string]bool{}, rest: map[string]time.Time{}, free: map[string]hint{},
 	}
 }
 
 // Wake tells that tasks wait. It never blocks.
-func (e *Exchange) Wake() { poke(e.wake) }
-
-// Spare tells that borrowed slots lie idle. It never blocks.
-func (e *Exchange) Spare() { poke(e.idle) }
-
-func poke(signal chan struct{}) {
+func (e *Exchange) Wake() {
 	select {
-	case signal <- struct{}{}:
+	case e.wake <- struct{}{}:
 	default:
 	}
 }
 
+// step is the time between looks at idle and ending loans.
+const step = 10 * time.Millisecond
+
 // Run serves until the context ends, then returns what is borrowed.
 func (e *Exchange) Run(ctx context.Context) {
 	var group sync.WaitGroup
 	defer group.Wait()
-	renew := time.NewTicker(100 * time.Millisecond)
-	defer renew.Stop()
-	var linger <-chan time.Time
+	ticker := time.NewTicker(step)
+	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
-			e.giveBack(context.WithoutCancel(ctx), &group)
+			e.giveBack(context.WithoutCancel(ctx), time.Now().Add(e.options.Linger), &group)
 			return
 		case <-e.wake:
 			e.ask(ctx, &group)
-		case <-e.idle:
-			if linger == nil {
-				linger = time.After(e.options.Linger)
-			}
-		case <-linger:
-			linger = nil
-			if e.options.Need().Backlog == 0 {
-				e.giveBack(ctx, &group)
-			}
-		case <-renew.C:
+		case <-ticker.C:
 			e.options.Ledger.Expire()
 			e.renew(ctx, &group)
-			if e.options.Need().Want > 0 {
-				e.ask(ctx, &group)
-			}
+			e.giveBack(ctx, time.Now(), &group)
+			e.ask(ctx, &group)
 		}
 	}
 }
@@ -150,23 +138,23 @@
 func (e *Exchange) spread(ctx context.Context, group *sync.WaitGroup, peers []Peer, need Need, near bool) int {
 	e.adjust(peers)
 	sort.SliceStable(peers, func(a, b int) bool { return peers[a].Free > peers[b].Free })
-	left, asked := need.Want, 0
+	peers = peers[:min(len(peers), maxAsked)]
+	room := 0
 	for _, p := range peers {
-		if left <= 0 || asked >= maxAsked || (!near && p.Free == 0) {
-			break
-		}
-		asked++
-		left -= p.Free
-		if !e.claim(p.ID) {
+		room += p.Free + 1
+	}
+	for _, p := range peers {
+		if (!near && p.Free == 0) || !e.claim(p.ID) {
 			continue
 		}
-		ask := loan.Ask{Holder: e.options.Self, Want: need.Want, Backlog: need.Backlog, Held: need.Held}
+		share := (need.Want*(p.Free+1) + room - 1) / room
+		ask := loan.Ask{Holder: e.options.Self, Want: share, Backlog: need.Backlog, Held: need.Held, Speed: need.Speed}
 		if near {
 			ask.Until = time.Now().Add(e.options.Wait)
 		}
 		group.Go(func() { e.borrow(ctx, p.ID, ask, need.Service) })
 	}
-	return left
+	return need.Want - (room - len(peers))
 }
 
 // adjust replaces what heartbeats told of free slots by later answers.
@@ -214,24 +202,22 @@
 }
 
 func (e *Exchange) borrow(ctx context.Context, peer string, ask loan.Ask, service string) {
-	idle := e.options.Ledger.Ending()
-	ask.Renew = idle[peer]
-	grant, free, err := e.send(ctx, peer, ask, service)
+	grant, free, err := e.send(ctx, "borrow", peer, ask, service)
 	if err != nil {
 		e.release(peer, 0, 0)
 		e.forgetHint(peer)
 		return
 	}
-	e.release(peer, len(grant.Loans), free)
-	if len(grant.Loans) > 0 {
+	e.release(peer, len(grant.Loans)+len(grant.Returned), free)
+	if len(grant.Loans)+len(grant.Returned) > 0 {
 		e.options.Got()
 	}
 }
 
-func (e *Exchange) send(ctx context.Context, peer string, ask loan.Ask, service string) (loan.Grant, int, error) {
-	ctx, cancel := context.WithTimeout(ctx, e.options.Timeout)
+func (e *Exchange) send(ctx context.Context, kind, peer string, ask loan.Ask, service string) (loan.Grant, int, error) {
+	ctx, cancel := context.WithTimeout(ctx, e.options.Timeout+max(0, time.Until(ask.Until)))
 	defer cancel()
-	e.options.Count("borrow")
+	e.options.Count(kind)
 	sent := time.Now()
 	grant, free, err := e.options.Ask(ctx, peer, ask, service)
 	if err == nil {
@@ -240,11 +226,12 @@
 	return grant, free, err
 }
 
-func (e *Exchange) giveBack(ctx context.Context, group *sync.WaitGroup) {
-	for peer, ids := range e.options.Ledger.Idle() {
+// giveBack returns the loans that have been idle for the linger.
+func (e *Exchange) giveBack(ctx context.Context, now time.Time, group *sync.WaitGroup) {
+	for peer, ids := range e.options.Ledger.Idle(now.Add(-e.options.Linger)) {
 		ask := loan.Ask{Holder: e.options.Self, Return: ids}
 		group.Go(func() {
-			_, free, err := e.send(ctx, peer, ask, "")
+			_, free, err := e.send(ctx, "return", peer, ask, "")
 			if err == nil {
 				e.note(peer, free)
 			}
@@ -253,9 +240,13 @@
 }
 
 func (e *Exchange) renew(ctx context.Context, group *sync.WaitGroup) {
+	ending := e.options.Ledger.Ending()
+	if len(ending) == 0 {
+		return
+	}
 	need := e.options.Need()
-	for peer, ids := range e.options.Ledger.Ending() {
+	for peer, ids := range ending {
 		ask := loan.Ask{Holder: e.options.Self, Renew: ids, Backlog: need.Backlog, Held: need.Held}
-		group.Go(func() { _, _, _ = e.send(ctx, peer, ask, "") })
+		group.Go(func() { _, _, _ = e.send(ctx, "renew", peer, ask, "") })
 	}
 }
--- a/load/report.go
+++ b/load/report.go
@@ -88,20 +88,21 @@
 
 // Report is the result of a run.
 type Report struct {
-	Tasks    int64          `json:"tasks"`
-	Calls    int64          `json:"calls"`
-	Complete int64          `json:"complete"`
-	Failed   int64          `json:"failed"`  // calls told failed or unknown, or lost
-	Refused  int64          `json:"refused"` // calls told not run
-	Partial  int            `json:"partial"`
-	Doubled  int            `json:"doubled"`
-	RatioP50 float64        `json:"p50_ratio"`
-	RatioP99 float64        `json:"p99_ratio"`
-	Messages float64        `json:"messages_per_task"` // wasted ones: beyond one dispatch and one answer
-	Control  float64        `json:"control_bytes_per_second"`
-	Seconds  float64        `json:"seconds"`
-	Check    history.Report `json:"check"`
-	Rows     []Row          `json:"flows"`
+	Tasks    int64              `json:"tasks"`
+	Calls    int64              `json:"calls"`
+	Complete int64              `json:"complete"`
+	Failed   int64              `json:"failed"`  // calls told failed or unknown, or lost
+	Refused  int64              `json:"refused"` // calls told not run
+	Partial  int                `json:"partial"`
+	Doubled  int                `json:"doubled"`
+	RatioP50 float64            `json:"p50_ratio"`
+	RatioP99 float64            `json:"p99_ratio"`
+	Messages float64            `json:"messages_per_task"` // wasted ones: beyond one dispatch and one answer
+	Control  float64            `json:"control_bytes_per_second"`
+	Counts   map[string]float64 `json:"messages"` // of all entries, by kind
+	Seconds  float64            `json:"seconds"`
+	Check    history.Report     `json:"check"`
+	Rows     []Row              `json:"flows"`
 }
 
 // Report makes the report; starts is the upstreams' record.
@@ -130,6 +131,13 @@
 	return report
 }
 
+// Answers makes a report without a record of starts: only answers are checked.
+func (r *Run) Answers() Report {
+	report := r.Report(nil)
+	report.Check.Unstarted, report.Check.Examples = 0, nil
+	return report
+}
+
 func (f *flowResult) row() Row {
 	return Row{
 		Flow: f.flow.Name, Calls: f.calls, Tasks: f.tasks, Complete: f.done, Resubmitted: f.resubmitted.Load(), Others: f.counts,
@@ -144,7 +152,7 @@
 	if tasks == 0 {
 		return 0
 	}
-	sent := counts["task"] + counts["answer"] + 2*(counts["borrow"]+counts["forward"])
+	sent := counts["task"] + counts["answer"] + 2*(counts["borrow"]+counts["return"]+counts["renew"]+counts["forward"])
 	return max(0, sent-2*float64(tasks)) / float64(tasks)
 }
 
--- a/loan/ledger.go
+++ b/loan/ledger.go
@@ -29,16 +29,19 @@
 	Held    int
 	Return  []uint64
 	Renew   []uint64
+	Speed   float64 // least speed of an upstream that helps, 1 for the fastest
 	Fit     func(upstream string) bool
 	Until   time.Time // how long the holder waits for a slot
 }
 
 // Grant is the answer: new loans, and the renewed ones. Recalled ones may
-// finish their task but start no other. Life counts from the sending of the ask.
+// finish their task but start no other. Returned are loans that the asker had
+// given to the one who answers. Life counts from the sending of the ask.
 type Grant struct {
 	Loans    []Loan
 	Renewed  []uint64
 	Recalled []uint64
+	Returned []uint64
 	Life     time.Duration
 }
 
@@ -87,12 +90,32 @@
 	deadline time.Time
 	busy     bool
 	recalled bool
+	idle     time.Time // since when it runs nothing
 }
 
-// waiter is a holder whose ask waits for a slot to come free.
+// waiter is a holder whose ask waits. What comes free for it is collected, so
+// that one message brings many slots.
 type waiter struct {
 	ask   Ask
-	ready chan []Loan
+	grant Grant
+	ready chan struct{}
+}
+
+// more tells whether the holder's need is still clearly greater than a demand.
+func (w *waiter) more(demand float64) bool {
+	got := len(w.grant.Loans) + len(w.grant.Returned)
+	if got >= w.ask.Want {
+		return false
+	}
+	need := float64(w.ask.Backlog-got) / float64(max(1, w.ask.Held+got))
+	return demand == 0 || need > imbalance*demand
+}
+
+func (w *waiter) signal() {
+	select {
+	case w.ready <- struct{}{}:
+	default:
+	}
 }
 
 // Ledger is safe for concurrent use.
@@ -269,11 +292,29 @@
 		}
 		return
 	}
-	for _, c := range l.credits[p.Upstream] {
-		if c.id == p.ID && c.home == p.Home {
-			c.busy = false
+	for i, c := range l.credits[p.Upstream] {
+		if c.id != p.ID || c.home != p.Home {
+			continue
+		}
+		c.busy, c.idle = false, l.options.Now()
+		if l.handBack(c, demand) {
+			l.credits[p.Upstream] = append(l.credits[p.Upstream][:i], l.credits[p.Upstream][i+1:]...)
+		}
+		return
+	}
+}
+
+// handBack puts a borrowed slot into the answer to its own home, if that waits
+// and needs it more.
+func (l *Ledger) handBack(c *credit, demand float64) bool {
+	for _, w := range l.waiters {
+		if w.ask.Holder == c.home && w.more(demand) {
+			w.grant.Returned = append(w.grant.Returned, c.id)
+			w.signal()
+			return true
 		}
 	}
+	return false
 }
 
 // imbalance is how much greater a holder's need by slot must be than the
@@ -287,15 +328,12 @@
 		return
 	}
 	now := l.options.Now()
-	for i, w := range l.waiters {
-		if w.ask.Until.Before(now) || (demand > 0 && w.ask.demand() < imbalance*demand) {
+	for _, w := range l.waiters {
+		if !w.more(demand) || (w.ask.Fit != nil && !w.ask.Fit(upstream)) {
 			continue
 		}
-		if w.ask.Fit != nil && !w.ask.Fit(upstream) {
-			continue
-		}
-		l.waiters = append(l.waiters[:i], l.waiters[i+1:]...)
-		w.ready <- []Loan{l.lend(upstream, s, w.ask.Holder, now)}
+		w.grant.Loans = append(w.grant.Loans, l.lend(upstream, s, w.ask.Holder, now))
+		w.signal()
 		return
 	}
 }
@@ -349,31 +387,26 @@
 	}
 }
 
-// Wait queues an ask that got nothing. The channel gives at most one answer;
-// the second result takes the ask out and returns a loan that came too late.
-func (l *Ledger) Wait(ask Ask) (<-chan []Loan, func() []Loan) {
-	w := &waiter{ask: ask, ready: make(chan []Loan, 1)}
+// Wait queues an ask that got nothing. The channel tells that something has
+// come; the function takes the ask out and gives all that has come.
+func (l *Ledger) Wait(ask Ask) (<-chan struct{}, func() Grant) {
+	w := &waiter{ask: ask, ready: make(chan struct{}, 1)}
 	l.mu.Lock()
 	l.waiters = append(l.waiters, w)
 	l.mu.Unlock()
-	return w.ready, func() []Loan { return l.leave(w) }
+	return w.ready, func() Grant { return l.leave(w) }
 }
 
-func (l *Ledger) leave(w *waiter) []Loan {
+func (l *Ledger) leave(w *waiter) Grant {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for i, other := range l.waiters {
 		if other == w {
 			l.waiters = append(l.waiters[:i], l.waiters[i+1:]...)
-			return nil
+			break
 		}
 	}
-	select {
-	case loans := <-w.ready:
-		return loans
-	default:
-		return nil
-	}
+	return w.grant
 }
 
 // Waiting counts the holders that wait for a slot of this home.
@@ -388,9 +421,15 @@
 func (l *Ledger) Receive(home string, grant Grant, sent time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	for _, id := range grant.Returned {
+		if lent, ok := l.leases[id]; ok && lent.holder == home {
+			l.end(id, lent)
+		}
+	}
 	deadline := sent.Add(grant.Life)
+	now := l.options.Now()
 	for _, lent := range grant.Loans {
-		c := &credit{id: lent.ID, home: home, deadline: deadline}
+		c := &credit{id: lent.ID, home: home, deadline: deadline, idle: now}
 		l.credits[lent.Upstream] = append(l.credits[lent.Upstream], c)
 	}
 	renewed := set(grant.Renewed)
@@ -416,15 +455,16 @@
 	return s
 }
 
-// Idle takes out the borrowed slots that run nothing, by home, to be returned.
-func (l *Ledger) Idle() map[string][]uint64 {
+// Idle takes out the borrowed slots that have run nothing since a time, by
+// home, to be returned.
+func (l *Ledger) Idle(since time.Time) map[string][]uint64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	idle := map[string][]uint64{}
 	for upstream, credits := range l.credits {
 		kept := credits[:0]
 		for _, c := range credits {
-			if c.busy {
+			if c.busy || c.idle.After(since) {
 				kept = append(kept, c)
 				continue
 			}
@@ -435,19 +475,27 @@
 	return idle
 }
 
-// Ending lists the loans that run a task and are past half their life, by home.
+// Ending lists the loans to renew, by home: all that run a task, as soon as one
+// of that home is past half its life, so that one message renews them together.
 func (l *Ledger) Ending() map[string][]uint64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	ending := map[string][]uint64{}
+	due := map[string]bool{}
 	soon := l.options.Now().Add(l.options.Life / 2)
 	for _, credits := range l.credits {
 		for _, c := range credits {
-			if c.busy && c.deadline.Before(soon) {
+			if c.busy {
 				ending[c.home] = append(ending[c.home], c.id)
+				due[c.home] = due[c.home] || c.deadline.Before(soon)
 			}
 		}
 	}
+	for home := range ending {
+		if !due[home] {
+			delete(ending, home)
+		}
+	}
 	return ending
 }
 
--- a/peer/client.go
+++ b/peer/client.go
@@ -14,8 +14,6 @@
 	"syscall"
 	"time"
 
-	"github.com/twitchtv/twirp"
-
 	"github.com/radishgate/radishgate/bundle"
 	"github.com/radishgate/radishgate/common/counted"
 	"github.com/radishgate/radishgate/keeper"
@@ -133,7 +131,7 @@
 		if len(c.peers) >= maxPeers {
 			clear(c.peers)
 		}
-		p = wire.NewPeerProtobufClient(c.scheme+address, c.http, twirp.WithClientPathPrefix("/"))
+		p = wire.NewPeerProtobufClient(c.scheme+address, c.http)
 		c.peers[address] = p
 	}
 	return p
@@ -151,7 +149,7 @@
 func (c *Client) Borrow(ctx context.Context, address string, ask loan.Ask, service string) (loan.Grant, int, error) {
 	request := &wire.BorrowRequest{
 		Holder: ask.Holder, Want: uint32(ask.Want), Backlog: uint32(ask.Backlog), Held: uint32(ask.Held),
-		Returned: ask.Return, Renew: ask.Renew, Service: service,
+		Returned: ask.Return, Renew: ask.Renew, Service: service, Speed: float32(ask.Speed),
 	}
 	if !ask.Until.IsZero() {
 		request.WaitMs = uint32(max(0, time.Until(ask.Until).Milliseconds()))
@@ -161,7 +159,8 @@
 		return loan.Grant{}, 0, err
 	}
 	grant := loan.Grant{
-		Renewed: reply.Renewed, Recalled: reply.Recalled, Life: time.Duration(reply.LifeMs) * time.Millisecond,
+		Renewed: reply.Renewed, Recalled: reply.Recalled, Returned: reply.Returned,
+		Life: time.Duration(reply.LifeMs) * time.Millisecond,
 	}
 	for _, l := range reply.Loans {
 		grant.Loans = append(grant.Loans, loan.Loan{ID: l.Id, Upstream: l.Upstream})
--- a/peer/server.go
+++ b/peer/server.go
@@ -33,14 +33,14 @@
 func (s *Server) Borrow(ctx context.Context, r *wire.BorrowRequest) (*wire.BorrowReply, error) {
 	ask := loan.Ask{
 		Holder: r.Holder, Want: int(r.Want), Backlog: int(r.Backlog), Held: int(r.Held),
-		Return: r.Returned, Renew: r.Renew,
+		Return: r.Returned, Renew: r.Renew, Speed: float64(r.Speed),
 	}
 	if r.WaitMs > 0 {
 		ask.Until = time.Now().Add(time.Duration(r.WaitMs) * time.Millisecond)
 	}
 	grant, free := s.OnBorrow(ctx, ask, r.Service)
 	reply := &wire.BorrowReply{
-		Renewed: grant.Renewed, Recalled: grant.Recalled,
+		Renewed: grant.Renewed, Recalled: grant.Recalled, Returned: grant.Returned,
 		LifeMs: uint32(grant.Life.Milliseconds()), Free: uint32(max(0, free)),
 	}
 	for _, l := range grant.Loans {
