exchange: Return loans in batches and ask peers less often

Cause: 25 asks and 38 returns for each job, most for slots that were not used. Change: idle loans stay with the holder while nobody waits, all idle loans of a home go back together, a home that asks gets its own idle slots at once; asks of one peer keep 300 ms apart unless new work has come; small jobs go before large ones until a due time of three times the ideal.

--- a/dispatch/admit.go
+++ b/dispatch/admit.go
@@ -32,15 +32,37 @@
 		return r
 	}
 	d.group++
+	due := d.due(j, total, longest)
+	for _, t := range tasks {
+		t.due = due
+	}
 	d.earn(j.Tenant, len(tasks))
 	for _, t := range tasks {
 		d.push(t)
 	}
 	context.AfterFunc(j.Context(), func() { d.forget(j) })
 	d.match()
+	if d.want > 0 {
+		d.options.Fresh()
+	}
 	return nil
 }
 
+// stretch is how many times its ideal response a job may take before it goes
+// before jobs that came later.
+const stretch = 3
+
+// due is the time by which jobs are ordered: small ones pass large ones, but a
+// job that has waited goes before all that came after its due time.
+func (d *Dispatcher) due(j *job.Job, total, longest time.Duration) time.Time {
+	ideal := max(longest, time.Duration(float64(total)/max(1, d.speed())))
+	due := j.Arrived.Add(stretch * ideal)
+	if due.After(j.Deadline) {
+		return j.Deadline
+	}
+	return due
+}
+
 // plan estimates the tasks of a job: their number, total and longest run time.
 func (d *Dispatcher) plan(j *job.Job) ([]*task, time.Duration, time.Duration) {
 	tasks := make([]*task, len(j.Tasks))
@@ -125,7 +147,7 @@
 	}
 	item := queue.Item[*task]{
 		Tenant: t.job.Tenant, Class: t.job.Service.Class, Share: share,
-		Weight: t.job.Bundle.Weight(t.job.Service.Class), Deadline: t.job.Deadline,
+		Weight: t.job.Bundle.Weight(t.job.Service.Class), Deadline: t.due,
 		Group: d.group, Cost: t.estimate.Seconds(), Value: t,
 	}
 	if t.job.Request {
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -46,6 +46,7 @@
 	Leaving   func(name string) bool
 	Lease     func(name string) (time.Time, bool) // end of the worker's lease
 	Wake      func()                              // tasks wait that own slots do not take soon
+	Fresh     func()                              // the same, and the tasks are new
 	Seen      func(Outcome)
 	Now       func() time.Time
 }
@@ -71,6 +72,7 @@
 	job      *job.Job
 	index    int
 	estimate time.Duration // on the fastest upstream
+	due      time.Time
 	avoid    string
 	attempts int
 	done     bool
@@ -132,6 +134,9 @@
 	if options.Wake == nil {
 		options.Wake = func() {}
 	}
+	if options.Fresh == nil {
+		options.Fresh = func() {}
+	}
 	if options.Seen == nil {
 		options.Seen = func(Outcome) {}
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -177,7 +177,7 @@
 	e.dispatcher = dispatch.New(dispatch.Options{
 		Zone: e.settings.Zone, Ledger: e.ledger, Estimator: e.estimator, Board: e.board,
 		Send: e.send, Leaving: e.isLeaving, Lease: e.lease, Seen: e.measures.Start,
-		Wake: func() { e.exchange.Wake() },
+		Wake: func() { e.exchange.Wake() }, Fresh: func() { e.exchange.Fresh() },
 	})
 	e.exchange = exchange.New(exchange.Options{
 		Ledger: e.ledger, Self: e.settings.VM, Ask: e.ask, Peers: e.nearPeers, Far: e.farPeers,
--- a/entry/fleet.go
+++ b/entry/fleet.go
@@ -430,7 +430,7 @@
 		order = e.dispatcher.Lendable()
 	}
 	grant := e.ledger.Lend(ask, order, e.dispatcher.Demand())
-	if ask.Want > 0 && len(grant.Loans) == 0 && ask.Until.After(time.Now()) {
+	if ask.Want > 0 && len(grant.Loans)+len(grant.Returned) == 0 && ask.Until.After(time.Now()) {
 		held := e.hold(ctx, ask)
 		grant.Loans, grant.Returned = held.Loans, held.Returned
 	}
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -39,7 +39,9 @@
 	Need    func() Need
 	Got     func()
 	Count   func(kind string) // messages sent, one call each
-	Linger  time.Duration     // how long idle loans are kept for the next task
+	Linger  time.Duration     // how long idle loans are kept while another entry waits
+	Keep    time.Duration     // how long they are kept while none does
+	Pause   time.Duration     // least time between two asks of a peer for the same work
 	Wait    time.Duration     // how long a home may hold an ask
 	Breath  time.Duration     // pause after an ask that brought nothing
 	Timeout time.Duration     // for the answer, beyond the wait
@@ -70,6 +72,12 @@
 	if options.Linger == 0 {
 		options.Linger = 20 * time.Millisecond
 	}
+	if options.Keep == 0 {
+		options.Keep = 400 * time.Millisecond
+	}
+	if options.Pause == 0 {
+		options.Pause = 300 * time.Millisecond
+	}
 	if options.Wait == 0 {
 		options.Wait = time.Second
 	}
@@ -85,6 +93,14 @@
 	}
 }
 
+// Fresh tells that new work has come, for which peers may be asked at once.
+func (e *Exchange) Fresh() {
+	e.mu.Lock()
+	clear(e.rest)
+	e.mu.Unlock()
+	e.Wake()
+}
+
 // Wake tells that tasks wait. It never blocks.
 func (e *Exchange) Wake() {
 	select {
@@ -105,7 +121,7 @@
 	for {
 		select {
 		case <-ctx.Done():
-			e.giveBack(context.WithoutCancel(ctx), time.Now().Add(e.options.Linger), &group)
+			e.giveBack(context.WithoutCancel(ctx), time.Now().Add(e.options.Keep), &group)
 			return
 		case <-e.wake:
 			e.ask(ctx, &group)
@@ -132,23 +148,32 @@
 	}
 }
 
-// maxAsked bounds the peers asked at once, whatever the size of the zone.
-const maxAsked = 3
+// Bounds of the peers asked at once, whatever the size of the fleet.
+const (
+	maxNear = 3
+	maxFar  = 2
+)
 
 func (e *Exchange) spread(ctx context.Context, group *sync.WaitGroup, peers []Peer, need Need, near bool) int {
 	e.adjust(peers)
 	sort.SliceStable(peers, func(a, b int) bool { return peers[a].Free > peers[b].Free })
-	peers = peers[:min(len(peers), maxAsked)]
+	most := maxNear
+	if !near {
+		most = maxFar
+	}
+	peers = peers[:min(len(peers), most)]
 	room := 0
 	for _, p := range peers {
 		room += p.Free + 1
 	}
 	for _, p := range peers {
-		if (!near && p.Free == 0) || !e.claim(p.ID) {
+		if !e.claim(p.ID) {
 			continue
 		}
 		share := (need.Want*(p.Free+1) + room - 1) / room
-		ask := loan.Ask{Holder: e.options.Self, Want: share, Backlog: need.Backlog, Held: need.Held, Speed: need.Speed}
+		ask := loan.Ask{
+			Holder: e.options.Self, Want: share, Backlog: need.Backlog, Held: need.Held, Speed: need.Speed, Far: !near,
+		}
 		if near {
 			ask.Until = time.Now().Add(e.options.Wait)
 		}
@@ -183,9 +208,11 @@
 	defer e.mu.Unlock()
 	delete(e.busy, peer)
 	e.free[peer] = hint{free: free, until: time.Now().Add(hintSpan)}
+	rest := e.options.Pause
 	if got == 0 {
-		e.rest[peer] = time.Now().Add(e.options.Breath)
+		rest = e.options.Breath
 	}
+	e.rest[peer] = time.Now().Add(rest)
 }
 
 func (e *Exchange) note(peer string, free int) {
@@ -228,7 +255,11 @@
 
 // giveBack returns the loans that have been idle for the linger.
 func (e *Exchange) giveBack(ctx context.Context, now time.Time, group *sync.WaitGroup) {
-	for peer, ids := range e.options.Ledger.Idle(now.Add(-e.options.Linger)) {
+	linger := e.options.Keep
+	if e.options.Ledger.Waiting() > 0 {
+		linger = e.options.Linger
+	}
+	for peer, ids := range e.options.Ledger.Idle(now.Add(-linger), now.Add(-e.options.Linger)) {
 		ask := loan.Ask{Holder: e.options.Self, Return: ids}
 		group.Go(func() {
 			_, free, err := e.send(ctx, "return", peer, ask, "")
--- a/loan/ledger.go
+++ b/loan/ledger.go
@@ -30,6 +30,7 @@
 	Return  []uint64
 	Renew   []uint64
 	Speed   float64 // least speed of an upstream that helps, 1 for the fastest
+	Far     bool    // from another availability zone
 	Fit     func(upstream string) bool
 	Until   time.Time // how long the holder waits for a slot
 }
@@ -358,6 +359,12 @@
 	}
 	grant := Grant{Life: l.options.Life}
 	l.renew(ask, demand, now, &grant)
+	if ask.Want > 0 {
+		l.handBackIdle(ask.Holder, &grant)
+	}
+	if ask.Far {
+		ask.Want = min(ask.Want, l.spare(order)/2)
+	}
 	for _, upstream := range order {
 		s, ok := l.stocks[upstream]
 		if !ok || (ask.Fit != nil && !ask.Fit(upstream)) {
@@ -370,6 +377,34 @@
 	return grant
 }
 
+// handBackIdle gives the asker its own slots back that were borrowed here and
+// run nothing.
+func (l *Ledger) handBackIdle(home string, grant *Grant) {
+	for upstream, credits := range l.credits {
+		kept := credits[:0]
+		for _, c := range credits {
+			if c.home == home && !c.busy {
+				grant.Returned = append(grant.Returned, c.id)
+				continue
+			}
+			kept = append(kept, c)
+		}
+		l.credits[upstream] = kept
+	}
+}
+
+// spare counts the free slots of these upstreams. Other zones get half of them
+// at a time, so that work of the own zone still finds room.
+func (l *Ledger) spare(order []string) int {
+	spare := 0
+	for _, upstream := range order {
+		if s, ok := l.stocks[upstream]; ok {
+			spare += max(0, s.free())
+		}
+	}
+	return spare
+}
+
 // renew extends the loans that run a task. One that the home needs more itself
 // is recalled: it ends with its task.
 func (l *Ledger) renew(ask Ask, demand float64, now time.Time, grant *Grant) {
@@ -455,16 +490,28 @@
 	return s
 }
 
-// Idle takes out the borrowed slots that have run nothing since a time, by
-// home, to be returned.
-func (l *Ledger) Idle(since time.Time) map[string][]uint64 {
+// Idle takes out borrowed slots to be returned, by home: where one has run
+// nothing since the time long, all of that home go that have run nothing since
+// the time short, in one message.
+func (l *Ledger) Idle(long, short time.Time) map[string][]uint64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	due := map[string]bool{}
+	for _, credits := range l.credits {
+		for _, c := range credits {
+			if !c.busy && !c.idle.After(long) {
+				due[c.home] = true
+			}
+		}
+	}
+	if len(due) == 0 {
+		return nil
+	}
 	idle := map[string][]uint64{}
 	for upstream, credits := range l.credits {
 		kept := credits[:0]
 		for _, c := range credits {
-			if c.busy || c.idle.After(since) {
+			if c.busy || !due[c.home] || c.idle.After(short) {
 				kept = append(kept, c)
 				continue
 			}
--- a/peer/client.go
+++ b/peer/client.go
@@ -150,6 +150,7 @@
 	request := &wire.BorrowRequest{
 		Holder: ask.Holder, Want: uint32(ask.Want), Backlog: uint32(ask.Backlog), Held: uint32(ask.Held),
 		Returned: ask.Return, Renew: ask.Renew, Service: service, Speed: float32(ask.Speed),
+		Far: ask.Far,
 	}
 	if !ask.Until.IsZero() {
 		request.WaitMs = uint32(max(0, time.Until(ask.Until).Milliseconds()))
--- a/peer/server.go
+++ b/peer/server.go
@@ -33,7 +33,7 @@
 func (s *Server) Borrow(ctx context.Context, r *wire.BorrowRequest) (*wire.BorrowReply, error) {
 	ask := loan.Ask{
 		Holder: r.Holder, Want: int(r.Want), Backlog: int(r.Backlog), Held: int(r.Held),
-		Return: r.Returned, Renew: r.Renew, Speed: float64(r.Speed),
+		Return: r.Returned, Renew: r.Renew, Speed: float64(r.Speed), Far: r.Far,
 	}
 	if r.WaitMs > 0 {
 		ask.Until = time.Now().Add(time.Duration(r.WaitMs) * time.Millisecond)
