dispatch: Keep fast slots free for requests

Cause: requests waited for slots that a large job held, and an entry called itself ready before the slots it is home to could be used. Change: jobs leave the fastest free slots alone, as many as requests run at once on average and two standard deviations more; an entry is ready once most of its slots have settled; only new work that waits wakes the exchange afresh; a stuck request may use the retry budget for its second copy.

--- /dev/null
+++ b/commands/bundle.go
@@ -0,0 +1,341 @@
+package commands
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/radishgate/radishgate/bundle"
+	"github.com/radishgate/radishgate/client"
+	"github.com/radishgate/radishgate/entry"
+	"github.com/radishgate/radishgate/platform"
+	"github.com/radishgate/radishgate/rollout"
+)
+
+type bundleCommand struct {
+	Check   *bundleCheck   `arg:"subcommand:check" help:"check a bundle file"`
+	Sign    *bundleSign    `arg:"subcommand:sign" help:"sign a bundle file against the version in force"`
+	Publish *bundlePublish `arg:"subcommand:publish" help:"publish a signed bundle and wait for every availability zone"`
+	Status  *bundleStatus  `arg:"subcommand:status" help:"show which version is in force where"`
+	Show    *bundleShow    `arg:"subcommand:show" help:"print the bundle in force by the log"`
+}
+
+func (c *bundleCommand) run(context.Context, io.Writer, io.Writer) error {
+	return &UsageError{Reason: "bundle: check, sign, publish, status or show"}
+}
+
+type bundleCheck struct {
+	File string `arg:"positional,required"`
+}
+
+func (c *bundleCheck) run(_ context.Context, out, _ io.Writer) error {
+	b, err := readBundle(c.File)
+	if err != nil {
+		return err
+	}
+	for name, s := range b.Services {
+		if !b.Runnable(s) {
+			fmt.Fprintf(out, "%s: warning: no upstream has the labels that service %s needs\n", c.File, name)
+		}
+	}
+	_, err = fmt.Fprintf(out, "%s: %d services, %d upstreams in %d availability zones, %d tenants\n",
+		c.File, len(b.Services), len(b.Upstreams), len(b.Zones()), len(b.Tenants))
+	return err
+}
+
+func readBundle(name string) (*bundle.Bundle, error) {
+	data, err := os.ReadFile(name)
+	if err != nil {
+		return nil, &UsageError{Reason: err.Error()}
+	}
+	return bundle.Parse(name, 0, string(data))
+}
+
+// logFlags say where the log is and whom to trust.
+type logFlags struct {
+	Platform string        `arg:"--platform" default:"127.0.0.1:8070" help:"address of the platform"`
+	Signers  []string      `arg:"--signer,separate" help:"public key to trust; may be given more than once"`
+	Timeout  time.Duration `arg:"--timeout" default:"30s"`
+	JSON     bool          `arg:"--json"`
+}
+
+// follow reads the bundle stream to its end.
+func (f *logFlags) follow(ctx context.Context) (*rollout.Rollout, *platform.Client, error) {
+	if len(f.Signers) == 0 {
+		return nil, nil, &UsageError{Reason: "bundle: --signer is required"}
+	}
+	p := platform.New(f.Platform)
+	r := rollout.New(rollout.Options{Log: p.Log(rollout.Stream), Signers: f.Signers})
+	if err := r.Step(ctx, 0); err != nil {
+		p.Close()
+		return nil, nil, err
+	}
+	return r, p, nil
+}
+
+type bundleSign struct {
+	logFlags
+	File string `arg:"positional,required" help:"bundle text (INI)"`
+	Key  string `arg:"--key,required" help:"private key made by radishgate keys new"`
+	Out  string `arg:"--out,required" help:"file for the signed record"`
+}
+
+func (c *bundleSign) run(ctx context.Context, out, _ io.Writer) error {
+	ctx, cancel := context.WithTimeout(ctx, c.Timeout)
+	defer cancel()
+	b, err := readBundle(c.File)
+	if err != nil {
+		return err
+	}
+	key, err := loadKey(c.Key)
+	if err != nil {
+		return err
+	}
+	r, p, err := c.follow(ctx)
+	if err != nil {
+		return err
+	}
+	defer p.Close()
+	record := r.Draft(b.Text)
+	record.Seal(key)
+	data, err := json.Marshal(record)
+	if err != nil {
+		return err
+	}
+	if err := os.WriteFile(c.Out, append(data, '\n'), 0o600); err != nil {
+		return &UsageError{Reason: err.Error()}
+	}
+	form := "whole"
+	if record.Change {
+		form = "change of sections"
+	}
+	_, err = fmt.Fprintf(out, "version %d (%s, %d bytes) signed as %.12s in %s\n", record.Version, form, len(data), record.ID, c.Out)
+	return err
+}
+
+type bundlePublish struct {
+	logFlags
+	File    string   `arg:"positional,required" help:"signed record made by bundle sign"`
+	Entries []string `arg:"--operators,separate" help:"operators' address of an entry to ask; more than once; one for each entry"`
+}
+
+// Published is what publish ends with.
+type Published struct {
+	Version   int64             `json:"version"`
+	ID        string            `json:"id"`
+	Published bool              `json:"published"`
+	Accepted  bool              `json:"accepted"`
+	Zones     map[string]string `json:"zones"` // in force, or what is missing
+}
+
+// NotAcceptedError is a bundle that some availability zone has not confirmed.
+type NotAcceptedError struct{ Out []string }
+
+// Error names the zones.
+func (e *NotAcceptedError) Error() string {
+	return "published, but not confirmed by " + strings.Join(e.Out, ", ")
+}
+
+func (c *bundlePublish) run(ctx context.Context, out, _ io.Writer) error {
+	ctx, cancel := context.WithTimeout(ctx, c.Timeout)
+	defer cancel()
+	data, err := os.ReadFile(c.File)
+	if err != nil {
+		return &UsageError{Reason: err.Error()}
+	}
+	var record bundle.Record
+	if err := json.Unmarshal(data, &record); err != nil {
+		return &UsageError{Reason: fmt.Sprintf("%s: is not a signed bundle: %v", c.File, err)}
+	}
+	if err := record.Verify(c.Signers); err != nil {
+		return &UsageError{Reason: fmt.Sprintf("%s: %v", c.File, err)}
+	}
+	r, p, err := c.follow(ctx)
+	if err != nil {
+		return err
+	}
+	defer p.Close()
+	if err := r.Publish(ctx, record); err != nil {
+		return err
+	}
+	result := Published{Version: record.Version, ID: record.ID, Published: true}
+	if !c.JSON {
+		fmt.Fprintf(out, "version %d is published as %.12s\n", record.Version, record.ID)
+	}
+	missing := c.confirm(ctx, &result)
+	if c.JSON {
+		if err := printJSON(out, result); err != nil {
+			return err
+		}
+	} else {
+		printZones(out, result.Zones)
+	}
+	if len(missing) > 0 {
+		return &NotAcceptedError{Out: missing}
+	}
+	return nil
+}
+
+// confirm asks all entries until every availability zone has the version in
+// force, and gives the zones that are out when the time is over.
+func (c *bundlePublish) confirm(ctx context.Context, result *Published) []string {
+	for {
+		states := ask(ctx, c.Entries)
+		result.Zones = map[string]string{}
+		var missing []string
+		for zone, s := range byZone(states) {
+			result.Zones[zone] = "in force"
+			if s.lowest < result.Version {
+				result.Zones[zone] = fmt.Sprintf("out: lowest version %d, no answer from %d of %d", s.lowest, s.silent, s.entries)
+				missing = append(missing, zone)
+			}
+		}
+		sort.Strings(missing)
+		result.Accepted = len(missing) == 0 && len(result.Zones) > 0
+		if result.Accepted || ctx.Err() != nil {
+			return missing
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(100 * time.Millisecond):
+		}
+	}
+}
+
+// state is what one entry answered.
+type state struct {
+	address string
+	status  entry.Status
+	err     error
+}
+
+// askSpan bounds the question to one entry.
+const askSpan = time.Second
+
+func ask(ctx context.Context, addresses []string) []state {
+	states := make([]state, len(addresses))
+	done := make(chan int)
+	for i, address := range addresses {
+		go func() {
+			states[i] = askOne(ctx, address)
+			done <- i
+		}()
+	}
+	for range addresses {
+		<-done
+	}
+	return states
+}
+
+func askOne(ctx context.Context, address string) state {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), askSpan)
+	defer cancel()
+	cl := client.New("", address)
+	defer cl.Close()
+	s := state{address: address}
+	_, data, err := cl.Do(ctx, address, client.Call{Method: http.MethodGet, Path: "/v1/status"})
+	if err == nil {
+		err = json.Unmarshal(data, &s.status)
+	}
+	s.err = err
+	return s
+}
+
+// zoneState sums up the entries of one availability zone.
+type zoneState struct {
+	lowest  int64
+	entries int
+	silent  int
+}
+
+// byZone sums up by zone. Entries that do not answer count under the zone
+// "unknown", since nobody can tell where they are.
+func byZone(states []state) map[string]zoneState {
+	zones := map[string]zoneState{}
+	for _, s := range states {
+		zone, version := s.status.Zone, s.status.Version
+		if s.err != nil {
+			zone, version = "unknown ("+s.address+")", 0
+		}
+		z, ok := zones[zone]
+		if !ok || version < z.lowest {
+			z.lowest = version
+		}
+		z.entries++
+		if s.err != nil {
+			z.silent++
+		}
+		zones[zone] = z
+	}
+	return zones
+}
+
+func printZones(out io.Writer, zones map[string]string) {
+	var names []string
+	for zone := range zones {
+		names = append(names, zone)
+	}
+	sort.Strings(names)
+	for _, zone := range names {
+		fmt.Fprintf(out, "%-24s %s\n", zone, zones[zone])
+	}
+}
+
+type bundleStatus struct {
+	Entries []string `arg:"--operators,separate,required" help:"operators' address of an entry; more than once"`
+	JSON    bool     `arg:"--json"`
+}
+
+func (c *bundleStatus) run(ctx context.Context, out, _ io.Writer) error {
+	states := ask(ctx, c.Entries)
+	if c.JSON {
+		versions := map[string]int64{}
+		for zone, z := range byZone(states) {
+			versions[zone] = z.lowest
+		}
+		return printJSON(out, versions)
+	}
+	for _, s := range states {
+		if s.err != nil {
+			fmt.Fprintf(out, "%-22s no answer: %v\n", s.address, s.err)
+			continue
+		}
+		fmt.Fprintf(out, "%-22s %-16s %-16s version %d %.12s\n", s.address, s.status.Zone, s.status.VM, s.status.Version, s.status.Bundle)
+	}
+	return nil
+}
+
+// EmptyError is a log without a bundle.
+type EmptyError struct{}
+
+// Error tells so.
+func (*EmptyError) Error() string { return "the log holds no bundle" }
+
+type bundleShow struct {
+	logFlags
+}
+
+func (c *bundleShow) run(ctx context.Context, out, _ io.Writer) error {
+	ctx, cancel := context.WithTimeout(ctx, c.Timeout)
+	defer cancel()
+	r, p, err := c.follow(ctx)
+	if err != nil {
+		return err
+	}
+	defer p.Close()
+	b := r.Bundle()
+	if b == nil {
+		return &EmptyError{}
+	}
+	if c.JSON {
+		return printJSON(out, map[string]any{"version": b.Version, "id": r.ID(), "text": b.Text})
+	}
+	_, err = fmt.Fprintf(out, "# version %d, %s\n%s", b.Version, r.ID(), b.Text)
+	return err
+}
--- a/commands/commands.go
+++ b/commands/commands.go
@@ -36,6 +36,7 @@
 type arguments struct {
 	Serve    *serveCommand    `arg:"subcommand:serve" help:"run an entry"`
 	Settings *settingsCommand `arg:"subcommand:settings" help:"check or print settings"`
+	Bundle   *bundleCommand   `arg:"subcommand:bundle" help:"check, sign, publish and show bundles"`
 	Keys     *keysCommand     `arg:"subcommand:keys" help:"make keys"`
 	Request  *requestCommand  `arg:"subcommand:request" help:"send one request"`
 	Job      *jobCommand      `arg:"subcommand:job" help:"submit, look at or cancel a job"`
--- a/dispatch/admit.go
+++ b/dispatch/admit.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sort"
 	"time"
 
 	"github.com/radishgate/radishgate/budget"
@@ -32,6 +31,9 @@
 		return r
 	}
 	d.group++
+	if j.Request {
+		d.arrive(d.options.Now())
+	}
 	due := d.due(j, total, longest)
 	for _, t := range tasks {
 		t.due = due
@@ -42,7 +44,7 @@
 	}
 	context.AfterFunc(j.Context(), func() { d.forget(j) })
 	d.match()
-	if d.want > 0 {
+	if d.want > 0 && d.waiting[j] > 0 {
 		d.options.Fresh()
 	}
 	return nil
@@ -199,12 +201,3 @@
 	clear(tasks[len(kept):])
 	return kept
 }
-
-func sortBySpeed(names []string, speeds map[string]float64) {
-	sort.Slice(names, func(a, b int) bool {
-		if speeds[names[a]] != speeds[names[b]] {
-			return speeds[names[a]] > speeds[names[b]]
-		}
-		return names[a] < names[b]
-	})
-}
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -63,6 +63,7 @@
 	// The fields below are filled anew for each match.
 	free  int
 	held  int
+	kept  int // of the free ones, for requests
 	speed float64
 	ends  []time.Time
 }
@@ -114,6 +115,9 @@
 	least    float64 // least speed of a slot that would help
 	group    int64
 	starts   uint64
+	serving  int       // requests that run
+	average  float64   // of serving, as arriving requests see it
+	sampled  time.Time // when average was last true
 	retries  map[string]*budget.Budget
 	hedges   map[string]*budget.Budget
 	turn     int
@@ -256,23 +260,6 @@
 	return room
 }
 
-// Lendable lists the upstreams of the own zone, the fastest first, without
-// those that should get no work.
-func (d *Dispatcher) Lendable() []string {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	var names []string
-	speeds := map[string]float64{}
-	for _, t := range d.order {
-		if t.near && d.usable(t) {
-			names = append(names, t.name)
-			speeds[t.name] = d.options.Estimator.Speed(t.name)
-		}
-	}
-	sortBySpeed(names, speeds)
-	return names
-}
-
 func (d *Dispatcher) usable(t *target) bool {
 	return !t.bundle.Leaving && !d.options.Leaving(t.name) && !d.options.Board.Aside(t.name)
 }
--- a/dispatch/match.go
+++ b/dispatch/match.go
@@ -32,7 +32,7 @@
 		return
 	}
 	now := d.options.Now()
-	free, held := d.survey(now)
+	held := d.survey()
 	look := min(max(2*held, lookLeast), lookMost)
 	d.stage(look)
 	if d.open() {
@@ -44,12 +44,13 @@
 		d.expect(now)
 	}
 	d.want, d.head, d.least = 0, "", 0
+	kept := d.reserve(now)
 	if d.starts%jobTurn == jobTurn-1 {
-		d.staged = d.place(d.staged, now, hold, &free)
-		d.urgent = d.place(d.urgent, now, hold, &free)
+		d.placeJobs(now, hold, kept)
+		d.placeRequests(now, hold)
 	} else {
-		d.urgent = d.place(d.urgent, now, hold, &free)
-		d.staged = d.place(d.staged, now, hold, &free)
+		d.placeRequests(now, hold)
+		d.placeJobs(now, hold, kept)
 	}
 	if d.want > 0 {
 		d.want += d.requests.Len() + d.jobs.Len()
@@ -59,14 +60,45 @@
 	}
 }
 
+func (d *Dispatcher) placeRequests(now time.Time, hold bool) {
+	free := d.free()
+	d.urgent = d.place(d.urgent, now, hold, &free)
+}
+
+// placeJobs leaves the reserved slots alone.
+func (d *Dispatcher) placeJobs(now time.Time, hold bool, kept int) {
+	if kept > 0 {
+		for _, t := range d.order {
+			t.kept = min(t.kept, t.free)
+			t.free -= t.kept
+		}
+	}
+	free := d.free()
+	d.staged = d.place(d.staged, now, hold, &free)
+	if kept == 0 {
+		return
+	}
+	for _, t := range d.order {
+		t.free += t.kept
+	}
+}
+
+func (d *Dispatcher) free() int {
+	free := 0
+	for _, t := range d.order {
+		free += t.free
+	}
+	return free
+}
+
 func (d *Dispatcher) open() bool {
 	placement := d.bundle.Rules.Placement
 	return placement != placementHome && placement != placementStatic
 }
 
 // survey fills in what each target offers now.
-func (d *Dispatcher) survey(now time.Time) (int, int) {
-	free, held := 0, 0
+func (d *Dispatcher) survey() int {
+	held := 0
 	for _, t := range d.order {
 		t.free, t.held = 0, 0
 		if !d.usable(t) {
@@ -76,10 +108,9 @@
 		allowed := t.limit.Allow(t.held) - len(t.running)
 		t.free = max(0, min(d.options.Ledger.Free(t.name), allowed))
 		t.speed = max(d.options.Estimator.Speed(t.name), 0.01)
-		free += t.free
 		held += t.held
 	}
-	return free, held
+	return held
 }
 
 // expect lists when the busy slots of each target will come free.
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -40,6 +40,9 @@
 	r := &run{task: t, target: g, permit: permit, began: now, end: now.Add(need), hedge: hedge, cancel: cancel}
 	r.used = float64(len(g.running)+1) / float64(max(1, g.held))
 	g.running = append(g.running, r)
+	if t.job.Request {
+		d.serving++
+	}
 	t.runs = append(t.runs, r)
 	d.options.Board.Begin(g.name, t.job.Deadline)
 	d.runs.Go(func() { d.run(ctx, r) })
@@ -91,6 +94,9 @@
 	var finish func()
 	d.mu.Lock()
 	r.target.drop(r)
+	if r.task.job.Request {
+		d.serving--
+	}
 	d.put(r.permit)
 	result := "ok"
 	if err == nil {
@@ -111,6 +117,7 @@
 	return result
 }
 
+// drop takes a run off its target.
 func (g *target) drop(r *run) {
 	for i, other := range g.running {
 		if other == r {
@@ -239,35 +246,41 @@
 }
 
 // planHedge starts a second copy of a repeatable request that takes longer than
-// nearly all others, on another upstream, within the tenant's budget.
+// nearly all others, on another upstream, within the tenant's budget of hedges.
+// One that takes far longer counts as stuck and may use the budget of retries.
 func (d *Dispatcher) planHedge(t *task, first *run) {
 	after, known := d.options.Estimator.Quantile(t.job.Service.Name, hedgeQuantile)
 	if !known {
 		return
 	}
 	after = max(after, 2*first.end.Sub(first.began), hedgeLeast)
-	timer := time.AfterFunc(after, func() { d.hedge(t, first) })
-	context.AfterFunc(t.job.Context(), func() { timer.Stop() })
+	slow := time.AfterFunc(after, func() { d.hedge(t, first, false) })
+	late := time.AfterFunc(stuck*after, func() { d.hedge(t, first, true) })
+	context.AfterFunc(t.job.Context(), func() {
+		slow.Stop()
+		late.Stop()
+	})
 }
 
-func (d *Dispatcher) hedge(t *task, first *run) {
+func (d *Dispatcher) hedge(t *task, first *run, late bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if t.done || !t.job.Live() || len(t.runs) != 1 || d.open() {
 		return
 	}
-	now := d.options.Now()
-	d.survey(now)
+	d.survey()
 	t.avoid = first.target.name
+	now := d.options.Now()
 	g, _, isFree := d.best(t, now, false)
-	if g == nil || !isFree || g == first.target {
-		return
-	}
-	_, hedges := d.budgets(t.job.Tenant)
-	if !hedges.Pay() {
+	if g == nil || !isFree || g == first.target || !d.payHedge(t.job.Tenant, late) {
 		return
 	}
 	if permit, ok := d.options.Ledger.Take(g.name); ok {
 		d.start(t, g, permit, now, true)
 	}
 }
+
+func (d *Dispatcher) payHedge(tenant string, late bool) bool {
+	retries, hedges := d.budgets(tenant)
+	return hedges.Pay() || (late && retries.Pay())
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -78,6 +78,7 @@
 	client     *peer.Client
 	bytes      *counted.Counter
 
+	settled  atomic.Bool
 	draining atomic.Bool
 	closing  atomic.Bool
 	running  sync.WaitGroup // keyed jobs
@@ -228,12 +229,27 @@
 	return e.callers.Addr().String(), e.peers.Addr().String(), e.operators.Addr().String()
 }
 
-// Ready tells whether callers should be sent here.
+// Ready tells whether callers should be sent here: a bundle is in force and the
+// slots that have their home here can be used. An entry that has been ready
+// stays so until it drains.
 func (e *Entry) Ready() bool {
-	settled := time.Since(e.began) > 3*e.settings.Beat
-	return settled && !e.draining.Load() && e.rollout.Bundle() != nil
+	if e.draining.Load() || e.rollout.Bundle() == nil {
+		return false
+	}
+	if e.settled.Load() {
+		return true
+	}
+	if time.Since(e.began) < settleBeats*e.settings.Beat || !e.ledger.Settled() {
+		return false
+	}
+	e.settled.Store(true)
+	return true
 }
 
+// settleBeats is the number of heartbeats after which the ramp of the own
+// weight is over.
+const settleBeats = rampSteps + 2
+
 func (e *Entry) version() int64 {
 	if b := e.rollout.Bundle(); b != nil {
 		return b.Version
--- a/entry/fleet.go
+++ b/entry/fleet.go
@@ -425,11 +425,11 @@
 // lend answers an ask for slots, and may hold it until some come free.
 func (e *Entry) lend(ctx context.Context, ask loan.Ask, service string) (loan.Grant, int) {
 	ask.Fit = e.fit(ask.Speed, service)
-	var order []string
+	var offers []loan.Offer
 	if ask.Want > 0 {
-		order = e.dispatcher.Lendable()
+		offers = e.dispatcher.Lendable()
 	}
-	grant := e.ledger.Lend(ask, order, e.dispatcher.Demand())
+	grant := e.ledger.Lend(ask, offers, e.dispatcher.Demand())
 	if ask.Want > 0 && len(grant.Loans)+len(grant.Returned) == 0 && ask.Until.After(time.Now()) {
 		held := e.hold(ctx, ask)
 		grant.Loans, grant.Returned = held.Loans, held.Returned
--- a/loan/ledger.go
+++ b/loan/ledger.go
@@ -184,6 +184,20 @@
 	}
 }
 
+// Settled tells whether most gained slots can be used.
+func (l *Ledger) Settled() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	total, waiting := 0, 0
+	for _, s := range l.stocks {
+		total += s.total
+		for _, a := range s.arriving {
+			waiting += a.count
+		}
+	}
+	return waiting*4 <= total
+}
+
 // Forget drops an upstream that is gone.
 func (l *Ledger) Forget(upstream string) {
 	l.mu.Lock()
@@ -346,9 +360,15 @@
 	return Loan{ID: l.last, Upstream: upstream}
 }
 
-// Lend answers an ask from what is free now. Order lists the upstreams to give
-// from, the best first; demand is as for Put.
-func (l *Ledger) Lend(ask Ask, order []string, demand float64) Grant {
+// Offer is an upstream to lend from; Keep of its free slots stay here.
+type Offer struct {
+	Upstream string
+	Keep     int
+}
+
+// Lend answers an ask from what is free now. Offers come in the order in which
+// to give; demand is as for Put.
+func (l *Ledger) Lend(ask Ask, offers []Offer, demand float64) Grant {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.options.Now()
@@ -363,15 +383,15 @@
 		l.handBackIdle(ask.Holder, &grant)
 	}
 	if ask.Far {
-		ask.Want = min(ask.Want, l.spare(order)/2)
+		ask.Want = min(ask.Want, l.spare(offers)/2)
 	}
-	for _, upstream := range order {
-		s, ok := l.stocks[upstream]
-		if !ok || (ask.Fit != nil && !ask.Fit(upstream)) {
+	for _, o := range offers {
+		s, ok := l.stocks[o.Upstream]
+		if !ok || (ask.Fit != nil && !ask.Fit(o.Upstream)) {
 			continue
 		}
-		for len(grant.Loans) < ask.Want && s.free() > 0 {
-			grant.Loans = append(grant.Loans, l.lend(upstream, s, ask.Holder, now))
+		for len(grant.Loans) < ask.Want && s.free() > o.Keep {
+			grant.Loans = append(grant.Loans, l.lend(o.Upstream, s, ask.Holder, now))
 		}
 	}
 	return grant
@@ -395,11 +415,11 @@
 
 // spare counts the free slots of these upstreams. Other zones get half of them
 // at a time, so that work of the own zone still finds room.
-func (l *Ledger) spare(order []string) int {
+func (l *Ledger) spare(offers []Offer) int {
 	spare := 0
-	for _, upstream := range order {
-		if s, ok := l.stocks[upstream]; ok {
-			spare += max(0, s.free())
+	for _, o := range offers {
+		if s, ok := l.stocks[o.Upstream]; ok {
+			spare += max(0, s.free()-o.Keep)
 		}
 	}
 	return spare
