--- a/bundle/bundle.go
+++ b/bundle/bundle.go
@@ -150,6 +150,8 @@
 	case "class":
 		file.Know(section)
 		b.Classes[name] = &Class{Name: name, Weight: file.Float(section, "weight", 1, 0.01, maxWeight)}
+	default:
+		file.Fail(section, "", "is none of rules, service, upstream, tenant, class")
 	}
 }
 
--- /dev/null
+++ b/bundle/bundle_test.go
@@ -0,0 +1,100 @@
+package bundle
+
+import (
+	"crypto/ed25519"
+	"crypto/rand"
+	"encoding/base64"
+	"fmt"
+	"testing"
+
+	"github.com/cockroachdb/datadriven"
+	"pgregory.net/rapid"
+)
+
+// TestParse runs testdata/parse: an error names line, section and key.
+func TestParse(t *testing.T) {
+	datadriven.RunTest(t, "testdata/parse", func(_ *testing.T, d *datadriven.TestData) string {
+		b, err := Parse("test.ini", 1, d.Input)
+		if err != nil {
+			return err.Error() + "\n"
+		}
+		return fmt.Sprintf("services %d upstreams %d zones %v tenants %d\n", len(b.Services), len(b.Upstreams), b.Zones(), len(b.Tenants))
+	})
+}
+
+// drawText draws a bundle text of some sections.
+func drawText(t *rapid.T, label string) string {
+	var sections []Section
+	for i := range rapid.IntRange(0, 6).Draw(t, label) {
+		if rapid.Bool().Draw(t, "there") {
+			weight := rapid.IntRange(1, 9).Draw(t, "weight")
+			sections = append(sections, Section{Name: fmt.Sprintf("tenant t%d", i), Lines: []string{fmt.Sprintf("weight = %d", weight)}})
+		}
+	}
+	return Join(sections)
+}
+
+func asMap(text string) map[string]string {
+	m := map[string]string{}
+	for _, s := range Sections(text) {
+		m[s.Name] = fmt.Sprint(s.Lines)
+	}
+	return m
+}
+
+func TestApplyOfDiffGivesTheTarget(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		from, to := drawText(t, "from"), drawText(t, "to")
+		got, err := Apply(from, Diff(from, to))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if fmt.Sprint(asMap(got)) != fmt.Sprint(asMap(to)) {
+			t.Fatalf("from\n%s\nto\n%s\ngot\n%s", from, to, got)
+		}
+	})
+}
+
+func TestRecordIsBoundToItsContent(t *testing.T) {
+	public, private, _ := ed25519.GenerateKey(rand.Reader)
+	signer := base64.StdEncoding.EncodeToString(public)
+	good := Record{Version: 2, Parent: "p", Text: "[rules]"}
+	good.Seal(private)
+	if err := good.Verify([]string{signer}); err != nil {
+		t.Fatal(err)
+	}
+	changes := []struct {
+		name   string
+		change func(*Record)
+	}{
+		{"version", func(r *Record) { r.Version = 3 }},
+		{"parent", func(r *Record) { r.Parent = "q" }},
+		{"text", func(r *Record) { r.Text = "[rules]\n" }},
+		{"form", func(r *Record) { r.Change = true }},
+		{"id", func(r *Record) { r.ID = "x" }},
+		{"signature", func(r *Record) { r.Sign = base64.StdEncoding.EncodeToString(make([]byte, 64)) }},
+		{"signer", func(r *Record) { r.Signer = "somebody" }},
+	}
+	for _, c := range changes {
+		changed := good
+		c.change(&changed)
+		if changed.Verify([]string{signer}) == nil {
+			t.Errorf("record with another %s passes", c.name)
+		}
+	}
+	if good.Verify([]string{"other"}) == nil {
+		t.Error("untrusted signer passes")
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add("[tenant a]\nweight = 1\n[service s]\npath = /s\n", "[tenant a]\ndrop = true\n")
+	f.Fuzz(func(_ *testing.T, text, change string) {
+		if _, err := Parse("fuzz", 1, text); err != nil {
+			return
+		}
+		if whole, err := Apply(text, change); err == nil {
+			_, _ = Parse("fuzz", 2, whole)
+		}
+	})
+}
--- a/common/inifile/file.go
+++ b/common/inifile/file.go
@@ -131,6 +131,7 @@
 // String reads a text, or fallback where the key is missing.
 func (f *File) String(section, key, fallback string) string {
 	f.used[place(section, key)] = true
+	f.Know(section)
 	if !f.Has(section, key) {
 		return fallback
 	}
--- /dev/null
+++ b/home/ring_test.go
@@ -0,0 +1,40 @@
+package home
+
+import (
+	"fmt"
+	"math"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+func TestEverySlotHasOneHomeAndFewMove(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var ring Ring
+		for i := range rapid.IntRange(1, 12).Draw(t, "members") {
+			ring.Members = append(ring.Members, Member{ID: fmt.Sprint("e", i), Weight: rapid.Float64Range(0.5, 8).Draw(t, "weight")})
+		}
+		joined := Ring{Members: append(append([]Member(nil), ring.Members...), Member{ID: "new", Weight: 2})}
+		for i := range 200 {
+			key := fmt.Sprint("u", i)
+			before, after := ring.Home(key), joined.Home(key)
+			if before == "" || (after != before && after != "new") {
+				t.Fatalf("key %s moves from %s to %s when another joins", key, before, after)
+			}
+		}
+	})
+}
+
+func TestSharesFollowWeights(t *testing.T) {
+	ring := Ring{Members: []Member{{"a", 1}, {"b", 2}, {"c", 5}}}
+	got := map[string]float64{}
+	const keys = 40_000
+	for i := range keys {
+		got[ring.Home(fmt.Sprint(i))] += 8.0 / keys
+	}
+	for _, m := range ring.Members {
+		if math.Abs(got[m.ID]-m.Weight) > 0.1 {
+			t.Errorf("%s has a share of %.2f eighths for weight %g", m.ID, got[m.ID], m.Weight)
+		}
+	}
+}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -91,17 +91,20 @@
 	const section = "entry"
 	s.VM = f.Must(section, "vm")
 	s.Zone = f.Must(section, "zone")
-	for key, value := range map[string]string{"vm": s.VM, "zone": s.Zone} {
-		if !plainName.MatchString(value) {
-			f.Fail(section, key, "is not 1 to 40 of a-z, 0-9 and -")
-		}
-	}
+	checkName(f, section, "vm", s.VM)
+	checkName(f, section, "zone", s.Zone)
 	s.Weight = f.Float(section, "weight", float64(runtime.GOMAXPROCS(0)), 0.01, 4096)
 	s.Listen = address(f, section, "listen", true)
 	s.Peers = address(f, section, "peers", true)
 	s.Operators = address(f, section, "operators", true)
 }
 
+func checkName(f *inifile.File, section, key, value string) {
+	if !plainName.MatchString(value) {
+		f.Fail(section, key, "is not 1 to 40 of a-z, 0-9 and -")
+	}
+}
+
 func address(f *inifile.File, section, key string, required bool) string {
 	text := f.String(section, key, "")
 	if text == "" {
