dispatch: Keep long tasks off slow upstreams and staged work in fair order

Cause: two tests in virtual time failed. A request of another tenant waited 200 ms behind a burst, because up to 16 requests had been staged before it came. Change: with more work than is placed together, a long task waits for a faster slot and a shorter one takes the slow slot; new work puts the staged tasks back into the queues, whose charges are taken back exactly. Ruled out: the estimates; with exact hints the worst was the same.

--- a/dispatch/admit.go
+++ b/dispatch/admit.go
@@ -39,6 +39,7 @@
 		t.due = due
 	}
 	d.earn(j.Tenant, len(tasks))
+	d.unstage()
 	for _, t := range tasks {
 		d.push(t)
 	}
@@ -50,6 +51,20 @@
 	return nil
 }
 
+// unstage puts the staged tasks back into the queues, so that new work takes
+// its fair place among them.
+func (d *Dispatcher) unstage() {
+	for _, t := range d.urgent {
+		d.requests.Return(t.item)
+	}
+	for _, t := range d.staged {
+		d.jobs.Return(t.item)
+	}
+	clear(d.urgent)
+	clear(d.staged)
+	d.urgent, d.staged = d.urgent[:0], d.staged[:0]
+}
+
 // stretch is how many times its ideal response a job may take before it goes
 // before jobs that came later.
 const stretch = 3
@@ -152,6 +167,7 @@
 		Weight: t.job.Bundle.Weight(t.job.Service.Class), Deadline: t.due,
 		Group: d.group, Cost: t.estimate.Seconds(), Value: t,
 	}
+	t.item = item
 	if t.job.Request {
 		d.requests.Push(item)
 	} else {
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -73,6 +73,7 @@
 	job      *job.Job
 	index    int
 	estimate time.Duration // on the fastest upstream
+	item     queue.Item[*task]
 	due      time.Time
 	avoid    string
 	attempts int
@@ -99,29 +100,30 @@
 type Dispatcher struct {
 	options Options
 
-	mu       sync.Mutex
-	bundle   *bundle.Bundle
-	targets  map[string]*target
-	order    []*target
-	requests *queue.Queue[*task]
-	jobs     *queue.Queue[*task]
-	urgent   []*task // next requests
-	staged   []*task // next tasks of jobs
-	waiting  map[*job.Job]int
-	backlog  int           // live tasks that wait
-	work     time.Duration // their estimates
-	want     int
-	head     string
-	least    float64 // least speed of a slot that would help
-	group    int64
-	starts   uint64
-	serving  int       // requests that run
-	average  float64   // of serving, as arriving requests see it
-	sampled  time.Time // when average was last true
-	retries  map[string]*budget.Budget
-	hedges   map[string]*budget.Budget
-	turn     int
-	runs     sync.WaitGroup
+	mu        sync.Mutex
+	bundle    *bundle.Bundle
+	targets   map[string]*target
+	order     []*target
+	requests  *queue.Queue[*task]
+	jobs      *queue.Queue[*task]
+	urgent    []*task // next requests
+	staged    []*task // next tasks of jobs
+	waiting   map[*job.Job]int
+	backlog   int           // live tasks that wait
+	work      time.Duration // their estimates
+	remaining time.Duration // in which the slots held here could do all waiting work
+	want      int
+	head      string
+	least     float64 // least speed of a slot that would help
+	group     int64
+	starts    uint64
+	serving   int       // requests that run
+	average   float64   // of serving, as arriving requests see it
+	sampled   time.Time // when average was last true
+	retries   map[string]*budget.Budget
+	hedges    map[string]*budget.Budget
+	turn      int
+	runs      sync.WaitGroup
 }
 
 // New makes a dispatcher without upstreams.
--- a/dispatch/match.go
+++ b/dispatch/match.go
@@ -43,6 +43,7 @@
 	if hold {
 		d.expect(now)
 	}
+	d.remaining = time.Duration(float64(d.work) / max(1, d.rate()))
 	d.want, d.head, d.least = 0, "", 0
 	kept := d.reserve(now)
 	if d.starts%jobTurn == jobTurn-1 {
@@ -60,6 +61,15 @@
 	}
 }
 
+// rate sums the slots held here, each weighed by its speed.
+func (d *Dispatcher) rate() float64 {
+	rate := 0.0
+	for _, t := range d.order {
+		rate += float64(t.held) * t.speed
+	}
+	return rate
+}
+
 func (d *Dispatcher) placeRequests(now time.Time, hold bool) {
 	free := d.free()
 	d.urgent = d.place(d.urgent, now, hold, &free)
@@ -249,7 +259,7 @@
 			continue
 		}
 		need := time.Duration(float64(t.estimate) / g.speed)
-		if !d.leased(g, now, need) {
+		if !d.leased(g, now, need) || d.tooSlow(t, need, hold) {
 			continue
 		}
 		end := now.Add(need)
@@ -267,6 +277,13 @@
 	return best, finish, isFree
 }
 
+// tooSlow keeps a long task of a job off a slow upstream on which it would end
+// after all other waiting work: a shorter one goes there. With hold, the
+// expected ends decide that.
+func (d *Dispatcher) tooSlow(t *task, need time.Duration, hold bool) bool {
+	return !hold && !t.job.Request && need > d.remaining && need > t.estimate
+}
+
 // leased tells whether the worker's lease surely outlives the task.
 func (d *Dispatcher) leased(g *target, now time.Time, need time.Duration) bool {
 	end, known := d.options.Lease(g.name)
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -73,6 +73,21 @@
 // Len counts the waiting items.
 func (q *Queue[V]) Len() int { return q.count }
 
+// Return puts an item back that Pop gave and that was not started: the tenant
+// and class are not charged for it.
+func (q *Queue[V]) Return(item Item[V]) {
+	q.Push(item)
+	t := q.tenants[item.Tenant]
+	f := t.flows[item.Class]
+	t.served -= item.Cost / max(item.Share, leastWeight)
+	f.served -= item.Cost / max(item.Weight, leastWeight)
+	q.turn = min(q.turn, t.served)
+	t.turn = min(t.turn, f.served)
+}
+
+// leastWeight keeps a weight of zero from dividing.
+const leastWeight = 1e-6
+
 // Push adds an item. A tenant that was idle starts at the present virtual time,
 // so it can neither save up turns nor be made to wait for them.
 func (q *Queue[V]) Push(item Item[V]) {
@@ -108,8 +123,8 @@
 	item := heap.Pop(&f.items).(Item[V])
 	q.turn = t.served
 	t.turn = f.served
-	t.served += item.Cost / max(item.Share, 1e-6)
-	f.served += item.Cost / max(item.Weight, 1e-6)
+	t.served += item.Cost / max(item.Share, leastWeight)
+	f.served += item.Cost / max(item.Weight, leastWeight)
 	t.count--
 	q.count--
 	q.prune(item, t, f)
