--- a/caller/server.go
+++ b/caller/server.go
@@ -289,16 +289,16 @@
 	submission.Service = body.Service
 	submission.Digest = digest([]byte(submission.Tenant), data)
 	for i, t := range body.Tasks {
-		task, err := parseTask(t)
+		task, err := parseTask(i, t)
 		if err != nil {
-			return refusal.New(refusal.BadBody, refusal.NotRun, "task %d: %v", i, err)
+			return err
 		}
 		submission.Tasks = append(submission.Tasks, task)
 	}
 	return nil
 }
 
-func parseTask(t BodyTask) (job.Task, error) {
+func parseTask(index int, t BodyTask) (job.Task, error) {
 	task := job.Task{Body: t.Body, Type: echo.MIMEApplicationJSON}
 	if len(t.Body) == 0 {
 		task.Body = []byte("null")
@@ -308,7 +308,7 @@
 	}
 	hint, err := time.ParseDuration(t.Hint)
 	if err != nil || hint < 0 {
-		return task, refusal.New(refusal.BadBody, refusal.NotRun, "hint %q is not a length of time", t.Hint)
+		return task, refusal.New(refusal.BadBody, refusal.NotRun, "task %d: hint %q is not a length of time", index, t.Hint)
 	}
 	task.Hint = hint
 	return task, nil
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"net"
+	"net/http"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -48,6 +49,8 @@
 	Callers   net.Listener
 	Peers     net.Listener
 	Operators net.Listener
+	// Wrap is put around the transport to other entries; tests cut it.
+	Wrap func(http.RoundTripper) http.RoundTripper
 }
 
 // Entry is one process of the system.
@@ -124,7 +127,7 @@
 		return nil, err
 	}
 	e.life, e.end = context.WithCancel(context.Background())
-	e.build()
+	e.build(options.Wrap)
 	return e, nil
 }
 
@@ -146,9 +149,9 @@
 }
 
 // build makes the parts in the order in which they need each other.
-func (e *Entry) build() {
+func (e *Entry) build(wrap func(http.RoundTripper) http.RoundTripper) {
 	s := e.settings
-	e.client = peer.NewClient(e.keys, e.bytes)
+	e.client = peer.NewClient(e.keys, e.bytes, wrap)
 	e.members = member.New(member.Options{
 		Suspect: 4 * s.Beat, Dead: 6 * s.Beat,
 		Self: member.Record{
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -416,7 +416,10 @@
 	if err != nil {
 		return refuse(keyRefusal(err))
 	}
-	return k.look(ctx, j, ok, l)
+	if !ok {
+		return refuse(refusal.New(refusal.KeyUnknown, refusal.NotRun, "no job was submitted here under this key"))
+	}
+	return k.look(ctx, j, l)
 }
 
 func (k *Keeper) lookChosen(ctx context.Context, l Look) Result {
@@ -427,20 +430,32 @@
 	index := partitionOf(b, l.Key)
 	owner := k.options.Owner(index)
 	send := func(to member.Record) (Result, error) { return k.options.Look(ctx, to, l) }
-	j, ok, err := k.options.Partition(index).Get(ctx, l.Key)
-	if owner != k.options.Self.VM && !ok {
-		return k.follow(k.toOwner(owner, l.Forwarded, send), l.Forwarded, send)
+	p := k.options.Partition(index)
+	if owner == k.options.Self.VM {
+		// Only an owner has folded all claims and can tell that there is none.
+		if err := p.Acquire(ctx); err != nil {
+			r := k.claimRefusal(err)
+			r.Outcome = refusal.Unknown
+			return refuse(r)
+		}
 	}
-	if err != nil {
+	j, ok, err := p.Get(ctx, l.Key)
+	switch {
+	case err != nil:
 		return k.follow(k.lost(err), l.Forwarded, send)
+	case ok:
+		return k.look(ctx, j, l)
+	case owner != k.options.Self.VM:
+		result := k.toOwner(owner, l.Forwarded, send)
+		if result.Refusal != nil && result.Refusal.Kind == refusal.OwnerDown {
+			result.Refusal.Outcome = refusal.Unknown
+		}
+		return k.follow(result, l.Forwarded, send)
 	}
-	return k.look(ctx, j, ok, l)
+	return refuse(refusal.New(refusal.KeyUnknown, refusal.Unknown, "no claim of this key is remembered"))
 }
 
-func (k *Keeper) look(ctx context.Context, j *job.Job, ok bool, l Look) Result {
-	if !ok || j == nil {
-		return refuse(refusal.New(refusal.KeyUnknown, refusal.NotRun, "no job was submitted here under this key"))
-	}
+func (k *Keeper) look(ctx context.Context, j *job.Job, l Look) Result {
 	if l.Cancel {
 		j.Fail(refusal.New(refusal.Cancelled, refusal.NotRun, "the caller cancelled the job"))
 	}
--- a/peer/client.go
+++ b/peer/client.go
@@ -96,13 +96,15 @@
 type Client struct {
 	scheme string
 	http   *http.Client
+	idle   func()
 
 	mu    sync.Mutex
 	peers map[string]wire.Peer
 }
 
-// NewClient makes a client; keys is nil for plain TCP.
-func NewClient(keys *tls.Config, counter *counted.Counter) *Client {
+// NewClient makes a client; keys is nil for plain TCP, and wrap, where given, is
+// put around the transport.
+func NewClient(keys *tls.Config, counter *counted.Counter, wrap func(http.RoundTripper) http.RoundTripper) *Client {
 	dialer := &net.Dialer{Timeout: dialSpan, KeepAliveConfig: net.KeepAliveConfig{
 		Enable: true, Idle: aliveIdle, Interval: aliveStep, Count: aliveTries,
 	}}
@@ -110,15 +112,19 @@
 		DialContext: counter.Dial(dialer), TLSClientConfig: keys,
 		MaxIdleConnsPerHost: 8, IdleConnTimeout: idleSpan, DisableCompression: true,
 	}
+	var trip http.RoundTripper = transport
+	if wrap != nil {
+		trip = wrap(transport)
+	}
 	scheme := "http://"
 	if keys != nil {
 		scheme = "https://"
 	}
-	return &Client{scheme: scheme, http: &http.Client{Transport: transport}, peers: map[string]wire.Peer{}}
+	return &Client{scheme: scheme, http: &http.Client{Transport: trip}, idle: transport.CloseIdleConnections, peers: map[string]wire.Peer{}}
 }
 
 // Close drops the idle connections.
-func (c *Client) Close() { c.http.CloseIdleConnections() }
+func (c *Client) Close() { c.idle() }
 
 // maxPeers bounds the table of clients by address.
 const maxPeers = 4096
--- a/queue/queue_test.go
+++ b/queue/queue_test.go
@@ -70,7 +70,9 @@
 	q := New[string]()
 	soon, later := time.Unix(1, 0), time.Unix(2, 0)
 	for i, it := range []Item[string]{
-		{Deadline: later, Group: 1, Cost: 9}, {Deadline: soon, Group: 2, Cost: 1}, {Deadline: soon, Group: 2, Cost: 5},
+		{Deadline: later, Group: 1, Cost: 9},
+		{Deadline: soon, Group: 2, Cost: 1},
+		{Deadline: soon, Group: 2, Cost: 5},
 		{Deadline: soon, Group: 1, Cost: 1},
 	} {
 		it.Share, it.Weight, it.Value = 1, 1, fmt.Sprint(i)
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -83,6 +83,7 @@
 	Nodes     []*Node
 	Upstreams []*Upstream
 	count     int
+	cuts      cuts
 }
 
 // New starts a fleet, publishes the bundle and waits until all entries are ready.
@@ -190,12 +191,20 @@
 	if f.options.Change != nil {
 		f.options.Change(s)
 	}
-	e, err := entry.New(entry.Options{Settings: s, Log: f.options.Log.With("entry", vm)})
+	client := platform.New(f.Address)
+	client.HTTP.Transport = &gate{inner: client.HTTP.Transport, open: func(string) bool { return !f.isCut(zone, Platform) }}
+	e, err := entry.New(entry.Options{
+		Settings: s, Log: f.options.Log.With("entry", vm), Platform: client,
+		Wrap: func(inner http.RoundTripper) http.RoundTripper {
+			return &gate{inner: inner, open: func(address string) bool { return !f.isCut(zone, f.zoneOf(address)) }}
+		},
+	})
 	if err != nil {
 		return nil, err
 	}
 	ctx, stop := context.WithCancel(context.Background())
-	callers, _, _ := e.Addresses()
+	callers, peers, _ := e.Addresses()
+	f.cuts.place(peers, zone)
 	n := &Node{Entry: e, VM: vm, Zone: zone, Callers: callers, stop: stop, done: make(chan struct{})}
 	go func() {
 		defer close(n.done)
