keeper, claim, platform: Answer at once when the way to a key is cut

Cause: with a zone cut off, tests of the entry hung for up to 22 s a call and the suite for minutes. Calls to the platform had no bound of their own, so one append into a cut held all claims of a partition; reading back a lost reply multiplied it; a forwarded call waited on a member that could no longer answer; and with a cut of one way a member that still told of itself counted as alive for those who could not reach it. Also: a test of three entries, a platform and three upstreams as processes.

--- a/claim/history_test.go
+++ b/claim/history_test.go
@@ -66,7 +66,7 @@
 	for id := range processes {
 		random := rand.New(rand.NewPCG(seed, uint64(id)))
 		p := New[int](Options{
-			Log: s.Log("claims-0"), Owner: fmt.Sprintf("vm-%d~1", id), Nonce: rand.Uint64, Tries: 1, Pause: time.Microsecond,
+			Log: s.Log("claims-0"), Owner: fmt.Sprintf("vm-%d~1", id), Nonce: rand.Uint64, Tries: 1, Pause: time.Microsecond, Breath: time.Nanosecond,
 		})
 		group.Go(func() {
 			for range rounds {
--- a/claim/partition.go
+++ b/claim/partition.go
@@ -80,6 +80,7 @@
 	Batch  int           // claims in one record at most
 	Tries  int           // reads after a lost reply
 	Pause  time.Duration // between those reads
+	Breath time.Duration // after a failed append, in which claims are refused at once
 	Nonce  func() uint64
 	Now    func() time.Time
 }
@@ -115,7 +116,9 @@
 	next    int64 // next offset to fold
 	own     int64 // offset of the own record in force, -1 before there is one
 	owner   string
-	mine    int64 // offset of this process's own record, -1 when it is not the owner
+	mine    int64     // offset of this process's own record, -1 when it is not the owner
+	rest    time.Time // until when the log is taken to be down
+	down    error
 	keys    map[string]*known[V]
 	order   []string
 	pending []pending[V]
@@ -141,6 +144,9 @@
 	if options.Pause == 0 {
 		options.Pause = 50 * time.Millisecond
 	}
+	if options.Breath == 0 {
+		options.Breath = time.Second
+	}
 	if options.Now == nil {
 		options.Now = time.Now
 	}
@@ -178,6 +184,9 @@
 	if p.Owned() {
 		return nil
 	}
+	if err := p.resting(); err != nil {
+		return err
+	}
 	r := record{Kind: kindOwn, Owner: p.options.Owner, Nonce: p.options.Nonce()}
 	offset, err := p.write(ctx, r)
 	if err != nil {
@@ -195,9 +204,41 @@
 	return nil
 }
 
-// write appends a record and gives its offset. A lost reply is resolved by
-// reading back; the record is never appended a second time.
+// resting gives the error of the last append while the log is taken to be
+// down, so that callers are told at once.
+func (p *Partition[V]) resting() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.options.Now().Before(p.rest) {
+		return &LogError{Cause: p.down}
+	}
+	return nil
+}
+
+func (p *Partition[V]) note(err error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.down, p.rest = err, time.Time{}
+	if err != nil {
+		p.rest = p.options.Now().Add(p.options.Breath)
+	}
+}
+
+// write appends a record, and remembers for a while that the log does not work.
 func (p *Partition[V]) write(ctx context.Context, r record) (int64, error) {
+	offset, err := p.put(ctx, r)
+	p.note(err)
+	return offset, err
+}
+
+// putSpan bounds an append together with the reading back of a lost reply.
+const putSpan = 3 * time.Second
+
+// put appends a record and gives its offset. A lost reply is resolved by
+// reading back; the record is never appended a second time.
+func (p *Partition[V]) put(ctx context.Context, r record) (int64, error) {
+	ctx, cancel := context.WithTimeout(ctx, putSpan)
+	defer cancel()
 	data, err := json.Marshal(r)
 	if err != nil {
 		return 0, err
@@ -447,6 +488,9 @@
 	if p.mine < 0 {
 		return nil, false, &NotOwnerError{Owner: p.owner}
 	}
+	if p.options.Now().Before(p.rest) {
+		return nil, false, &LogError{Cause: p.down}
+	}
 	if len(p.keys) >= p.options.Keys {
 		return nil, false, &FullError{Keys: p.options.Keys}
 	}
--- a/claim/partition_test.go
+++ b/claim/partition_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"math/rand/v2"
 	"testing"
+	"time"
 
 	"github.com/radishgate/radishgate/standin/store"
 )
@@ -26,8 +27,8 @@
 
 // pair makes two processes on the same partition.
 func pair(s *store.Store) (*Partition[int], *Partition[int]) {
-	a := New[int](Options{Log: s.Log("claims-0"), Owner: "a~1", Nonce: rand.Uint64})
-	b := New[int](Options{Log: s.Log("claims-0"), Owner: "b~2", Nonce: rand.Uint64})
+	a := New[int](Options{Log: s.Log("claims-0"), Owner: "a~1", Nonce: rand.Uint64, Breath: time.Nanosecond})
+	b := New[int](Options{Log: s.Log("claims-0"), Owner: "b~2", Nonce: rand.Uint64, Breath: time.Nanosecond})
 	return a, b
 }
 
--- /dev/null
+++ b/commands/process_test.go
@@ -0,0 +1,262 @@
+package commands
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// program is the built binary with a folder for its files.
+type program struct {
+	t    *testing.T
+	path string
+	dir  string
+}
+
+func build(t *testing.T) program {
+	t.Helper()
+	dir := t.TempDir()
+	path := filepath.Join(dir, "radishgate")
+	if out, err := exec.Command("go", "build", "-o", path, "..").CombinedOutput(); err != nil {
+		t.Fatalf("%v: %s", err, out)
+	}
+	return program{t: t, path: path, dir: dir}
+}
+
+// start runs a process until the test ends.
+func (p program) start(words ...string) *exec.Cmd {
+	p.t.Helper()
+	command := exec.Command(p.path, words...)
+	command.Dir = p.dir
+	if err := command.Start(); err != nil {
+		p.t.Fatal(err)
+	}
+	p.t.Cleanup(func() {
+		_ = command.Process.Kill()
+		_ = command.Wait()
+	})
+	return command
+}
+
+// call runs a command to its end and gives its output and exit code.
+func (p program) call(input string, words ...string) (string, int) {
+	p.t.Helper()
+	ctx, cancel := context.WithTimeout(p.t.Context(), time.Minute)
+	defer cancel()
+	command := exec.CommandContext(ctx, p.path, words...)
+	command.Dir = p.dir
+	command.Stdin = strings.NewReader(input)
+	var out bytes.Buffer
+	command.Stdout, command.Stderr = &out, &out
+	_ = command.Run()
+	return out.String(), command.ProcessState.ExitCode()
+}
+
+func (p program) write(name, text string) {
+	p.t.Helper()
+	if err := os.WriteFile(filepath.Join(p.dir, name), []byte(text), 0o600); err != nil {
+		p.t.Fatal(err)
+	}
+}
+
+// ports finds free ports on loopback.
+func ports(t *testing.T, count int) []string {
+	t.Helper()
+	var addresses []string
+	for range count {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer l.Close()
+		addresses = append(addresses, l.Addr().String())
+	}
+	return addresses
+}
+
+func (p program) until(what string, check func() bool) {
+	p.t.Helper()
+	for deadline := time.Now().Add(time.Minute); time.Now().Before(deadline); time.Sleep(20 * time.Millisecond) {
+		if check() {
+			return
+		}
+	}
+	p.t.Fatal("never came: " + what)
+}
+
+func answers(url string) bool {
+	response, err := http.Get(url)
+	if err != nil {
+		return false
+	}
+	_ = response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
+// TestThreeProcesses runs three entries, a platform and three upstreams as
+// processes of their own: bundle, requests, a job through two entries, a
+// graceful stop of one entry, and the upstreams' record of starts.
+func TestThreeProcesses(t *testing.T) {
+	p := build(t)
+	at := ports(t, 13)
+	platform, callers, operators, runners := at[0], at[1:4], at[4:7], at[10:13]
+	out, code := p.call("", "keys", "new", "operator.key", "--json")
+	var key struct {
+		Signer string `json:"signer"`
+	}
+	if err := json.Unmarshal([]byte(out), &key); err != nil || code != exitOK {
+		t.Fatalf("keys new: %d %s", code, out)
+	}
+	p.start("standin", "platform", "--listen", platform)
+	text := "[tenant shop]\n[service hold]\npath = /hold\n[service recall]\npath = /recall\nrepeatable = true\n"
+	var entries []*exec.Cmd
+	for i := range 3 {
+		p.start("standin", "upstream", "--listen", runners[i], "--name", fmt.Sprint("r", i))
+		text += fmt.Sprintf("[upstream r%d]\nzone = z%d\naddress = %s\n", i, i, runners[i])
+		p.write(fmt.Sprintf("entry-%d.ini", i), fmt.Sprintf(
+			"[entry]\nvm = entry-%d\nzone = z%d\nlisten = %s\npeers = %s\noperators = %s\n[platform]\naddress = %s\n[keys]\nsigners = %s\n[limits]\nbeat = 100ms\nnotice = 200ms\n[logs]\nform = json\n",
+			i, i, callers[i], at[7+i], operators[i], platform, key.Signer))
+		entries = append(entries, p.start("serve", "--settings", fmt.Sprintf("entry-%d.ini", i)))
+	}
+	p.write("bundle.ini", text)
+	p.until("the platform", func() bool { return answers("http://" + platform + "/v1/vms") })
+	publish(p, platform, key.Signer, operators)
+	for _, operator := range operators {
+		p.until("a ready entry", func() bool { return answers("http://" + operator + "/ready") })
+	}
+	calls(p, callers)
+	if err := entries[2].Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	if err := entries[2].Wait(); err != nil {
+		t.Errorf("the stopped entry ends with %v", err)
+	}
+	if out, code := p.call(`{"run":"5ms"}`, "request", "recall", "--entry", callers[0], "--tenant", "shop"); code != exitOK {
+		t.Errorf("after the stop: %d %s", code, out)
+	}
+	checkStarts(t, runners)
+}
+
+func publish(p program, platform, signer string, operators []string) {
+	p.t.Helper()
+	flags := []string{"--platform", platform, "--signer", signer}
+	if out, code := p.call("", "bundle", "check", "bundle.ini"); code != exitOK {
+		p.t.Fatalf("bundle check: %d %s", code, out)
+	}
+	sign := append([]string{"bundle", "sign", "bundle.ini", "--key", "operator.key", "--out", "one.json"}, flags...)
+	if out, code := p.call("", sign...); code != exitOK {
+		p.t.Fatalf("bundle sign: %d %s", code, out)
+	}
+	words := append([]string{"bundle", "publish", "one.json"}, flags...)
+	for _, operator := range operators {
+		words = append(words, "--operators", operator)
+	}
+	out, code := p.call("", words...)
+	if code != exitOK || strings.Count(out, "in force") != 3 {
+		p.t.Fatalf("bundle publish: %d %s", code, out)
+	}
+	again := append([]string{"bundle", "sign", "bundle.ini", "--key", "operator.key", "--out", "two.json"}, flags...)
+	if out, code := p.call("", again...); code != exitOK || !strings.Contains(out, "version 2") {
+		p.t.Fatalf("second bundle sign: %d %s", code, out)
+	}
+	// A racer with the same parent as a published version is told that it lost.
+	words[2] = "two.json"
+	if out, code := p.call("", words...); code != exitOK {
+		p.t.Fatalf("second publish: %d %s", code, out)
+	}
+	forged, err := os.ReadFile(filepath.Join(p.dir, "two.json"))
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	p.write("forged.json", strings.Replace(string(forged), `"version":2`, `"version":3`, 1))
+	words[2] = "forged.json"
+	if out, code := p.call("", words...); code != exitUsage {
+		p.t.Fatalf("forged publish: %d %s", code, out)
+	}
+}
+
+func calls(p program, callers []string) {
+	p.t.Helper()
+	if out, code := p.call(`{"run":"5ms","tag":"x"}`, "request", "recall", "--entry", callers[0], "--tenant", "shop"); code != exitOK || !strings.Contains(out, `"tag":"x"`) {
+		p.t.Errorf("request: %d %s", code, out)
+	}
+	if out, code := p.call(`{}`, "request", "hold", "--entry", callers[0], "--tenant", "shop"); code != exitNotRun {
+		p.t.Errorf("hold without a key: %d %s", code, out)
+	}
+	job := `{"service":"hold","tasks":[{"body":{"run":"50ms"}},{"body":{"run":"50ms"}}]}`
+	for _, entry := range callers[:2] {
+		out, code := p.call(job, "job", "submit", "-", "--entry", entry, "--tenant", "shop", "--key", "my-job", "--json")
+		if code != exitOK || !strings.Contains(out, `"state":"complete"`) {
+			p.t.Errorf("job through %s: %d %s", entry, code, out)
+		}
+	}
+	if out, code := p.call("", "job", "status", "my-job", "--entry", callers[1], "--tenant", "shop", "--json"); code != exitOK {
+		p.t.Errorf("job status: %d %s", code, out)
+	}
+}
+
+// checkStarts reads the upstreams' records: no task of the job stands twice.
+func checkStarts(t *testing.T, runners []string) {
+	t.Helper()
+	times := map[string]int{}
+	for _, runner := range runners {
+		response, err := http.Get("http://" + runner + "/standin/starts")
+		if err != nil {
+			t.Fatal(err)
+		}
+		var starts []struct {
+			Task string `json:"task"`
+		}
+		if err := json.NewDecoder(response.Body).Decode(&starts); err != nil {
+			t.Fatal(err)
+		}
+		_ = response.Body.Close()
+		for _, s := range starts {
+			times[s.Task]++
+		}
+	}
+	if times["my-job/0"] != 1 || times["my-job/1"] != 1 {
+		t.Errorf("starts: %v", times)
+	}
+}
+
+func TestExitCodes(t *testing.T) {
+	dir := t.TempDir()
+	bad := filepath.Join(dir, "bad.ini")
+	if err := os.WriteFile(bad, []byte("[entry]\nvm = a\nzone = z\nlisten = here\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	tests := []struct {
+		words []string
+		code  int
+		says  string
+	}{
+		{[]string{"version"}, exitOK, "radishgate"},
+		{[]string{"settings", "print"}, exitOK, "[entry]"},
+		{[]string{}, exitUsage, "Usage"},
+		{[]string{"nonsense"}, exitUsage, "nonsense"},
+		{[]string{"settings", "check", bad}, exitUsage, "bad.ini:4: [entry] listen"},
+		{[]string{"serve", "--settings", bad}, exitUsage, "bad.ini:4: [entry] listen"},
+		{[]string{"serve", "--settings", filepath.Join(dir, "none.ini")}, exitUsage, "none.ini"},
+		{[]string{"bundle", "check", bad}, exitUsage, "bad.ini:1: [entry]"},
+		{[]string{"demo", "--entries", "0"}, exitUsage, "--entries"},
+		{[]string{"request", "x", "--entry", "127.0.0.1:1", "--body", bad}, exitUnknown, "127.0.0.1:1"},
+	}
+	for _, test := range tests {
+		var out, problems bytes.Buffer
+		code := Main(test.words, &out, &problems)
+		if code != test.code || !strings.Contains(out.String()+problems.String(), test.says) {
+			t.Errorf("%v: code %d, %s%s", test.words, code, out.String(), problems.String())
+		}
+	}
+}
--- a/entry/fleet.go
+++ b/entry/fleet.go
@@ -140,6 +140,7 @@
 	defer cancel()
 	e.measures.Messages.WithLabelValues("beat").Inc()
 	answer, err := e.client.Gossip(ctx, target.Peer, beat)
+	e.members.Reached(target.ID, err == nil)
 	if err != nil {
 		if peer.Refused(err) {
 			e.members.Refused(target.ID)
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -88,6 +88,17 @@
 	return token.Token()
 }
 
+// sender is one message to a member.
+type sender func(ctx context.Context, to member.Record) (Result, error)
+
+func (k *Keeper) submitTo(s Submission) sender {
+	return func(ctx context.Context, to member.Record) (Result, error) { return k.options.Submit(ctx, to, s) }
+}
+
+func (k *Keeper) lookAt(l Look) sender {
+	return func(ctx context.Context, to member.Record) (Result, error) { return k.options.Look(ctx, to, l) }
+}
+
 func refuse(r *refusal.Refusal) Result { return Result{State: job.Failed, Refusal: r} }
 
 // Submit admits a job or attaches to the one that its key names.
@@ -188,9 +199,7 @@
 		return refuse(refusal.New(refusal.BadKey, refusal.NotRun, "%v", err))
 	}
 	if !k.mine(key) {
-		return k.forward(key, s.Forwarded, func(to member.Record) (Result, error) {
-			return k.options.Submit(ctx, to, s)
-		})
+		return k.forward(ctx, key, s.Forwarded, k.submitTo(s))
 	}
 	// A job that was refused whole, not run, may be submitted again.
 	for {
@@ -245,9 +254,45 @@
 	return refusal.New(refusal.BadKey, refusal.NotRun, "%v", err)
 }
 
+// watchSpan is the time between looks at a member that a forwarded call waits for.
+const watchSpan = 250 * time.Millisecond
+
+// deadSpan is how long a member that seems dead is given to answer after all.
+const deadSpan = time.Second
+
+// watched bounds a forwarded call: it ends when the member has seemed dead for
+// a while, so that a caller is not left waiting for an answer that cannot come.
+func (k *Keeper) watched(ctx context.Context, to member.Record) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(ctx)
+	go func() {
+		ticker := time.NewTicker(watchSpan)
+		defer ticker.Stop()
+		var dead time.Time
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-ticker.C:
+			}
+			now := k.options.Now()
+			_, state, known := k.options.Find(to.ID)
+			switch {
+			case known && state != member.Dead:
+				dead = time.Time{}
+			case dead.IsZero():
+				dead = now.Add(deadSpan)
+			case now.After(dead):
+				cancel()
+				return
+			}
+		}
+	}()
+	return ctx, cancel
+}
+
 // forward sends a key to its origin, at most one hop and only to a member that
 // is known with the key's incarnation.
-func (k *Keeper) forward(key origin.Key, forwarded bool, send func(member.Record) (Result, error)) Result {
+func (k *Keeper) forward(ctx context.Context, key origin.Key, forwarded bool, send sender) Result {
 	to, _, known := k.options.Find(key.VM)
 	if !known || to.Zone != key.Zone {
 		return refuse(refusal.New(refusal.OwnerDown, refusal.Unknown, "entry %s of the key is not known here", key.VM))
@@ -258,7 +303,9 @@
 	if forwarded {
 		return refuse(refusal.New(refusal.OwnerDown, refusal.Unknown, "key was forwarded to an entry that is not its origin"))
 	}
-	result, err := send(to)
+	ctx, cancel := k.watched(ctx, to)
+	defer cancel()
+	result, err := send(ctx, to)
 	if err != nil {
 		r := refusal.New(refusal.OwnerDown, refusal.Unknown, "entry %s of the key does not answer: %v", key.VM, err)
 		return refuse(r.Later(k.options.Now().Add(time.Second)))
@@ -279,14 +326,12 @@
 		if j, ok, _ := partition.Get(ctx, s.Key); ok {
 			return k.attach(ctx, j, s)
 		}
-		send := func(to member.Record) (Result, error) { return k.options.Submit(ctx, to, s) }
-		return k.follow(k.toOwner(owner, s.Forwarded, send), s.Forwarded, send)
+		return k.follow(ctx, k.toOwner(ctx, owner, s.Forwarded, k.submitTo(s)), s.Forwarded, k.submitTo(s))
 	}
 	build := func() *job.Job { return k.gate(b, s) }
 	j, made, err := k.claim(ctx, partition, s, build)
 	if err != nil {
-		send := func(to member.Record) (Result, error) { return k.options.Submit(ctx, to, s) }
-		return k.follow(k.lost(err), s.Forwarded, send)
+		return k.follow(ctx, k.lost(err), s.Forwarded, k.submitTo(s))
 	}
 	if !made && refusedWhole(j) {
 		same := func(other *job.Job) bool { return other == j }
@@ -348,7 +393,7 @@
 
 // follow asks the earlier owner that claimed a key, while it is still there. It
 // alone can tell what became of the job.
-func (k *Keeper) follow(result Result, forwarded bool, send func(member.Record) (Result, error)) Result {
+func (k *Keeper) follow(ctx context.Context, result Result, forwarded bool, send sender) Result {
 	if result.Earlier == "" || forwarded {
 		return result
 	}
@@ -357,7 +402,9 @@
 	if !known || state == member.Dead || strconv.FormatUint(to.Incarnation, 16) != incarnation || vm == k.options.Self.VM {
 		return result
 	}
-	if earlier, err := send(to); err == nil {
+	ctx, cancel := k.watched(ctx, to)
+	defer cancel()
+	if earlier, err := send(ctx, to); err == nil {
 		return earlier
 	}
 	return result
@@ -383,14 +430,16 @@
 }
 
 // toOwner sends a chosen key to the owner of its partition, at most one hop.
-func (k *Keeper) toOwner(owner string, forwarded bool, send func(member.Record) (Result, error)) Result {
+func (k *Keeper) toOwner(ctx context.Context, owner string, forwarded bool, send sender) Result {
 	back := k.options.Now().Add(500 * time.Millisecond)
 	to, _, known := k.options.Find(owner)
 	if forwarded || !known {
 		r := refusal.New(refusal.OwnerDown, refusal.NotRun, "the owner of the key's partition is not settled")
 		return refuse(r.Later(back))
 	}
-	result, err := send(to)
+	ctx, cancel := k.watched(ctx, to)
+	defer cancel()
+	result, err := send(ctx, to)
 	if err != nil {
 		r := refusal.New(refusal.OwnerDown, refusal.Unknown, "owner %s of the key's partition does not answer: %v", owner, err)
 		return refuse(r.Later(back))
@@ -408,9 +457,7 @@
 		return refuse(refusal.New(refusal.BadKey, refusal.NotRun, "%v", err))
 	}
 	if !k.mine(key) {
-		return k.forward(key, l.Forwarded, func(to member.Record) (Result, error) {
-			return k.options.Look(ctx, to, l)
-		})
+		return k.forward(ctx, key, l.Forwarded, k.lookAt(l))
 	}
 	j, ok, err := k.options.Window.Get(key.Slot, l.Key)
 	if err != nil {
@@ -429,7 +476,7 @@
 	}
 	index := partitionOf(b, l.Key)
 	owner := k.options.Owner(index)
-	send := func(to member.Record) (Result, error) { return k.options.Look(ctx, to, l) }
+	send := k.lookAt(l)
 	p := k.options.Partition(index)
 	if owner == k.options.Self.VM {
 		// Only an owner has folded all claims and can tell that there is none.
@@ -442,15 +489,15 @@
 	j, ok, err := p.Get(ctx, l.Key)
 	switch {
 	case err != nil:
-		return k.follow(k.lost(err), l.Forwarded, send)
+		return k.follow(ctx, k.lost(err), l.Forwarded, send)
 	case ok:
 		return k.look(ctx, j, l)
 	case owner != k.options.Self.VM:
-		result := k.toOwner(owner, l.Forwarded, send)
+		result := k.toOwner(ctx, owner, l.Forwarded, send)
 		if result.Refusal != nil && result.Refusal.Kind == refusal.OwnerDown {
 			result.Refusal.Outcome = refusal.Unknown
 		}
-		return k.follow(result, l.Forwarded, send)
+		return k.follow(ctx, result, l.Forwarded, send)
 	}
 	return refuse(refusal.New(refusal.KeyUnknown, refusal.Unknown, "no claim of this key is remembered"))
 }
--- a/member/table.go
+++ b/member/table.go
@@ -55,6 +55,19 @@
 	newsAt    time.Time
 	relayed   int
 	refused   int
+	unreached int // messages in a row from here that brought no answer
+}
+
+// unreachable is the number of messages without an answer after which a member
+// that still tells of itself counts as cut off from here, as by a cut of one way.
+const unreachable = 3
+
+// seems is how alive the member is for work sent from here.
+func (v *view) seems() State {
+	if v.state == Alive && v.unreached >= unreachable {
+		return Dead
+	}
+	return v.state
 }
 
 // Table is safe for concurrent use.
@@ -188,6 +201,24 @@
 	return direct
 }
 
+// Reached notes whether a message to a member brought an answer.
+func (t *Table) Reached(id string, answered bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	v, ok := t.views[id]
+	if !ok {
+		return
+	}
+	before := v.seems()
+	v.unreached++
+	if answered {
+		v.unreached = 0
+	}
+	if v.seems() != before {
+		t.changed++
+	}
+}
+
 // Refused notes that nothing listens at a member's address. Twice in a row is
 // evidence that the process is gone.
 func (t *Table) Refused(id string) {
@@ -247,7 +278,7 @@
 		live = append(live, t.self)
 	}
 	for id, v := range t.views {
-		if v.state == Alive && !v.record.Leaving && !t.leaving[id] && (zone == "" || zone == v.record.Zone) {
+		if v.seems() == Alive && !v.record.Leaving && !t.leaving[id] && (zone == "" || zone == v.record.Zone) {
 			live = append(live, v.record)
 		}
 	}
@@ -266,7 +297,7 @@
 	if !ok {
 		return Record{}, Dead, false
 	}
-	return v.record, v.state, true
+	return v.record, v.seems(), true
 }
 
 // Known lists all members with their states, for operators.
@@ -275,7 +306,7 @@
 	defer t.mu.Unlock()
 	known := map[string]State{t.self.ID: Alive}
 	for id, v := range t.views {
-		known[id] = v.state
+		known[id] = v.seems()
 	}
 	return known
 }
