--- a/dispatch/dispatcher_test.go
+++ b/dispatch/dispatcher_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -336,9 +337,10 @@
 func TestFailingZoneIsNotEjectedIntoNothing(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := newBench(t, 1, 1, 1, 1)
-		failing := true
+		var failing atomic.Bool
+		failing.Store(true)
 		b.act = func(_ context.Context, name string, _ upstream.Call, _ time.Duration) error {
-			if failing {
+			if failing.Load() {
 				return &upstream.Failure{Upstream: name, Known: upstream.Failed, Status: 500}
 			}
 			return nil
@@ -349,7 +351,7 @@
 		if aside := len(b.options.Board.Names()); aside != 1 {
 			t.Errorf("%d of 4 upstreams are aside, 30 %% allow 1", aside)
 		}
-		failing = false
+		failing.Store(false)
 		time.Sleep(40 * time.Second)
 		for range 20 {
 			<-b.submit(b.job("a", "quick", 10*time.Second, 10*time.Millisecond)).Done()
@@ -375,10 +377,10 @@
 	for _, test := range tests {
 		synctest.Test(t, func(t *testing.T) {
 			b := newBench(t, 1, 0.5)
-			first := true
+			var first atomic.Bool
+			first.Store(true)
 			b.act = func(_ context.Context, name string, _ upstream.Call, _ time.Duration) error {
-				if first {
-					first = false
+				if first.Swap(false) {
 					return &upstream.Failure{Upstream: name, Known: test.known}
 				}
 				return nil
@@ -400,10 +402,10 @@
 		for range 60 {
 			<-b.submit(b.job("a", "quick", 10*time.Second, 20*time.Millisecond)).Done()
 		}
-		stuck := true
+		var stuck atomic.Bool
+		stuck.Store(true)
 		b.act = func(ctx context.Context, name string, _ upstream.Call, _ time.Duration) error {
-			if stuck {
-				stuck = false
+			if stuck.Swap(false) {
 				<-ctx.Done()
 				return &upstream.Failure{Upstream: name, Known: upstream.Unknown, Cause: ctx.Err()}
 			}
--- a/peer/server.go
+++ b/peer/server.go
@@ -125,7 +125,7 @@
 func Pack(r member.Record) *wire.Member {
 	return &wire.Member{
 		Id: r.ID, Zone: r.Zone, Peer: r.Peer, Incarnation: r.Incarnation, Beat: r.Beat,
-		Leaving: r.Leaving, Ready: r.Ready, Weight: uint32(r.Weight * 1000),
+		Leaving: r.Leaving, Dead: r.Dead, Ready: r.Ready, Weight: uint32(r.Weight * 1000),
 		Free: uint32(max(0, r.Free)), Backlog: uint32(max(0, r.Backlog)), Version: r.Version,
 	}
 }
@@ -134,7 +134,7 @@
 func Unpack(m *wire.Member) member.Record {
 	return member.Record{
 		ID: m.Id, Zone: m.Zone, Peer: m.Peer, Incarnation: m.Incarnation, Beat: m.Beat,
-		Leaving: m.Leaving, Ready: m.Ready, Weight: float64(m.Weight) / 1000,
+		Leaving: m.Leaving, Dead: m.Dead, Ready: m.Ready, Weight: float64(m.Weight) / 1000,
 		Free: int(m.Free), Backlog: int(m.Backlog), Version: m.Version,
 	}
 }
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -139,12 +139,13 @@
 		b.fill(now)
 		floor := b.limit * floorShare
 		own := math.Max(b.demand, floor)
-		mates := 0.0
+		mates, zone := 0.0, b.demand
 		for _, demands := range v.Members {
 			mates += math.Max(demands[tenant], floor)
+			zone += demands[tenant]
 		}
 		if v.Whole {
-			b.zone = b.limit * zoneShare(v, tenant, own+mates, floor)
+			b.zone = b.limit * zoneShare(v, tenant, math.Max(zone, floor), floor)
 		}
 		b.rate = b.zone * own / (own + mates)
 	}
