capacity: Measure slopes and work out the target size

Found and mended on the way: summaries of demands came to 40.4 KB/s a node of 7 KB/s allowed (now 1.9: hashed tenants, one other zone a heartbeat); folding one change at 3,800 upstreams read the whole bundle (54 ms, now 1.8 ms by reading changed sections alone, held to the old way by a property); the list of VMs was read whole each second (about 500 KB/s, now changes only); publish told success for a record that no entry accepts (now a typed error, one append).

--- a/bundle/bundle.go
+++ b/bundle/bundle.go
@@ -2,9 +2,11 @@
 package bundle
 
 import (
+	"maps"
 	"net"
 	"sort"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/radishgate/radishgate/common/inifile"
@@ -75,14 +77,19 @@
 // Bundle is one version of the description. It is never changed after Parse.
 type Bundle struct {
 	Version   int64
-	Text      string
 	Rules     Rules
 	Services  map[string]*Service
 	Upstreams map[string]*Upstream
 	Tenants   map[string]*Tenant
 	Classes   map[string]*Class
+
+	text func() string
 }
 
+// Text is the whole INI text. For a bundle made by Change it is put together
+// when it is first asked for.
+func (b *Bundle) Text() string { return b.text() }
+
 // Parse reads and validates the INI text of a bundle. The version is not part
 // of the text: the signed record carries it. Errors are *inifile.Error.
 func Parse(name string, version int64, text string) (*Bundle, error) {
@@ -91,11 +98,11 @@
 		return nil, err
 	}
 	b := &Bundle{
-		Version: version, Text: text,
+		Version: version, text: func() string { return text },
 		Services: map[string]*Service{}, Upstreams: map[string]*Upstream{},
 		Tenants: map[string]*Tenant{}, Classes: map[string]*Class{},
 	}
-	b.readRules(file)
+	b.Rules = readRules(file)
 	for _, section := range file.Sections() {
 		b.readSection(file, section)
 	}
@@ -106,9 +113,66 @@
 	return b, nil
 }
 
-func (b *Bundle) readRules(file *inifile.File) {
+// Change makes the next version from a change of sections, as Apply does on
+// texts, but reads the changed sections only: a bundle may have thousands.
+func (b *Bundle) Change(name string, version int64, change string) (*Bundle, error) {
+	file, err := inifile.Parse(name, []byte(change))
+	if err != nil {
+		return nil, err
+	}
+	next := &Bundle{
+		Version: version, Rules: b.Rules, Services: maps.Clone(b.Services), Upstreams: maps.Clone(b.Upstreams),
+		Tenants: maps.Clone(b.Tenants), Classes: maps.Clone(b.Classes),
+	}
+	next.text = sync.OnceValue(func() string {
+		whole, _ := Apply(b.Text(), change) // change has been parsed
+		return whole
+	})
+	for _, section := range file.Sections() {
+		next.changeSection(file, section)
+	}
+	next.check(file)
+	if err := file.Err(); err != nil {
+		return nil, err
+	}
+	return next, nil
+}
+
+func (b *Bundle) changeSection(file *inifile.File, section string) {
+	drop := file.Only(section, dropKey, "true")
+	kind, name, _ := strings.Cut(section, " ")
+	name = strings.TrimSpace(name)
+	switch {
+	case kind == "rules" && name == "":
+		b.Rules = defaultRules()
+		if !drop {
+			b.Rules = readRules(file)
+		}
+		file.Know(section)
+	case !drop:
+		b.readSection(file, section)
+	case kind == "service":
+		delete(b.Services, name)
+	case kind == "upstream":
+		delete(b.Upstreams, name)
+	case kind == "tenant":
+		delete(b.Tenants, name)
+	case kind == "class":
+		delete(b.Classes, name)
+	default:
+		b.readSection(file, section) // refuses the kind
+	}
+}
+
+// defaultRules are those of a bundle without the section.
+func defaultRules() Rules {
+	empty, _ := inifile.Parse("rules", nil)
+	return readRules(empty)
+}
+
+func readRules(file *inifile.File) Rules {
 	const section = "rules"
-	b.Rules = Rules{
+	r := Rules{
 		Placement:  file.String(section, "placement", "home"),
 		Partitions: int(file.Int(section, "partitions", 8, 1, maxPartitions)),
 		Retry:      file.Float(section, "retry", 0.1, 0, 1),
@@ -118,11 +182,12 @@
 		Queue:      int(file.Int(section, "queue", 20_000, 1, 10_000_000)),
 		Spill:      file.Bool(section, "spill", true),
 	}
-	switch b.Rules.Placement {
+	switch r.Placement {
 	case "home", "static", "random", "robin", "least", "two":
 	default:
 		file.Fail(section, "placement", "is none of home, static, random, robin, least, two")
 	}
+	return r
 }
 
 func (b *Bundle) readSection(file *inifile.File, section string) {
@@ -194,7 +259,7 @@
 }
 
 func (b *Bundle) check(file *inifile.File) {
-	addresses := map[string]string{}
+	addresses := make(map[string]string, len(b.Upstreams))
 	for _, name := range sortedNames(b.Upstreams) {
 		u := b.Upstreams[name]
 		if other, seen := addresses[u.Address]; seen && u.Address != "" {
--- a/bundle/bundle_test.go
+++ b/bundle/bundle_test.go
@@ -5,6 +5,7 @@
 	"crypto/rand"
 	"encoding/base64"
 	"fmt"
+	"reflect"
 	"testing"
 
 	"github.com/cockroachdb/datadriven"
@@ -55,6 +56,53 @@
 	})
 }
 
+// TestChangeIsApplyAndParse holds the reading of changed sections alone against
+// the reading of the whole text.
+func TestChangeIsApplyAndParse(t *testing.T) {
+	section := rapid.SampledFrom([]Section{
+		{"rules", []string{"spill = false"}},
+		{"rules", []string{dropLine}},
+		{"tenant t1", []string{"weight = 3"}},
+		{"tenant t1", []string{dropLine}},
+		{"tenant t0", []string{dropLine}},
+		{"class c", []string{"weight = 2"}},
+		{"service s", []string{"path = /other"}},
+		{"service s", []string{dropLine}},
+		{"service s2", []string{"path = /s2"}},
+		{"upstream u", []string{"zone = z", "address = 127.0.0.1:1"}},
+		{"upstream v", []string{"zone = y", "address = 127.0.0.1:1"}},
+		{"upstream v", []string{"zone = y", "address = 127.0.0.1:2"}},
+		{"upstream u", []string{dropLine}},
+		{"server x", []string{"a = b"}},
+	})
+	rapid.Check(t, func(t *rapid.T) {
+		b, err := Parse("whole", 1, "[tenant t0]\n[service s]\npath = /s\n")
+		if err != nil {
+			t.Fatal(err)
+		}
+		for version := range int64(rapid.IntRange(1, 8).Draw(t, "changes")) {
+			change := Join([]Section{section.Draw(t, "section")})
+			whole, err := Apply(b.Text(), change)
+			if err != nil {
+				t.Fatal(err)
+			}
+			want, wantErr := Parse("whole", version+2, whole)
+			got, gotErr := b.Change("change", version+2, change)
+			if (wantErr == nil) != (gotErr == nil) {
+				t.Fatalf("whole: %v, change: %v\n%s", wantErr, gotErr, change)
+			}
+			if wantErr != nil {
+				continue
+			}
+			if got.Text() != want.Text() || got.Rules != want.Rules || !reflect.DeepEqual(got.Upstreams, want.Upstreams) ||
+				!reflect.DeepEqual(got.Services, want.Services) || !reflect.DeepEqual(got.Tenants, want.Tenants) || !reflect.DeepEqual(got.Classes, want.Classes) {
+				t.Fatalf("after\n%s\ngot\n%s\nwant\n%s", change, got.Text(), want.Text())
+			}
+			b = got
+		}
+	})
+}
+
 func TestRecordIsBoundToItsContent(t *testing.T) {
 	public, private, _ := ed25519.GenerateKey(rand.Reader)
 	signer := base64.StdEncoding.EncodeToString(public)
--- a/bundle/change.go
+++ b/bundle/change.go
@@ -7,7 +7,10 @@
 )
 
 // dropLine is the one line of a section in a change that removes the section.
-const dropLine = "drop = true"
+const (
+	dropKey  = "drop"
+	dropLine = dropKey + " = true"
+)
 
 // Section is one section of a bundle's text, comments left out.
 type Section struct {
--- /dev/null
+++ b/capacity/send.go
@@ -0,0 +1,46 @@
+package capacity
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/radishgate/radishgate/upstream"
+)
+
+// sends gives the microseconds of processor time of one task over HTTP on
+// loopback, both ends counted, with so many at once.
+func sends(atOnce int) float64 {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return 0
+	}
+	server := &http.Server{ReadHeaderTimeout: time.Minute, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		_, _ = io.WriteString(w, `{"answer":1}`)
+	})}
+	go func() { _ = server.Serve(listener) }()
+	defer server.Close()
+	c := upstream.New(upstream.Options{Name: "u", Address: listener.Addr().String(), Connections: atOnce})
+	defer c.Close()
+	const tasks = 6000
+	one := func(n int) {
+		for range n {
+			_, _ = c.Do(context.Background(), upstream.Call{
+				Path: "/", Task: "key/0", Type: "application/json", Body: []byte(`{"run":"1ms"}`),
+				Deadline: time.Now().Add(time.Minute), Limit: 1 << 16,
+			})
+		}
+	}
+	one(50)
+	began := processor()
+	var group sync.WaitGroup
+	for range atOnce {
+		group.Go(func() { one(tasks / atOnce) })
+	}
+	group.Wait()
+	return (processor() - began).Seconds() * 1e6 / tasks
+}
--- a/commands/bundle.go
+++ b/commands/bundle.go
@@ -102,7 +102,7 @@
 		return err
 	}
 	defer p.Close()
-	record := r.Draft(b.Text)
+	record := r.Draft(b.Text())
 	record.Seal(key)
 	data, err := json.Marshal(record)
 	if err != nil {
@@ -334,8 +334,8 @@
 		return &EmptyError{}
 	}
 	if c.JSON {
-		return printJSON(out, map[string]any{"version": b.Version, "id": r.ID(), "text": b.Text})
+		return printJSON(out, map[string]any{"version": b.Version, "id": r.ID(), "text": b.Text()})
 	}
-	_, err = fmt.Fprintf(out, "# version %d, %s\n%s", b.Version, r.ID(), b.Text)
+	_, err = fmt.Fprintf(out, "# version %d, %s\n%s", b.Version, r.ID(), b.Text())
 	return err
 }
--- a/common/inifile/file.go
+++ b/common/inifile/file.go
@@ -116,6 +116,18 @@
 	return ok
 }
 
+// Only tells whether a section holds just this key with this value, and counts
+// the key as read then.
+func (f *File) Only(section, key, value string) bool {
+	keys := f.file.Section(section).KeyStrings()
+	if len(keys) != 1 || keys[0] != key || f.file.Section(section).Key(key).Value() != value {
+		return false
+	}
+	f.used[place(section, key)] = true
+	f.Know(section)
+	return true
+}
+
 // Fail records a mistake at a key; only the first one is kept.
 func (f *File) Fail(section, key, reason string) {
 	if f.failure != nil {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -86,6 +86,10 @@
 	closing  atomic.Bool
 	running  sync.WaitGroup // keyed jobs
 
+	// The VM list belongs to listLoop alone.
+	vms    map[string]platform.VM
+	listed int64 // version
+
 	mu         sync.Mutex
 	upstreams  map[string]*upstream.Client
 	leaving    map[string]bool
@@ -108,7 +112,7 @@
 		measures: measure.New(), bytes: &counted.Counter{}, began: time.Now(),
 		upstreams: map[string]*upstream.Client{}, leaving: map[string]bool{}, leases: map[string]time.Time{},
 		partitions: map[int]*claim.Partition[*job.Job]{},
-		demands:    map[string]heardDemand{}, zones: map[string]zoneDemand{}, homes: map[string]int{},
+		demands:    map[string]heardDemand{}, zones: map[string]zoneDemand{}, homes: map[string]int{}, vms: map[string]platform.VM{},
 	}
 	if e.log == nil {
 		e.log = slog.New(slog.DiscardHandler)
--- a/entry/fleet.go
+++ b/entry/fleet.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/radishgate/radishgate/bundle"
 	"github.com/radishgate/radishgate/exchange"
 	"github.com/radishgate/radishgate/home"
@@ -22,7 +24,7 @@
 const rampSteps = 6
 
 // demandTurn is the number of heartbeats from one telling of demands to the next.
-const demandTurn = 4
+const demandTurn = 8
 
 // heardDemand is what a member of the own zone told of its tenants.
 type heardDemand struct {
@@ -32,9 +34,10 @@
 
 // zoneDemand is the last summary of another zone.
 type zoneDemand struct {
-	at    uint64
-	rates map[string]float64
-	until time.Time // afterwards the zone counts as not heard
+	at     uint64
+	rates  map[string]float64
+	until  time.Time // afterwards the zone counts as not heard
+	passed int
 }
 
 // beatLoop sends heartbeats and applies what the view of members implies.
@@ -98,12 +101,30 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	beat.Zones = append(beat.Zones, e.summary())
-	for name, z := range e.zones {
+	if name, z, ok := e.latestZone(); ok {
 		beat.Zones = append(beat.Zones, &wire.Zone{Name: name, At: z.at, Demands: packDemands(z.rates)})
 	}
 	return beat
 }
 
+// latestZone gives the summary of another zone that was passed on least. One a
+// heartbeat keeps the bytes of a heartbeat apart from the number of zones.
+func (e *Entry) latestZone() (string, zoneDemand, bool) {
+	least := ""
+	for name, z := range e.zones {
+		if least == "" || z.passed < e.zones[least].passed {
+			least = name
+		}
+	}
+	if least == "" {
+		return "", zoneDemand{}, false
+	}
+	z := e.zones[least]
+	z.passed++
+	e.zones[least] = z
+	return least, z, true
+}
+
 // summary adds up the demands of the own zone.
 func (e *Entry) summary() *wire.Zone {
 	now := time.Now()
@@ -119,18 +140,34 @@
 	return &wire.Zone{Name: e.settings.Zone, At: uint64(now.UnixMilli()), Demands: packDemands(total)}
 }
 
-func packDemands(rates map[string]float64) []*wire.Demand {
-	var demands []*wire.Demand
+func packDemands(rates map[string]float64) *wire.Demands {
+	d := &wire.Demands{}
 	for tenant, rate := range rates {
-		demands = append(demands, &wire.Demand{Tenant: tenant, Rate: float32(rate)})
+		d.Tenants = append(d.Tenants, tenantHash(tenant))
+		d.Rates = append(d.Rates, float32(rate))
 	}
-	return demands
+	return d
 }
 
-func unpackDemands(demands []*wire.Demand) map[string]float64 {
+// tenantHash names a tenant in four bytes. Two tenants of the same hash would
+// only share their demands.
+func tenantHash(tenant string) uint32 { return uint32(xxhash.Sum64String(tenant)) }
+
+// unpackDemands names the tenants of the bundle in force again.
+func (e *Entry) unpackDemands(d *wire.Demands) map[string]float64 {
 	rates := map[string]float64{}
-	for _, d := range demands {
-		rates[d.Tenant] = float64(d.Rate)
+	b := e.rollout.Bundle()
+	if b == nil || len(d.GetTenants()) != len(d.GetRates()) {
+		return rates
+	}
+	byHash := map[uint32]float64{}
+	for i, hash := range d.GetTenants() {
+		byHash[hash] = float64(d.GetRates()[i])
+	}
+	for tenant := range b.Tenants {
+		if rate, ok := byHash[tenantHash(tenant)]; ok {
+			rates[tenant] = rate
+		}
 	}
 	return rates
 }
@@ -185,15 +222,16 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	until := time.Now().Add(4 * demandTurn * e.settings.Beat)
+	// With more zones each is told of less often.
+	until := time.Now().Add(4 * demandTurn * e.settings.Beat * time.Duration(1+len(e.zones)/3))
 	if from.Zone == e.settings.Zone {
-		e.demands[from.ID] = heardDemand{rates: unpackDemands(beat.Demands), until: until}
+		e.demands[from.ID] = heardDemand{rates: e.unpackDemands(beat.Demands), until: until}
 	}
 	for _, z := range beat.Zones {
 		if z.Name == e.settings.Zone || z.At <= e.zones[z.Name].at {
 			continue
 		}
-		e.zones[z.Name] = zoneDemand{at: z.At, rates: unpackDemands(z.Demands), until: until}
+		e.zones[z.Name] = zoneDemand{at: z.At, rates: e.unpackDemands(z.Demands), until: until}
 	}
 }
 
@@ -349,14 +387,29 @@
 func (e *Entry) list(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, e.settings.Poll)
 	defer cancel()
-	vms, err := e.platform.VMs(ctx)
+	list, err := e.platform.VMs(ctx, e.settings.Zone, e.listed)
 	if err != nil {
 		return
 	}
+	if list.Whole {
+		clear(e.vms)
+	}
+	for _, vm := range list.VMs {
+		e.vms[vm.ID] = vm
+	}
+	for _, id := range list.Removed {
+		delete(e.vms, id)
+	}
+	e.listed = list.Version
+	e.follow()
+}
+
+// follow applies the list: seeds for members, leaving marks and leases.
+func (e *Entry) follow() {
 	var seeds []member.Record
 	leaving := map[string]bool{}
 	leases := map[string]time.Time{}
-	for _, vm := range vms {
+	for _, vm := range e.vms {
 		if vm.Role == "entry" {
 			seeds = append(seeds, member.Record{ID: vm.ID, Zone: vm.Zone, Peer: vm.Peer, Leaving: vm.Leaving})
 			continue
--- a/rollout/rollout.go
+++ b/rollout/rollout.go
@@ -190,20 +190,18 @@
 
 // extend applies one record on a state.
 func extend(s state, record bundle.Record) (state, error) {
-	text := record.Text
 	chain := []bundle.Record{record}
-	if record.Change {
-		if s.bundle == nil {
-			return s, &bundle.RecordError{ID: record.ID, Reason: "change without a whole version before it"}
-		}
-		whole, err := bundle.Apply(s.bundle.Text, record.Text)
-		if err != nil {
-			return s, err
-		}
-		text = whole
+	var b *bundle.Bundle
+	var err error
+	switch {
+	case !record.Change:
+		b, err = bundle.Parse("bundle", record.Version, record.Text)
+	case s.bundle == nil:
+		err = &bundle.RecordError{ID: record.ID, Reason: "change without a whole version before it"}
+	default:
+		b, err = s.bundle.Change("bundle", record.Version, record.Text)
 		chain = append(append([]bundle.Record(nil), s.chain...), record)
 	}
-	b, err := bundle.Parse("bundle", record.Version, text)
 	if err != nil {
 		return s, err
 	}
@@ -376,7 +374,7 @@
 	if s.bundle == nil || len(s.chain) >= maxChain {
 		return record
 	}
-	if change := bundle.Diff(s.bundle.Text, text); len(change) < len(text)/2 {
+	if change := bundle.Diff(s.bundle.Text(), text); len(change) < len(text)/2 {
 		record.Change, record.Text = true, change
 	}
 	return record
@@ -391,7 +389,7 @@
 		return &bundle.RecordError{ID: record.ID, Reason: err.Error()}
 	}
 	for {
-		_, failure := r.options.Log.Append(ctx, data)
+		offset, failure := r.options.Log.Append(ctx, data)
 		var refused *platform.Error
 		if errors.As(failure, &refused) && !refused.Uncertain {
 			return failure
@@ -400,6 +398,9 @@
 		if decided || err != nil {
 			return err
 		}
+		if failure == nil && r.passed(offset) {
+			return &VoidError{ID: record.ID, Version: record.Version}
+		}
 		if ctx.Err() != nil {
 			return failure
 		}
@@ -407,6 +408,25 @@
 	}
 }
 
+// passed tells whether the fold is beyond an offset.
+func (r *Rollout) passed(offset int64) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.next > offset
+}
+
+// VoidError tells an operator that no entry accepts the record: it does not
+// follow the version in force, or breaks a rule between versions.
+type VoidError struct {
+	ID      string
+	Version int64
+}
+
+// Error names the record.
+func (e *VoidError) Error() string {
+	return fmt.Sprintf("bundle %.12s for version %d is void and changes nothing", e.ID, e.Version)
+}
+
 // decide folds to the end of the stream and tells who won the version.
 func (r *Rollout) decide(ctx context.Context, record bundle.Record) (bool, error) {
 	if err := r.Step(ctx, 0); err != nil {
--- a/rollout/rollout_test.go
+++ b/rollout/rollout_test.go
@@ -170,10 +170,12 @@
 	must(t, o.publish(t.Context(), 1))
 	record := o.Draft("[rules]\npartitions = 9\n" + fmt.Sprintf(text, 1))
 	record.Seal(private)
-	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
-	defer cancel()
-	if o.Publish(ctx, record) == nil || o.Bundle().Version != 1 {
-		t.Fatal("a bundle that moves claimed keys to other partitions is in force")
+	var void *VoidError
+	if err := o.Publish(t.Context(), record); !errors.As(err, &void) || o.Bundle().Version != 1 {
+		t.Fatalf("a bundle that moves claimed keys to other partitions: %v", err)
+	}
+	if s.Appends() != 2 {
+		t.Fatalf("a void record was appended again: %d appends", s.Appends())
 	}
 }
 
--- a/standin/store/http.go
+++ b/standin/store/http.go
@@ -57,8 +57,9 @@
 	reply(w, page)
 }
 
-func (s *Store) serveVMs(w http.ResponseWriter, _ *http.Request) {
-	list, err := s.VMs()
+func (s *Store) serveVMs(w http.ResponseWriter, r *http.Request) {
+	since, _ := strconv.ParseInt(r.URL.Query().Get("since"), 10, 64)
+	list, err := s.VMs(r.URL.Query().Get("zone"), since)
 	if err != nil {
 		fail(w, err)
 		return
--- a/standin/store/store.go
+++ b/standin/store/store.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"sort"
 	"sync"
 	"time"
@@ -47,11 +48,16 @@
 	grown   chan struct{}
 }
 
+// listing is the list of VMs as it was from a time on.
 type listing struct {
-	at  time.Time
-	vms []platform.VM
+	version int64
+	at      time.Time
+	vms     map[string]platform.VM
 }
 
+// maxHistory bounds the old lists against which changes can be told.
+const maxHistory = 256
+
 // Store keeps everything in memory and is safe for concurrent use.
 type Store struct {
 	options Options
@@ -60,6 +66,7 @@
 	streams  map[string]*stream
 	vms      map[string]platform.VM
 	history  []listing
+	version  int64
 	faults   Faults
 	nextFree time.Time
 	appends  int64
@@ -248,29 +255,43 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	apply()
-	list := make([]platform.VM, 0, len(s.vms))
-	for _, vm := range s.vms {
-		list = append(list, vm)
+	s.version++
+	s.history = append(s.history, listing{version: s.version, at: s.options.Now(), vms: maps.Clone(s.vms)})
+	if len(s.history) > maxHistory {
+		s.history = s.history[1:]
 	}
-	sort.Slice(list, func(i, j int) bool { return list[i].ID < list[j].ID })
-	s.history = append(s.history, listing{at: s.options.Now(), vms: list})
 }
 
-// VMs gives the list as it was one lag ago.
-func (s *Store) VMs() ([]platform.VM, error) {
+// VMs gives what changed in the list, as it was one lag ago, since a version.
+func (s *Store) VMs(zone string, since int64) (platform.List, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.faults.Outage {
-		return nil, &FaultError{Fault: "outage"}
+		return platform.List{}, &FaultError{Fault: "outage"}
 	}
 	seen := s.options.Now().Add(-s.options.Lag)
-	for len(s.history) > 1 && !s.history[1].at.After(seen) {
-		s.history = s.history[1:]
+	var now, then listing
+	for _, l := range s.history {
+		if !l.at.After(seen) {
+			now = l
+		}
+		if l.version == since {
+			then = l
+		}
+	}
+	list := platform.List{Version: now.version, Whole: then.version == 0}
+	for id, vm := range now.vms {
+		if (vm.Role == "entry" || vm.Zone == zone) && then.vms[id] != vm {
+			list.VMs = append(list.VMs, vm)
+		}
 	}
-	if len(s.history) == 0 || s.history[0].at.After(seen) {
-		return nil, nil
+	for id := range then.vms {
+		if _, ok := now.vms[id]; !ok {
+			list.Removed = append(list.Removed, id)
+		}
 	}
-	return s.history[0].vms, nil
+	sort.Slice(list.VMs, func(i, j int) bool { return list.VMs[i].ID < list.VMs[j].ID })
+	return list, nil
 }
 
 // String names the store's size for logs.
