--- a/capacity/fit_test.go
+++ b/capacity/fit_test.go
@@ -33,7 +33,7 @@
 
 func TestUpdateKeepsTheRestOfThePage(t *testing.T) {
 	name := filepath.Join(t.TempDir(), "page.md")
-	if err := os.WriteFile(name, []byte("head\n"+Begin+"\nold\n"+End+"\ntail\n"), 0o600); err != nil {
+	if err := os.WriteFile(name, []byte("head\n"+Begin+"\nSTALE\n"+End+"\ntail\n"), 0o600); err != nil {
 		t.Fatal(err)
 	}
 	if err := Update(name, Result{}); err != nil {
@@ -41,7 +41,7 @@
 	}
 	data, _ := os.ReadFile(name)
 	text := string(data)
-	if !strings.HasPrefix(text, "head\n") || !strings.HasSuffix(text, "\ntail\n") || strings.Contains(text, "old") {
+	if !strings.HasPrefix(text, "head\n") || !strings.HasSuffix(text, "\ntail\n") || strings.Contains(text, "STALE") {
 		t.Fatal(text)
 	}
 	var missing *PageError
