estimate: Teach entries that start, and doubt untried upstreams

Change: a request takes an untried upstream for three times slower; tasks of jobs find out its speed. An entry that starts takes run times and speeds from a member of its zone in one message. Conclusion: what is left is learning at the very start of the fleet.

--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -65,6 +65,7 @@
 	held  int
 	kept  int // of the free ones, for requests
 	speed float64
+	known bool // some task has ended on it
 	ends  []time.Time
 }
 
--- a/dispatch/match.go
+++ b/dispatch/match.go
@@ -19,6 +19,9 @@
 	content = 1.25
 	// contentWait is a wait that is worth no message.
 	contentWait = 2 * time.Millisecond
+	// doubt is how much slower an upstream that nobody has tried is taken to be
+	// for a request; tasks of jobs find out its speed.
+	doubt = 3
 	// overdue is the share of its estimate after which a late task is expected to end.
 	overdue = 0.25
 	// leaseShare is how many times its estimate a task may need within a lease.
@@ -118,6 +121,7 @@
 		allowed := t.limit.Allow(t.held) - len(t.running)
 		t.free = max(0, min(d.options.Ledger.Free(t.name), allowed))
 		t.speed = max(d.options.Estimator.Speed(t.name), 0.01)
+		t.known = t.known || d.options.Estimator.Known(t.name)
 		held += t.held
 	}
 	return held
@@ -259,6 +263,9 @@
 			continue
 		}
 		need := time.Duration(float64(t.estimate) / g.speed)
+		if !g.known && t.job.Request {
+			need *= doubt
+		}
 		if !d.leased(g, now, need) || d.tooSlow(t, need, hold) {
 			continue
 		}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -82,6 +82,7 @@
 	bytes      *counted.Counter
 
 	settled  atomic.Bool
+	taught   atomic.Bool
 	draining atomic.Bool
 	closing  atomic.Bool
 	running  sync.WaitGroup // keyed jobs
--- a/entry/fleet.go
+++ b/entry/fleet.go
@@ -211,6 +211,9 @@
 		go e.replace()
 	}
 	e.hearDemands(records[0], beat)
+	if records[0].Zone == e.settings.Zone && records[0].Ready && e.taught.CompareAndSwap(false, true) {
+		go e.learn(ctx, records[0])
+	}
 	if records[0].Version > e.version() {
 		go e.fetch(ctx, records[0])
 	}
@@ -235,6 +238,20 @@
 	}
 }
 
+// learn takes run times and speeds from a member of the own zone that serves
+// already, so that a replaced VM does not learn them at its callers' cost.
+func (e *Entry) learn(ctx context.Context, from member.Record) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), time.Second)
+	defer cancel()
+	e.measures.Messages.WithLabelValues("fetch").Inc()
+	lesson, err := e.client.Lesson(ctx, from.Peer)
+	if err != nil {
+		e.taught.Store(false)
+		return
+	}
+	e.estimator.Learn(lesson)
+}
+
 // fetch takes a newer bundle from a peer, which is the way when the platform
 // cannot be reached.
 func (e *Entry) fetch(ctx context.Context, from member.Record) {
--- a/entry/run.go
+++ b/entry/run.go
@@ -92,7 +92,7 @@
 
 func (e *Entry) servePeers() *http.Server {
 	handler := wire.NewPeerServer(&peer.Server{
-		OnBeat: e.heard, OnBorrow: e.lend, OnSubmit: e.keeper.Submit, OnLook: e.keeper.Look, Chain: e.chain,
+		OnBeat: e.heard, OnBorrow: e.lend, OnSubmit: e.keeper.Submit, OnLook: e.keeper.Look, Chain: e.chain, Lesson: e.estimator.Lesson,
 	})
 	return &http.Server{Handler: handler, ReadHeaderTimeout: headerSpan, TLSConfig: e.keys}
 }
--- a/estimate/estimate.go
+++ b/estimate/estimate.go
@@ -163,6 +163,55 @@
 	return math.Exp(u.value - e.fastest)
 }
 
+// Known tells whether a task has ended on the upstream.
+func (e *Estimator) Known(upstream string) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	_, ok := e.speeds[upstream]
+	return ok
+}
+
+// Lesson is what an estimator has learned, for one that has just started.
+type Lesson struct {
+	Services map[string]float64 // logarithm of the mean run time in seconds at speed 1
+	Speeds   map[string]float64 // logarithm of the speed
+}
+
+// Lesson gives what has been learned.
+func (e *Estimator) Lesson() Lesson {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	lesson := Lesson{Services: map[string]float64{}, Speeds: map[string]float64{}}
+	for name, s := range e.services {
+		lesson.Services[name] = s.mean
+	}
+	for name, u := range e.speeds {
+		lesson.Speeds[name] = u.value
+	}
+	return lesson
+}
+
+// lessonWeight is the number of observations that a lesson counts for.
+const lessonWeight = 8
+
+// Learn takes a lesson for what is not known yet.
+func (e *Estimator) Learn(lesson Lesson) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for name, mean := range lesson.Services {
+		if _, ok := e.services[name]; !ok {
+			s := e.service(name, time.Second)
+			s.mean, s.seen = mean, lessonWeight
+		}
+	}
+	for name, value := range lesson.Speeds {
+		if _, ok := e.speeds[name]; !ok {
+			e.speeds[name] = &speed{seen: lessonWeight, value: value}
+		}
+	}
+	e.settle()
+}
+
 // Forget drops an upstream that is gone.
 func (e *Estimator) Forget(upstream string) {
 	e.mu.Lock()
--- a/peer/client.go
+++ b/peer/client.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math"
 	"net"
 	"net/http"
 	"os"
@@ -16,6 +17,7 @@
 
 	"github.com/radishgate/radishgate/bundle"
 	"github.com/radishgate/radishgate/common/counted"
+	"github.com/radishgate/radishgate/estimate"
 	"github.com/radishgate/radishgate/keeper"
 	"github.com/radishgate/radishgate/loan"
 	"github.com/radishgate/radishgate/peer/wire"
@@ -222,6 +224,15 @@
 	return unpack(reply), nil
 }
 
+// Lesson asks a peer for what its estimator has learned.
+func (c *Client) Lesson(ctx context.Context, address string) (estimate.Lesson, error) {
+	reply, err := c.peer(address).Fetch(ctx, &wire.FetchRequest{Version: math.MaxInt64, Lesson: true})
+	if err != nil {
+		return estimate.Lesson{}, err
+	}
+	return estimate.Lesson{Services: reply.Services, Speeds: reply.Speeds}, nil
+}
+
 // Fetch asks a peer for a bundle above a version.
 func (c *Client) Fetch(ctx context.Context, address string, version int64) ([]bundle.Record, error) {
 	reply, err := c.peer(address).Fetch(ctx, &wire.FetchRequest{Version: version})
--- a/peer/server.go
+++ b/peer/server.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/radishgate/radishgate/bundle"
+	"github.com/radishgate/radishgate/estimate"
 	"github.com/radishgate/radishgate/job"
 	"github.com/radishgate/radishgate/keeper"
 	"github.com/radishgate/radishgate/loan"
@@ -22,6 +23,7 @@
 	OnSubmit func(ctx context.Context, s keeper.Submission) keeper.Result
 	OnLook   func(ctx context.Context, l keeper.Look) keeper.Result
 	Chain    func(above int64) []bundle.Record
+	Lesson   func() estimate.Lesson
 }
 
 // Gossip takes a heartbeat.
@@ -77,14 +79,21 @@
 	return pack(s.OnLook(ctx, l)), nil
 }
 
-// Fetch gives the bundle in force to a peer that has an older one.
+// Fetch gives the bundle in force to a peer that has an older one, and a lesson
+// to one that has just started.
 func (s *Server) Fetch(_ context.Context, r *wire.FetchRequest) (*wire.FetchReply, error) {
+	reply := &wire.FetchReply{}
+	if r.Lesson {
+		lesson := s.Lesson()
+		reply.Services, reply.Speeds = lesson.Services, lesson.Speeds
+	}
 	chain := s.Chain(r.Version)
 	if len(chain) == 0 {
-		return &wire.FetchReply{}, nil
+		return reply, nil
 	}
 	data, err := json.Marshal(chain)
-	return &wire.FetchReply{Chain: data}, err
+	reply.Chain = data
+	return reply, err
 }
 
 func pack(r keeper.Result) *wire.JobReply {
