exchange: Ask other zones only when the backlog is worth the trip

Cause: work was spilled to other zones to beat an ideal that counts the own zone only, and small jobs borrowed for tasks that did not decide their end. Change: other zones are asked when the slots here need more than 0.5 s for the backlog; a waiting task asks for slots only if it would end after 1.25 of its job's ideal.

--- a/dispatch/admit.go
+++ b/dispatch/admit.go
@@ -34,9 +34,10 @@
 	if j.Request {
 		d.arrive(d.options.Now())
 	}
-	due := d.due(j, total, longest)
+	ideal := max(longest, time.Duration(float64(total)/max(1, d.speed())))
+	due := dueOf(j, ideal)
 	for _, t := range tasks {
-		t.due = due
+		t.due, t.ideal = due, ideal
 	}
 	d.earn(j.Tenant, len(tasks))
 	d.unstage()
@@ -69,10 +70,9 @@
 // before jobs that came later.
 const stretch = 3
 
-// due is the time by which jobs are ordered: small ones pass large ones, but a
-// job that has waited goes before all that came after its due time.
-func (d *Dispatcher) due(j *job.Job, total, longest time.Duration) time.Time {
-	ideal := max(longest, time.Duration(float64(total)/max(1, d.speed())))
+// dueOf is the time by which jobs are ordered: small ones pass large ones, but
+// a job that has waited goes before all that came after its due time.
+func dueOf(j *job.Job, ideal time.Duration) time.Time {
 	due := j.Arrived.Add(stretch * ideal)
 	if due.After(j.Deadline) {
 		return j.Deadline
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -76,6 +76,7 @@
 	estimate time.Duration // on the fastest upstream
 	item     queue.Item[*task]
 	due      time.Time
+	ideal    time.Duration // of the whole job
 	avoid    string
 	attempts int
 	done     bool
@@ -222,6 +223,7 @@
 	Held    int
 	Service string
 	Speed   float64
+	Left    time.Duration // in which the slots held here could do the backlog
 }
 
 // Need tells what to borrow for. Placements without loans need nothing.
@@ -230,7 +232,7 @@
 	defer d.mu.Unlock()
 	n := Need{Backlog: d.backlog}
 	if d.bundle != nil && d.bundle.Rules.Placement == placementHome {
-		n.Want, n.Service, n.Speed = d.want, d.head, d.least
+		n.Want, n.Service, n.Speed, n.Left = d.want, d.head, d.least, d.remaining
 	}
 	for _, t := range d.order {
 		if t.near {
--- a/dispatch/match.go
+++ b/dispatch/match.go
@@ -15,7 +15,7 @@
 	lookMost  = 256
 	// jobTurn is the number of starts after which a task of a job goes before requests.
 	jobTurn = 8
-	// content is the response against the fastest one that is worth no message.
+	// content is the response against the job's ideal that is worth no message.
 	content = 1.25
 	// contentWait is a wait that is worth no message.
 	contentWait = 2 * time.Millisecond
@@ -228,8 +228,7 @@
 	if !isFree {
 		best.ends[0] = finish
 		slices.SortFunc(best.ends, time.Time.Compare)
-		fastest := time.Duration(float64(t.estimate) * content)
-		if finish.Sub(now) > fastest+contentWait {
+		if end := finish.Sub(t.job.Arrived); end > time.Duration(float64(t.ideal)*content)+contentWait {
 			d.wish(t, now, finish)
 		}
 		return false
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -26,6 +26,7 @@
 	Held    int
 	Service string
 	Speed   float64
+	Left    time.Duration // in which the slots held here could do the backlog
 }
 
 // Options of an exchange. Ask sends one message to a peer; Peers lists those of
@@ -41,6 +42,7 @@
 	Count   func(kind string) // messages sent, one call each
 	Linger  time.Duration     // how long idle loans are kept while another entry waits
 	Keep    time.Duration     // how long they are kept while none does
+	Trip    time.Duration     // backlog here that is worth asking other zones
 	Pause   time.Duration     // least time between two asks of a peer for the same work
 	Wait    time.Duration     // how long a home may hold an ask
 	Breath  time.Duration     // pause after an ask that brought nothing
@@ -75,6 +77,9 @@
 	if options.Keep == 0 {
 		options.Keep = 400 * time.Millisecond
 	}
+	if options.Trip == 0 {
+		options.Trip = 500 * time.Millisecond
+	}
 	if options.Pause == 0 {
 		options.Pause = 300 * time.Millisecond
 	}
@@ -142,7 +147,7 @@
 		return
 	}
 	left := e.spread(ctx, group, e.options.Peers(), need, true)
-	if left > 0 && e.options.Far != nil {
+	if left > 0 && e.options.Far != nil && need.Left > e.options.Trip {
 		need.Want = left
 		e.spread(ctx, group, e.options.Far(), need, false)
 	}
