entry: Take no lock under the members' table

Cause: a load run hung at its end. A heartbeat changed the own record under the table's lock and asked the dispatcher for its free slots there; the dispatcher asked the entry which upstreams leave; the entry, placing homes, held its lock and asked the table for live members. Three locks, taken in a ring. Ruled out: the drain and the long polls, which are all bounded. Change: the heartbeat reads what it tells before it takes the table's lock, and homes read the members before they take the entry's.

--- a/entry/fleet.go
+++ b/entry/fleet.go
@@ -64,13 +64,14 @@
 	if alone && step > 1 {
 		share = 1
 	}
+	// The change runs under the table's lock and must take no other.
+	ready, free, backlog := e.Ready(), e.dispatcher.Room(), e.dispatcher.Backlog()
 	e.members.Update(func(r *member.Record) {
 		r.Weight = max(r.Weight, e.settings.Weight*share)
 		if step == 0 {
 			r.Weight = 0
 		}
-		r.Ready = e.Ready()
-		r.Free, r.Backlog = e.dispatcher.Room(), e.dispatcher.Backlog()
+		r.Ready, r.Free, r.Backlog = ready, free, backlog
 	})
 }
 
@@ -316,15 +317,15 @@
 
 func (e *Entry) place(b *bundle.Bundle) {
 	generation := e.members.Generation()
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if e.placed == generation && e.placedBy == b.Version {
-		return
-	}
 	ring := home.Ring{}
 	for _, r := range e.members.Live(e.settings.Zone) {
 		ring.Members = append(ring.Members, home.Member{ID: r.ID, Weight: r.Weight})
 	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if (e.placed == generation && e.placedBy == b.Version) || generation < e.placed {
+		return
+	}
 	for name, u := range b.Upstreams {
 		if u.Zone != e.settings.Zone {
 			continue
--- a/member/table.go
+++ b/member/table.go
@@ -136,7 +136,8 @@
 	return t.self
 }
 
-// Update changes the own record.
+// Update changes the own record. The change runs under the table's lock and may
+// not call the table.
 func (t *Table) Update(change func(*Record)) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
