radishgate: Split large files and wait in one place

Change: files by concept; common/wait. TestThreeProcesses failed once: it called before the entries knew each other, and the second entry rightly told lost, unknown, for a key that an owner it had not heard of had claimed. The test now waits until each sees three members; an entry is not ready before it has read the list of VMs once, or has waited twice its settling time for it.

--- a/commands/process_test.go
+++ b/commands/process_test.go
@@ -103,6 +103,18 @@
 	return response.StatusCode == http.StatusOK
 }
 
+// membersOf counts the members that an entry sees alive.
+func membersOf(operator string) int {
+	s := askOne(context.Background(), operator)
+	alive := 0
+	for _, state := range s.status.Members {
+		if state == "alive" {
+			alive++
+		}
+	}
+	return alive
+}
+
 // TestThreeProcesses runs three entries, a platform and three upstreams as
 // processes of their own: bundle, requests, a job through two entries, a
 // graceful stop of one entry, and the upstreams' record of starts.
@@ -134,6 +146,10 @@
 	for _, operator := range operators {
 		p.until("a ready entry", func() bool { return answers("http://" + operator + "/ready") })
 	}
+	// Entries that do not know each other yet may hand partitions to and fro.
+	for _, operator := range operators {
+		p.until("members that know each other", func() bool { return membersOf(operator) == 3 })
+	}
 	calls(p, callers)
 	if err := entries[2].Process.Signal(syscall.SIGTERM); err != nil {
 		t.Fatal(err)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -83,6 +83,7 @@
 
 	settled  atomic.Bool
 	taught   atomic.Bool
+	seen     atomic.Bool // the list of VMs has been read
 	draining atomic.Bool
 	closing  atomic.Bool
 	running  sync.WaitGroup // keyed jobs
@@ -247,9 +248,13 @@
 	if e.settled.Load() {
 		return true
 	}
-	if time.Since(e.began) < settleBeats*e.settings.Beat || !e.ledger.Settled() {
+	age := time.Since(e.began)
+	if age < settleBeats*e.settings.Beat || !e.ledger.Settled() {
 		return false
 	}
+	if !e.seen.Load() && age < 2*settleBeats*e.settings.Beat {
+		return false // the platform may be cut off, so this is not waited for without end
+	}
 	e.settled.Store(true)
 	return true
 }
--- a/entry/run.go
+++ b/entry/run.go
@@ -12,6 +12,7 @@
 	"github.com/labstack/echo/v4"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
+	"github.com/radishgate/radishgate/common/wait"
 	"github.com/radishgate/radishgate/member"
 	"github.com/radishgate/radishgate/peer"
 	"github.com/radishgate/radishgate/peer/wire"
@@ -106,7 +107,7 @@
 	e.measures.Changes.WithLabelValues("draining").Inc()
 	e.log.Info("entry drains", "vm", e.settings.VM, "until", deadline)
 	e.leave(ctx)
-	wait(ctx, e.settings.Notice)
+	wait.For(ctx, e.settings.Notice)
 	e.closing.Store(true)
 	_ = callers.Shutdown(ctx)
 	idle := make(chan struct{})
@@ -137,15 +138,6 @@
 	e.dispatcher.Kick()
 }
 
-func wait(ctx context.Context, span time.Duration) {
-	timer := time.NewTimer(span)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 func (e *Entry) close() {
 	e.client.Close()
 	e.platform.Close()
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -6,7 +6,6 @@
 	"errors"
 	"math/rand/v2"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -34,14 +33,6 @@
 	Forwarded bool      // came from a peer and must not go on to another
 }
 
-// Look asks for a job by its key.
-type Look struct {
-	Key       string
-	WaitUntil time.Time
-	Cancel    bool
-	Forwarded bool
-}
-
 // Result is a job's state with its answers or its refusal.
 type Result struct {
 	State   job.State
@@ -88,17 +79,6 @@
 	return token.Token()
 }
 
-// sender is one message to a member.
-type sender func(ctx context.Context, to member.Record) (Result, error)
-
-func (k *Keeper) submitTo(s Submission) sender {
-	return func(ctx context.Context, to member.Record) (Result, error) { return k.options.Submit(ctx, to, s) }
-}
-
-func (k *Keeper) lookAt(l Look) sender {
-	return func(ctx context.Context, to member.Record) (Result, error) { return k.options.Look(ctx, to, l) }
-}
-
 func refuse(r *refusal.Refusal) Result { return Result{State: job.Failed, Refusal: r} }
 
 // Submit admits a job or attaches to the one that its key names.
@@ -254,65 +234,6 @@
 	return refusal.New(refusal.BadKey, refusal.NotRun, "%v", err)
 }
 
-// watchSpan is the time between looks at a member that a forwarded call waits for.
-const watchSpan = 250 * time.Millisecond
-
-// deadSpan is how long a member that seems dead is given to answer after all.
-const deadSpan = time.Second
-
-// watched bounds a forwarded call: it ends when the member has seemed dead for
-// a while, so that a caller is not left waiting for an answer that cannot come.
-func (k *Keeper) watched(ctx context.Context, to member.Record) (context.Context, context.CancelFunc) {
-	ctx, cancel := context.WithCancel(ctx)
-	go func() {
-		ticker := time.NewTicker(watchSpan)
-		defer ticker.Stop()
-		var dead time.Time
-		for {
-			select {
-			case <-ctx.Done():
-				return
-			case <-ticker.C:
-			}
-			now := k.options.Now()
-			_, state, known := k.options.Find(to.ID)
-			switch {
-			case known && state != member.Dead:
-				dead = time.Time{}
-			case dead.IsZero():
-				dead = now.Add(deadSpan)
-			case now.After(dead):
-				cancel()
-				return
-			}
-		}
-	}()
-	return ctx, cancel
-}
-
-// forward sends a key to its origin, at most one hop and only to a member that
-// is known with the key's incarnation.
-func (k *Keeper) forward(ctx context.Context, key origin.Key, forwarded bool, send sender) Result {
-	to, _, known := k.options.Find(key.VM)
-	if !known || to.Zone != key.Zone {
-		return refuse(refusal.New(refusal.OwnerDown, refusal.Unknown, "entry %s of the key is not known here", key.VM))
-	}
-	if to.Incarnation != key.Incarnation {
-		return refuse(refusal.New(refusal.Lost, refusal.Unknown, "entry %s has been replaced since the key was given out", key.VM))
-	}
-	if forwarded {
-		return refuse(refusal.New(refusal.OwnerDown, refusal.Unknown, "key was forwarded to an entry that is not its origin"))
-	}
-	ctx, cancel := k.watched(ctx, to)
-	defer cancel()
-	result, err := send(ctx, to)
-	if err != nil {
-		r := refusal.New(refusal.OwnerDown, refusal.Unknown, "entry %s of the key does not answer: %v", key.VM, err)
-		return refuse(r.Later(k.options.Now().Add(time.Second)))
-	}
-	return result
-}
-
 // partitionOf gives the partition of a chosen key.
 func partitionOf(b *bundle.Bundle, key string) int {
 	return int(xxhash.Sum64String(key) % uint64(b.Rules.Partitions))
@@ -381,35 +302,6 @@
 	return k.await(ctx, j, s.WaitUntil)
 }
 
-// lost makes the result of a failed claim and names the earlier owner, if any.
-func (k *Keeper) lost(err error) Result {
-	result := refuse(k.claimRefusal(err))
-	var lost *claim.LostError
-	if errors.As(err, &lost) {
-		result.Earlier = lost.Owner
-	}
-	return result
-}
-
-// follow asks the earlier owner that claimed a key, while it is still there. It
-// alone can tell what became of the job.
-func (k *Keeper) follow(ctx context.Context, result Result, forwarded bool, send sender) Result {
-	if result.Earlier == "" || forwarded {
-		return result
-	}
-	vm, incarnation, _ := strings.Cut(result.Earlier, "~")
-	to, state, known := k.options.Find(vm)
-	if !known || state == member.Dead || strconv.FormatUint(to.Incarnation, 16) != incarnation || vm == k.options.Self.VM {
-		return result
-	}
-	ctx, cancel := k.watched(ctx, to)
-	defer cancel()
-	if earlier, err := send(ctx, to); err == nil {
-		return earlier
-	}
-	return result
-}
-
 func (k *Keeper) claimRefusal(err error) *refusal.Refusal {
 	var conflict *claim.ConflictError
 	var lost *claim.LostError
@@ -429,86 +321,6 @@
 	return refusal.New(refusal.LogDown, refusal.NotRun, "%v", err).Later(back)
 }
 
-// toOwner sends a chosen key to the owner of its partition, at most one hop.
-func (k *Keeper) toOwner(ctx context.Context, owner string, forwarded bool, send sender) Result {
-	back := k.options.Now().Add(500 * time.Millisecond)
-	to, _, known := k.options.Find(owner)
-	if forwarded || !known {
-		r := refusal.New(refusal.OwnerDown, refusal.NotRun, "the owner of the key's partition is not settled")
-		return refuse(r.Later(back))
-	}
-	ctx, cancel := k.watched(ctx, to)
-	defer cancel()
-	result, err := send(ctx, to)
-	if err != nil {
-		r := refusal.New(refusal.OwnerDown, refusal.Unknown, "owner %s of the key's partition does not answer: %v", owner, err)
-		return refuse(r.Later(back))
-	}
-	return result
-}
-
-// Look gives the state of a keyed job, waits for it, or cancels it.
-func (k *Keeper) Look(ctx context.Context, l Look) Result {
-	if !origin.Is(l.Key) {
-		return k.lookChosen(ctx, l)
-	}
-	key, err := origin.Parse(l.Key)
-	if err != nil {
-		return refuse(refusal.New(refusal.BadKey, refusal.NotRun, "%v", err))
-	}
-	if !k.mine(key) {
-		return k.forward(ctx, key, l.Forwarded, k.lookAt(l))
-	}
-	j, ok, err := k.options.Window.Get(key.Slot, l.Key)
-	if err != nil {
-		return refuse(keyRefusal(err))
-	}
-	if !ok {
-		return refuse(refusal.New(refusal.KeyUnknown, refusal.NotRun, "no job was submitted here under this key"))
-	}
-	return k.look(ctx, j, l)
-}
-
-func (k *Keeper) lookChosen(ctx context.Context, l Look) Result {
-	b := k.options.Bundle()
-	if b == nil {
-		return refuse(refusal.New(refusal.NotReady, refusal.Unknown, "no bundle is in force yet"))
-	}
-	index := partitionOf(b, l.Key)
-	owner := k.options.Owner(index)
-	send := k.lookAt(l)
-	p := k.options.Partition(index)
-	if owner == k.options.Self.VM {
-		// Only an owner has folded all claims and can tell that there is none.
-		if err := p.Acquire(ctx); err != nil {
-			r := k.claimRefusal(err)
-			r.Outcome = refusal.Unknown
-			return refuse(r)
-		}
-	}
-	j, ok, err := p.Get(ctx, l.Key)
-	switch {
-	case err != nil:
-		return k.follow(ctx, k.lost(err), l.Forwarded, send)
-	case ok:
-		return k.look(ctx, j, l)
-	case owner != k.options.Self.VM:
-		result := k.toOwner(ctx, owner, l.Forwarded, send)
-		if result.Refusal != nil && result.Refusal.Kind == refusal.OwnerDown {
-			result.Refusal.Outcome = refusal.Unknown
-		}
-		return k.follow(ctx, result, l.Forwarded, send)
-	}
-	return refuse(refusal.New(refusal.KeyUnknown, refusal.Unknown, "no claim of this key is remembered"))
-}
-
-func (k *Keeper) look(ctx context.Context, j *job.Job, l Look) Result {
-	if l.Cancel {
-		j.Fail(refusal.New(refusal.Cancelled, refusal.NotRun, "the caller cancelled the job"))
-	}
-	return k.await(ctx, j, l.WaitUntil)
-}
-
 // await waits for a job until it is done, the wait is over or the caller gone.
 func (k *Keeper) await(ctx context.Context, j *job.Job, until time.Time) Result {
 	if wait := until.Sub(k.options.Now()); wait > 0 {
--- a/load/run.go
+++ b/load/run.go
@@ -13,6 +13,7 @@
 
 	"github.com/radishgate/radishgate/caller"
 	"github.com/radishgate/radishgate/client"
+	"github.com/radishgate/radishgate/common/wait"
 	"github.com/radishgate/radishgate/history"
 	"github.com/radishgate/radishgate/refusal"
 	"github.com/radishgate/radishgate/standin/runner"
@@ -125,11 +126,11 @@
 		}
 		if f.flow.Rate == 0 {
 			next = next.Add(50 * time.Millisecond)
-			pause(sending, time.Until(next))
+			wait.For(sending, time.Until(next))
 			continue
 		}
 		next = next.Add(time.Duration(random.ExpFloat64() / f.flow.Rate * float64(time.Second)))
-		if !pause(sending, time.Until(next)) {
+		if !wait.For(sending, time.Until(next)) {
 			return
 		}
 		c, due := r.draw(f, random, number), next
@@ -149,20 +150,6 @@
 	}
 }
 
-func pause(ctx context.Context, span time.Duration) bool {
-	if span <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(span)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // call holds what was drawn for one call.
 type call struct {
 	flow     *flowResult
@@ -210,7 +197,7 @@
 	}
 	if c.cancel > 0 && c.flow.flow.Job {
 		group.Go(func() {
-			if pause(ctx, c.cancel) {
+			if wait.For(ctx, c.cancel) {
 				_, _ = cl.Cancel(ctx, cl.Next(), key)
 			}
 		})
@@ -248,7 +235,7 @@
 // resubmit sends the same call through another entry, and checks that its
 // answer, if it has one, is whole as well.
 func (r *Run) resubmit(ctx context.Context, cl *client.Client, c *call, key string) {
-	if !pause(ctx, c.resubmit) {
+	if !wait.For(ctx, c.resubmit) {
 		return
 	}
 	whole, err := r.once(ctx, cl, cl.Next(), c, key)
--- /dev/null
+++ b/peer/tls_test.go
@@ -0,0 +1,130 @@
+package peer
+
+import (
+	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"errors"
+	"math/big"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/radishgate/radishgate/common/counted"
+	"github.com/radishgate/radishgate/peer/wire"
+)
+
+// authority signs certificates for tests.
+type authority struct {
+	t    *testing.T
+	dir  string
+	key  *ecdsa.PrivateKey
+	cert *x509.Certificate
+}
+
+func newAuthority(t *testing.T, name string) *authority {
+	t.Helper()
+	a := &authority{t: t, dir: t.TempDir()}
+	a.key, _ = ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: name}, IsCA: true, BasicConstraintsValid: true,
+		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour), KeyUsage: x509.KeyUsageCertSign,
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, template, &a.key.PublicKey, a.key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	a.cert, _ = x509.ParseCertificate(der)
+	a.write("authority.pem", "CERTIFICATE", der)
+	return a
+}
+
+func (a *authority) write(name, kind string, der []byte) string {
+	a.t.Helper()
+	path := filepath.Join(a.dir, name)
+	if err := os.WriteFile(path, pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: der}), 0o600); err != nil {
+		a.t.Fatal(err)
+	}
+	return path
+}
+
+// keys makes the configuration of one entry that trusts this authority.
+func (a *authority) keys(name string) *tls.Config {
+	a.t.Helper()
+	key, _ := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(2), Subject: pkix.Name{CommonName: name},
+		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, a.cert, &key.PublicKey, a.key)
+	if err != nil {
+		a.t.Fatal(err)
+	}
+	keyDER, _ := x509.MarshalECPrivateKey(key)
+	config, err := TLS(a.write(name+".pem", "CERTIFICATE", der), a.write(name+".key", "EC PRIVATE KEY", keyDER), filepath.Join(a.dir, "authority.pem"))
+	if err != nil {
+		a.t.Fatal(err)
+	}
+	return config
+}
+
+func serveTLS(t *testing.T, keys *tls.Config) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := &http.Server{Handler: wire.NewPeerServer(&Server{OnBeat: func(b *wire.Beat) *wire.Beat { return b }}), TLSConfig: keys}
+	go func() { _ = server.ServeTLS(listener, "", "") }()
+	t.Cleanup(func() { _ = server.Close() })
+	return listener.Addr().String()
+}
+
+func TestOnlyEntriesOfTheAuthorityTalk(t *testing.T) {
+	ours, others := newAuthority(t, "ours"), newAuthority(t, "others")
+	good, stranger := serveTLS(t, ours.keys("server")), serveTLS(t, others.keys("server"))
+	bare := ours.keys("bare")
+	bare.Certificates = nil
+	tests := []struct {
+		name   string
+		keys   *tls.Config
+		server string
+		passes bool
+	}{
+		{"both of the authority", ours.keys("client"), good, true},
+		{"client of another authority", others.keys("client"), good, false},
+		{"server of another authority", ours.keys("client"), stranger, false},
+		{"client without a certificate", bare, good, false},
+		{"client without TLS", nil, good, false},
+	}
+	for _, test := range tests {
+		c := NewClient(test.keys, &counted.Counter{}, nil)
+		_, err := c.Gossip(context.Background(), test.server, &wire.Beat{})
+		if (err == nil) != test.passes {
+			t.Errorf("%s: %v", test.name, err)
+		}
+		c.Close()
+	}
+}
+
+func TestBadKeyFilesAreNamed(t *testing.T) {
+	a := newAuthority(t, "ours")
+	a.keys("x")
+	at := func(name string) string { return filepath.Join(a.dir, name) }
+	for _, files := range [][3]string{
+		{at("none.pem"), at("x.key"), at("authority.pem")}, {at("x.pem"), at("x.key"), at("none.pem")}, {at("x.pem"), at("x.key"), at("x.key")},
+	} {
+		var failure *KeysError
+		if _, err := TLS(files[0], files[1], files[2]); !errors.As(err, &failure) || failure.File == "" {
+			t.Errorf("%v: %v", files, err)
+		}
+	}
+}
--- a/rollout/rollout.go
+++ b/rollout/rollout.go
@@ -5,12 +5,12 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"fmt"
 	"math/rand/v2"
 	"sync"
 	"time"
 
 	"github.com/radishgate/radishgate/bundle"
+	"github.com/radishgate/radishgate/common/wait"
 	"github.com/radishgate/radishgate/platform"
 )
 
@@ -34,18 +34,6 @@
 	Chain   []bundle.Record `json:"chain"` // one record for a version
 }
 
-// ConflictError tells an operator that another version won.
-type ConflictError struct {
-	ID      string
-	Version int64
-	Winner  string
-}
-
-// Error names both records.
-func (e *ConflictError) Error() string {
-	return fmt.Sprintf("bundle %.12s lost version %d to %.12s", e.ID, e.Version, e.Winner)
-}
-
 // state is what a fold has reached. It is replaced, never changed.
 type state struct {
 	chain  []bundle.Record
@@ -166,51 +154,6 @@
 	}
 }
 
-// replay builds a state from a chain: one whole record, then changes.
-func (r *Rollout) replay(chain []bundle.Record) (state, error) {
-	var s state
-	for i, record := range chain {
-		if i == 0 && record.Change {
-			return s, &bundle.RecordError{ID: record.ID, Reason: "chain begins with a change"}
-		}
-		if err := record.Verify(r.options.Signers); err != nil {
-			return s, err
-		}
-		if i > 0 && (record.Parent != s.id() || !record.Change) {
-			return s, &bundle.RecordError{ID: record.ID, Reason: "chain is broken"}
-		}
-		next, err := extend(s, record)
-		if err != nil {
-			return s, err
-		}
-		s = next
-	}
-	return s, nil
-}
-
-// extend applies one record on a state.
-func extend(s state, record bundle.Record) (state, error) {
-	chain := []bundle.Record{record}
-	var b *bundle.Bundle
-	var err error
-	switch {
-	case !record.Change:
-		b, err = bundle.Parse("bundle", record.Version, record.Text)
-	case s.bundle == nil:
-		err = &bundle.RecordError{ID: record.ID, Reason: "change without a whole version before it"}
-	default:
-		b, err = s.bundle.Change("bundle", record.Version, record.Text)
-		chain = append(append([]bundle.Record(nil), s.chain...), record)
-	}
-	if err != nil {
-		return s, err
-	}
-	if s.bundle != nil && s.bundle.Rules.Partitions != b.Rules.Partitions {
-		return s, &bundle.RecordError{ID: record.ID, Reason: "[rules] partitions may not change, claimed keys would be lost"}
-	}
-	return state{chain: chain, bundle: b}, nil
-}
-
 // Run follows the stream until the context ends.
 func (r *Rollout) Run(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -219,22 +162,13 @@
 		r.reading = err == nil
 		r.mu.Unlock()
 		if err != nil {
-			pause(ctx, r.options.Pause)
+			wait.For(ctx, r.options.Pause)
 			continue
 		}
 		r.refresh(ctx)
 	}
 }
 
-func pause(ctx context.Context, span time.Duration) {
-	timer := time.NewTimer(span)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // Step reads one page, waiting at most wait for it, and folds it.
 func (r *Rollout) Step(ctx context.Context, wait time.Duration) error {
 	r.mu.Lock()
@@ -258,96 +192,12 @@
 	return nil
 }
 
-// restart begins again at a checkpoint for which every record behind its
-// Through is still readable. Without one it waits for the next page or a peer.
-func (r *Rollout) restart(ctx context.Context, floor int64) error {
-	page, err := r.options.Log.Read(ctx, floor, 0)
-	if err != nil {
-		return err
-	}
-	for _, record := range page.Records {
-		envelope, ok := parse(record.Data)
-		if !ok || envelope.Kind != kindCheckpoint || envelope.Through+1 < page.Floor {
-			continue
-		}
-		s, err := r.replay(envelope.Chain)
-		if err != nil {
-			continue
-		}
-		r.mu.Lock()
-		r.folded, r.next, r.started = s, envelope.Through+1, true
-		r.mu.Unlock()
-		r.foldAll(page.Records)
-		r.raise(r.state())
-		return nil
-	}
-	return &NoCheckpointError{Floor: page.Floor}
-}
-
-// NoCheckpointError tells that the readable part of the stream does not show
-// which version is in force.
-type NoCheckpointError struct{ Floor int64 }
-
-// Error names the floor.
-func (e *NoCheckpointError) Error() string {
-	return fmt.Sprintf("bundle stream: no usable checkpoint above floor %d", e.Floor)
-}
-
 func (r *Rollout) state() state {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.folded
 }
 
-func parse(data []byte) (Envelope, bool) {
-	var envelope Envelope
-	if err := json.Unmarshal(data, &envelope); err != nil || len(envelope.Chain) == 0 {
-		return envelope, false
-	}
-	return envelope, true
-}
-
-func (r *Rollout) foldAll(records []platform.Record) {
-	for _, record := range records {
-		r.fold(record)
-	}
-}
-
-func (r *Rollout) fold(record platform.Record) {
-	r.mu.Lock()
-	if record.Offset < r.next {
-		r.mu.Unlock()
-		return
-	}
-	r.next = record.Offset + 1
-	current := r.folded
-	envelope, ok := parse(record.Data)
-	if ok && (envelope.Kind == kindCheckpoint || !envelope.Chain[0].Change) {
-		r.whole = r.options.Now()
-	}
-	r.mu.Unlock()
-	if !ok || envelope.Kind != kindVersion {
-		return
-	}
-	offered := envelope.Chain[0]
-	if offered.Version != current.version()+1 || offered.Parent != current.id() {
-		return
-	}
-	if offered.Verify(r.options.Signers) != nil {
-		return
-	}
-	next, err := extend(current, offered)
-	if err != nil {
-		return
-	}
-	r.mu.Lock()
-	r.folded = next
-	r.ids[offered.Version] = offered.ID
-	delete(r.ids, offered.Version-maxChain)
-	r.mu.Unlock()
-	r.raise(next)
-}
-
 // refresh writes a checkpoint when the last whole state in the stream is old.
 // The random part keeps the entries from writing all at once.
 func (r *Rollout) refresh(ctx context.Context) {
@@ -365,84 +215,3 @@
 	}
 	_, _ = r.options.Log.Append(ctx, data)
 }
-
-// Draft makes the unsigned record that puts text in force after the present
-// version: a change of sections where that is shorter, else the whole.
-func (r *Rollout) Draft(text string) bundle.Record {
-	s := r.state()
-	record := bundle.Record{Version: s.version() + 1, Parent: s.id(), Text: text}
-	if s.bundle == nil || len(s.chain) >= maxChain {
-		return record
-	}
-	if change := bundle.Diff(s.bundle.Text(), text); len(change) < len(text)/2 {
-		record.Change, record.Text = true, change
-	}
-	return record
-}
-
-// Publish appends a sealed record and waits until the fold has decided. A lost
-// reply is resolved by reading back; a second append of the same record is
-// harmless, because the fold takes a version once.
-func (r *Rollout) Publish(ctx context.Context, record bundle.Record) error {
-	data, err := json.Marshal(Envelope{Kind: kindVersion, Chain: []bundle.Record{record}})
-	if err != nil {
-		return &bundle.RecordError{ID: record.ID, Reason: err.Error()}
-	}
-	for {
-		offset, failure := r.options.Log.Append(ctx, data)
-		var refused *platform.Error
-		if errors.As(failure, &refused) && !refused.Uncertain {
-			return failure
-		}
-		decided, err := r.decide(ctx, record)
-		if decided || err != nil {
-			return err
-		}
-		if failure == nil && r.passed(offset) {
-			return &VoidError{ID: record.ID, Version: record.Version}
-		}
-		if ctx.Err() != nil {
-			return failure
-		}
-		pause(ctx, r.options.Pause)
-	}
-}
-
-// passed tells whether the fold is beyond an offset.
-func (r *Rollout) passed(offset int64) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.next > offset
-}
-
-// VoidError tells an operator that no entry accepts the record: it does not
-// follow the version in force, or breaks a rule between versions.
-type VoidError struct {
-	ID      string
-	Version int64
-}
-
-// Error names the record.
-func (e *VoidError) Error() string {
-	return fmt.Sprintf("bundle %.12s for version %d is void and changes nothing", e.ID, e.Version)
-}
-
-// decide folds to the end of the stream and tells who won the version.
-func (r *Rollout) decide(ctx context.Context, record bundle.Record) (bool, error) {
-	if err := r.Step(ctx, 0); err != nil {
-		return false, err
-	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	winner, ok := r.ids[record.Version]
-	if !ok {
-		if r.folded.version() >= record.Version {
-			return true, &ConflictError{ID: record.ID, Version: record.Version, Winner: "a later version"}
-		}
-		return false, nil
-	}
-	if winner != record.ID {
-		return true, &ConflictError{ID: record.ID, Version: record.Version, Winner: winner}
-	}
-	return true, nil
-}
--- a/standin/runner/runner.go
+++ b/standin/runner/runner.go
@@ -2,13 +2,14 @@
 package runner
 
 import (
-	"context"
 	"encoding/json"
 	"io"
 	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/radishgate/radishgate/common/wait"
 )
 
 // Headers of the contract between entries and upstreams.
@@ -169,7 +170,7 @@
 	}
 	var work Work
 	_ = json.Unmarshal(body, &work)
-	sleep(request.Context(), r.span(work, modes.Speed))
+	wait.For(request.Context(), r.span(work, modes.Speed))
 	r.served.Add(1)
 	answer, _ := json.Marshal(Reply{Task: task, Tag: work.Tag, Runner: r.options.Name})
 	w.Header().Set("Content-Type", "application/json")
@@ -198,12 +199,3 @@
 
 // Slots is the number of tasks that run at once.
 func (r *Runner) Slots() int { return r.options.Slots }
-
-func sleep(ctx context.Context, span time.Duration) {
-	timer := time.NewTimer(span)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/standin/store/store.go
+++ b/standin/store/store.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"github.com/radishgate/radishgate/common/wait"
 	"github.com/radishgate/radishgate/platform"
 )
 
@@ -168,21 +169,8 @@
 		}
 	}
 	s.mu.Unlock()
-	return sleep(ctx, until.Sub(now))
-}
-
-func sleep(ctx context.Context, span time.Duration) error {
-	if span <= 0 {
-		return ctx.Err()
-	}
-	timer := time.NewTimer(span)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
+	wait.For(ctx, until.Sub(now))
+	return ctx.Err()
 }
 
 func (s *Store) stream(name string) *stream {
