--- /dev/null
+++ b/shelf/shelf_test.go
@@ -0,0 +1,32 @@
+package shelf
+
+import "testing"
+
+type kept struct {
+	size    int64
+	dropped bool
+}
+
+func (k *kept) Bytes() int64 { return k.size }
+func (k *kept) Drop()        { k.dropped = true }
+
+func TestOldestGoFirstAndTheBoundHolds(t *testing.T) {
+	s := New(10_000)
+	var all []*kept
+	for i := range 30 {
+		k := &kept{size: int64(500 + 10*i)}
+		all = append(all, k)
+		s.Put(k)
+		if s.Bytes() > 10_000 {
+			t.Fatalf("%d bytes are kept", s.Bytes())
+		}
+	}
+	for i := 1; i < len(all); i++ {
+		if all[i].dropped && !all[i-1].dropped {
+			t.Fatalf("answer %d went before %d", i, i-1)
+		}
+	}
+	if all[29].dropped || !all[0].dropped {
+		t.Fatal("the newest went or the oldest stayed")
+	}
+}
