exchange, dispatch: Ask in rounds, and let requests borrow rarely

Cause: tests of the exchange with fake peers showed that each round of asks, ten milliseconds after the one before, went on to peers not asked yet: 18 of 40 in 50 ms. And on single requests alone an entry never tried an upstream that it did not know, so fast ones stayed unknown and p50 was that of three quarters of the speed; each request that waited asked all peers. Change: rounds of asks keep 500 ms apart unless new work waits; renewals ride on asks; one start in 25 tries the unknown; a request borrows only if it would take twice its ideal. Also: headers over 16 KiB are refused by type; a caller that is too slow, a flapping cut and the page of metrics are tested.

--- a/bench/bench.go
+++ b/bench/bench.go
@@ -15,6 +15,7 @@
 	"gonum.org/v1/plot/plotter"
 	"gonum.org/v1/plot/vg"
 
+	"github.com/radishgate/radishgate/common/wait"
 	"github.com/radishgate/radishgate/demo"
 	"github.com/radishgate/radishgate/load"
 	"github.com/radishgate/radishgate/standin/fleet"
@@ -126,6 +127,25 @@
 	}
 }
 
+// Kill makes a fault that ends one entry at a time of the run, as a kill of its
+// process would.
+func Kill(after time.Duration) func(context.Context, *fleet.Fleet) {
+	return func(ctx context.Context, f *fleet.Fleet) {
+		if wait.For(ctx, after) {
+			victim := f.Live()[0]
+			f.Forget(victim)
+			victim.Kill()
+		}
+	}
+}
+
+// WriteCourse prints the responses second by second.
+func WriteCourse(w io.Writer, r Result) {
+	for _, s := range r.Report.Course {
+		fmt.Fprintf(w, "  %s second %2d: %4d calls, p50 %.1f ms, p99 %.1f ms\n", r.Placement, s.At, s.Calls, s.P50, s.P99)
+	}
+}
+
 // Plot draws the ratios of all results as bars, p50 and p99 side by side.
 func Plot(name string, results []Result) error {
 	p := plot.New()
--- a/caller/server.go
+++ b/caller/server.go
@@ -28,6 +28,9 @@
 	HeaderOrigin = "Radishgate-Origin"
 )
 
+// maxHeader bounds the headers of a call, in bytes.
+const maxHeader = 16 << 10
+
 // problemBase begins the type URI of every problem.
 const problemBase = "https://radishgate.example/problems/"
 
@@ -80,6 +83,15 @@
 		if s.options.Closing() {
 			c.Response().Header().Set("Connection", "close")
 		}
+		size := 0
+		for name, values := range c.Request().Header {
+			for _, value := range values {
+				size += len(name) + len(value)
+			}
+		}
+		if size > maxHeader {
+			return refusal.New(refusal.HeaderTooBig, refusal.NotRun, "headers are over %d bytes", maxHeader)
+		}
 		return next(c)
 	}
 }
--- a/caller/server_test.go
+++ b/caller/server_test.go
@@ -1,9 +1,12 @@
 package caller
 
 import (
+	"bufio"
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -124,6 +127,8 @@
 	head, body, _ := strings.Cut(input, "\n\n")
 	lines := strings.Split(head, "\n")
 	method, path, _ := strings.Cut(lines[0], " ")
+	head = strings.ReplaceAll(head, "LONG", strings.Repeat("x", 20_000))
+	lines = strings.Split(head, "\n")
 	body = strings.ReplaceAll(body, "LONG", strings.Repeat("x", 500))
 	request := httptest.NewRequest(method, path, strings.NewReader(body))
 	for _, line := range lines[1:] {
@@ -211,6 +216,28 @@
 	}
 }
 
+// TestSlowCaller sends half a body and then nothing.
+func TestSlowCaller(t *testing.T) {
+	d := newDesk(t)
+	d.options.Patience = 30 * time.Millisecond
+	server := httptest.NewServer(d)
+	defer server.Close()
+	conn, err := net.Dial("tcp", server.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	fmt.Fprintf(conn, "POST /v1/requests/recall HTTP/1.1\r\nHost: x\r\nRadishgate-Tenant: shop\r\nContent-Length: 10\r\n\r\nhalf")
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	body, _ := io.ReadAll(response.Body)
+	if response.StatusCode != http.StatusRequestTimeout || !strings.Contains(string(body), string(refusal.SlowCaller)) || d.admitted != 0 {
+		t.Errorf("%d %s, %d admitted", response.StatusCode, body, d.admitted)
+	}
+}
+
 func FuzzSubmit(f *testing.F) {
 	f.Add(`{"service":"hold","tasks":[{"body":1,"hint":"5ms"}]}`, "chosen")
 	f.Add(`{"service":"hold","tasks":[{}]}`, "o1~z~vm~0000000000000abc~0.x")
--- a/commands/load.go
+++ b/commands/load.go
@@ -23,6 +23,7 @@
 	Baseline  string        `arg:"--baseline" help:"placements to run as well, in turn, separated by commas"`
 	Rounds    int           `arg:"--rounds" default:"1"`
 	Span      time.Duration `arg:"--span" help:"overrides the scenario's"`
+	Kill      time.Duration `arg:"--kill" help:"end an entry so long into the run and print the course"`
 	JSON      bool          `arg:"--json"`
 	Plot      string        `arg:"--plot" help:"file for a plot (.svg or .png) of the ratios"`
 }
@@ -39,10 +40,14 @@
 	if c.Targets != "" {
 		return c.external(ctx, scenario, out)
 	}
-	results, err := bench.Run(ctx, bench.Options{
+	options := bench.Options{
 		Scenario: scenario, Placements: placements, Rounds: c.Rounds, Zones: c.Zones, Entries: c.Entries,
 		Upstreams: c.Upstreams, Slots: c.Slots, Progress: problems,
-	})
+	}
+	if c.Kill > 0 {
+		options.During = bench.Kill(c.Kill)
+	}
+	results, err := bench.Run(ctx, options)
 	if err != nil {
 		return err
 	}
@@ -55,6 +60,11 @@
 		return printJSON(out, results)
 	}
 	bench.Write(out, results)
+	for _, r := range results {
+		if c.Kill > 0 {
+			bench.WriteCourse(out, r)
+		}
+	}
 	return broken(results)
 }
 
--- a/dispatch/match.go
+++ b/dispatch/match.go
@@ -15,13 +15,17 @@
 	lookMost  = 256
 	// jobTurn is the number of starts after which a task of a job goes before requests.
 	jobTurn = 8
-	// content is the response against the job's ideal that is worth no message.
-	content = 1.25
+	// contentJob and contentRequest are the responses against the ideal that are
+	// worth no message. A slot borrowed for a request serves it alone.
+	contentJob     = 1.25
+	contentRequest = 2
 	// contentWait is a wait that is worth no message.
 	contentWait = 2 * time.Millisecond
 	// doubt is how much slower an upstream that nobody has tried is taken to be
-	// for a request; tasks of jobs find out its speed.
-	doubt = 3
+	// for a request; tasks of jobs find out its speed, and one start in so many
+	// as explore, so that a fast one does not stay unknown without jobs.
+	doubt   = 3
+	explore = 25
 	// overdue is the share of its estimate after which a late task is expected to end.
 	overdue = 0.25
 	// leaseShare is how many times its estimate a task may need within a lease.
@@ -219,6 +223,13 @@
 	d.want++
 }
 
+func (d *Dispatcher) content(t *task) float64 {
+	if t.job.Request {
+		return contentRequest
+	}
+	return contentJob
+}
+
 func (d *Dispatcher) placeOne(t *task, now time.Time, hold bool, free *int) bool {
 	best, finish, isFree := d.best(t, now, hold)
 	if best == nil {
@@ -228,7 +239,7 @@
 	if !isFree {
 		best.ends[0] = finish
 		slices.SortFunc(best.ends, time.Time.Compare)
-		if end := finish.Sub(t.job.Arrived); end > time.Duration(float64(t.ideal)*content)+contentWait {
+		if end := finish.Sub(t.job.Arrived); end > time.Duration(float64(t.ideal)*d.content(t))+contentWait {
 			d.wish(t, now, finish)
 		}
 		return false
@@ -262,7 +273,7 @@
 			continue
 		}
 		need := time.Duration(float64(t.estimate) / g.speed)
-		if !g.known && t.job.Request {
+		if !g.known && t.job.Request && d.starts%explore != 0 {
 			need *= doubt
 		}
 		if !d.leased(g, now, need) || d.tooSlow(t, need, hold) {
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -221,21 +221,32 @@
 // publishes meanwhile. Each side goes on; after healing all have the version.
 func TestZoneCutOff(t *testing.T) {
 	tests := []struct {
-		name string
-		ways [][2]string
+		name  string
+		ways  [][2]string
+		flaps int
 	}{
-		{"from the others", [][2]string{{"a", "b"}, {"a", "c"}, {"b", "a"}, {"c", "a"}}},
-		{"from the platform", [][2]string{{"a", fleet.Platform}}},
-		{"from both", [][2]string{{"a", "b"}, {"a", "c"}, {"b", "a"}, {"c", "a"}, {"a", fleet.Platform}}},
-		{"one way", [][2]string{{"b", "a"}, {"c", "a"}}},
+		{"from the others", [][2]string{{"a", "b"}, {"a", "c"}, {"b", "a"}, {"c", "a"}}, 0},
+		{"from the platform", [][2]string{{"a", fleet.Platform}}, 0},
+		{"from both", [][2]string{{"a", "b"}, {"a", "c"}, {"b", "a"}, {"c", "a"}, {"a", fleet.Platform}}, 0},
+		{"one way", [][2]string{{"b", "a"}, {"c", "a"}}, 0},
+		{"flapping", [][2]string{{"a", "b"}, {"a", "c"}, {"b", "a"}, {"c", "a"}, {"a", fleet.Platform}}, 5},
 	}
 	f := newFleet(t, 1)
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			report := drive(t, f, 2*time.Second, func() {
-				for _, way := range test.ways {
-					f.Cut(way[0], way[1])
+				cut := func() {
+					for _, way := range test.ways {
+						f.Cut(way[0], way[1])
+					}
 				}
+				for range test.flaps {
+					cut()
+					time.Sleep(200 * time.Millisecond)
+					f.Heal()
+					time.Sleep(100 * time.Millisecond)
+				}
+				cut()
 				text := f.Text() + "\n[tenant " + fmt.Sprintf("t%d", f.Version()) + "]\n"
 				if err := f.Publish(t.Context(), text); err != nil {
 					t.Error(err)
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -63,10 +63,11 @@
 	options Options
 	wake    chan struct{}
 
-	mu   sync.Mutex
-	busy map[string]bool      // peers with an ask under way
-	rest map[string]time.Time // peers not to be asked before
-	free map[string]hint
+	mu    sync.Mutex
+	round time.Time            // when the next round of asks may begin
+	busy  map[string]bool      // peers with an ask under way
+	rest  map[string]time.Time // peers not to be asked before
+	free  map[string]hint
 }
 
 // New makes an exchange; Run starts it.
@@ -81,7 +82,7 @@
 		options.Trip = 500 * time.Millisecond
 	}
 	if options.Pause == 0 {
-		options.Pause = 300 * time.Millisecond
+		options.Pause = 500 * time.Millisecond
 	}
 	if options.Wait == 0 {
 		options.Wait = time.Second
@@ -102,6 +103,7 @@
 func (e *Exchange) Fresh() {
 	e.mu.Lock()
 	clear(e.rest)
+	e.round = time.Time{}
 	e.mu.Unlock()
 	e.Wake()
 }
@@ -143,7 +145,7 @@
 // zones are asked only when the own zone shows too little room.
 func (e *Exchange) ask(ctx context.Context, group *sync.WaitGroup) {
 	need := e.options.Need()
-	if need.Want <= 0 {
+	if need.Want <= 0 || !e.due() {
 		return
 	}
 	left := e.spread(ctx, group, e.options.Peers(), need, true)
@@ -153,6 +155,19 @@
 	}
 }
 
+// due tells whether a round of asks may begin. Without this, each round would
+// go on to the peers that the one before had left out.
+func (e *Exchange) due() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := time.Now()
+	if now.Before(e.round) {
+		return false
+	}
+	e.round = now.Add(e.options.Pause)
+	return true
+}
+
 // Bounds of the peers asked at once, whatever the size of the fleet.
 const (
 	maxNear = 3
@@ -234,6 +249,7 @@
 }
 
 func (e *Exchange) borrow(ctx context.Context, peer string, ask loan.Ask, service string) {
+	ask.Renew = e.options.Ledger.Busy(peer) // spares a message of its own
 	grant, free, err := e.send(ctx, "borrow", peer, ask, service)
 	if err != nil {
 		e.release(peer, 0, 0)
--- a/load/report.go
+++ b/load/report.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"sort"
 	"sync"
 	"sync/atomic"
 	"text/tabwriter"
@@ -86,6 +87,14 @@
 	RatioP99    float64          `json:"p99_ratio"`
 }
 
+// Second is the responses of the calls that were due in one second of the run.
+type Second struct {
+	At    int     `json:"at"`
+	Calls int64   `json:"calls"`
+	P50   float64 `json:"p50_ms"`
+	P99   float64 `json:"p99_ms"`
+}
+
 // Report is the result of a run.
 type Report struct {
 	Tasks    int64              `json:"tasks"`
@@ -103,6 +112,7 @@
 	Seconds  float64            `json:"seconds"`
 	Check    history.Report     `json:"check"`
 	Rows     []Row              `json:"flows"`
+	Course   []Second           `json:"course"`
 }
 
 // Report makes the report; starts is the upstreams' record.
@@ -128,9 +138,24 @@
 	report.Partial, report.Doubled = report.Check.Partial, report.Check.Doubled
 	report.RatioP50 = float64(all.ValueAtQuantile(50)) / 1000
 	report.RatioP99 = float64(all.ValueAtQuantile(99)) / 1000
+	report.Course = r.course()
 	return report
 }
 
+func (r *Run) course() []Second {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var course []Second
+	for at, h := range r.seconds {
+		course = append(course, Second{
+			At: at, Calls: h.TotalCount(),
+			P50: float64(h.ValueAtQuantile(50)) / 1000, P99: float64(h.ValueAtQuantile(99)) / 1000,
+		})
+	}
+	sort.Slice(course, func(a, b int) bool { return course[a].At < course[b].At })
+	return course
+}
+
 // Answers makes a report without a record of starts: only answers are checked.
 func (r *Run) Answers() Report {
 	report := r.Report(nil)
--- a/load/run.go
+++ b/load/run.go
@@ -11,6 +11,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/HdrHistogram/hdrhistogram-go"
+
 	"github.com/radishgate/radishgate/caller"
 	"github.com/radishgate/radishgate/client"
 	"github.com/radishgate/radishgate/common/wait"
@@ -43,13 +45,16 @@
 	tasks   atomic.Int64
 	prefix  string
 
+	began time.Time
+
 	mu      sync.Mutex
+	seconds map[int]*hdrhistogram.Histogram // responses by the second in which they were due
 	clients map[string]*client.Client
 }
 
 // New prepares a run.
 func New(options Options) *Run {
-	r := &Run{options: options, clients: map[string]*client.Client{}, prefix: strconv.FormatUint(rand.Uint64(), 36)}
+	r := &Run{options: options, clients: map[string]*client.Client{}, seconds: map[int]*hdrhistogram.Histogram{}, prefix: strconv.FormatUint(rand.Uint64(), 36)}
 	for _, flow := range options.Scenario.Flows {
 		r.flows = append(r.flows, newFlowResult(flow))
 	}
@@ -90,6 +95,7 @@
 // Do sends the whole scenario and waits for the last answer.
 func (r *Run) Do(ctx context.Context) {
 	s := r.options.Scenario
+	r.began = time.Now()
 	ctx, cancel := context.WithTimeout(ctx, s.Span+grace)
 	defer cancel()
 	sending, stop := context.WithTimeout(ctx, s.Span)
@@ -203,7 +209,7 @@
 		})
 	}
 	whole, err := r.send(ctx, cl, entry, c, key)
-	r.note(c, key, whole, err, time.Since(due), ideal)
+	r.note(c, key, whole, err, due, ideal)
 	group.Wait()
 }
 
@@ -327,12 +333,27 @@
 	return t
 }
 
+// second files a response under the second in which its call was due.
+func (r *Run) second(due time.Time, response time.Duration) {
+	at := int(due.Sub(r.began) / time.Second)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	h, ok := r.seconds[at]
+	if !ok {
+		h = hdrhistogram.New(1, responseMost, digits)
+		r.seconds[at] = h
+	}
+	_ = h.RecordValue(min(max(1, response.Microseconds()), responseMost))
+}
+
 // note files what the caller was told.
-func (r *Run) note(c *call, key string, whole bool, err error, response, ideal time.Duration) {
+func (r *Run) note(c *call, key string, whole bool, err error, due time.Time, ideal time.Duration) {
+	response := time.Since(due)
 	var refused *client.Refused
 	switch {
 	case err == nil && whole:
 		c.flow.complete(len(c.runs), response, ideal)
+		r.second(due, response)
 	case err == nil:
 		c.flow.count(outcomePartial)
 	case errors.As(err, &refused):
--- a/loan/hold.go
+++ b/loan/hold.go
@@ -89,6 +89,21 @@
 	return idle
 }
 
+// Busy lists the loans of a home that run a task.
+func (l *Ledger) Busy(home string) []uint64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var busy []uint64
+	for _, credits := range l.credits {
+		for _, c := range credits {
+			if c.busy && c.home == home {
+				busy = append(busy, c.id)
+			}
+		}
+	}
+	return busy
+}
+
 // Ending lists the loans to renew, by home: all that run a task, as soon as one
 // of that home is past half its life, so that one message renews them together.
 func (l *Ledger) Ending() map[string][]uint64 {
--- a/measure/measures.go
+++ b/measure/measures.go
@@ -29,7 +29,6 @@
 	Wait     *prometheus.HistogramVec
 	Service  *prometheus.HistogramVec
 	Ratio    *prometheus.HistogramVec
-	Bytes    *prometheus.CounterVec // direction
 }
 
 func histogram(name, help string, bounds []float64) *prometheus.HistogramVec {
@@ -51,13 +50,12 @@
 		Jobs:     counter("jobs_total", "Jobs and requests answered, by result.", "tenant", "class", "result"),
 		Refusals: counter("refusals_total", "Refusals to callers, by kind and known outcome.", "kind", "outcome"),
 		Starts:   counter("starts_total", "Starts of tasks on upstreams, by result.", "tenant", "class", "result"),
-		Bytes:    counter("control_bytes_total", "Bytes of messages between entries.", "direction"),
 		Response: histogram("response_seconds", "Arrival to whole answer.", spans),
 		Wait:     histogram("wait_seconds", "Arrival of a job to start of a task.", spans),
 		Service:  histogram("service_seconds", "Start of a task to its answer.", spans),
 		Ratio:    histogram("ideal_ratio", "Response against the estimated ideal.", ratios),
 	}
-	m.Registry.MustRegister(m.Messages, m.Changes, m.Jobs, m.Refusals, m.Starts, m.Bytes, m.Response, m.Wait, m.Service, m.Ratio)
+	m.Registry.MustRegister(m.Messages, m.Changes, m.Jobs, m.Refusals, m.Starts, m.Response, m.Wait, m.Service, m.Ratio)
 	return m
 }
 
--- /dev/null
+++ b/measure/measures_test.go
@@ -0,0 +1,33 @@
+package measure
+
+import (
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+// TestMetricsAreDescribed holds docs/operating/metrics.md against the metrics.
+func TestMetricsAreDescribed(t *testing.T) {
+	page, err := os.ReadFile("../docs/operating/metrics.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	m := New()
+	described := make(chan *prometheus.Desc, 100)
+	m.Registry.Describe(described)
+	close(described)
+	count := 0
+	for d := range described {
+		_, rest, _ := strings.Cut(d.String(), `fqName: "radishgate_`)
+		name, _, _ := strings.Cut(rest, `"`)
+		count++
+		if !strings.Contains(string(page), "`"+name+"`") {
+			t.Errorf("the page lacks %s", name)
+		}
+	}
+	if count < 8 {
+		t.Errorf("only %d metrics", count)
+	}
+}
--- a/refusal/refusal.go
+++ b/refusal/refusal.go
@@ -25,6 +25,7 @@
 	BadBody       Kind = "bad-body"
 	BadKey        Kind = "bad-key"
 	BadHeader     Kind = "bad-header"
+	HeaderTooBig  Kind = "header-too-large"
 	BodyTooLarge  Kind = "body-too-large"
 	TooManyTasks  Kind = "too-many-tasks"
 	AnswerTooBig  Kind = "answer-too-large"
@@ -56,6 +57,7 @@
 // statuses gives the HTTP status of each kind.
 var statuses = map[Kind]int{
 	BadBody: http.StatusBadRequest, BadKey: http.StatusBadRequest, BadHeader: http.StatusBadRequest,
+	HeaderTooBig: http.StatusRequestHeaderFieldsTooLarge,
 	BodyTooLarge: http.StatusRequestEntityTooLarge, TooManyTasks: http.StatusRequestEntityTooLarge,
 	AnswerTooBig: http.StatusBadGateway, NoService: http.StatusNotFound, NoTenant: http.StatusForbidden,
 	NoRoute: http.StatusNotFound, KeyRequired: http.StatusBadRequest, KeyConflict: http.StatusUnprocessableEntity,
