--- /dev/null
+++ b/bench/plot_test.go
@@ -0,0 +1,25 @@
+package bench
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/radishgate/radishgate/load"
+)
+
+func TestPlotDrawsAllResults(t *testing.T) {
+	name := filepath.Join(t.TempDir(), "ratios.svg")
+	results := []Result{
+		{Placement: "home", Round: 1, Report: load.Report{RatioP50: 1.1, RatioP99: 2}},
+		{Placement: "static", Round: 1, Report: load.Report{RatioP50: 1.5, RatioP99: 4}},
+	}
+	if err := Plot(name, results); err != nil {
+		t.Fatal(err)
+	}
+	data, err := os.ReadFile(name)
+	if err != nil || !bytes.Contains(data, []byte("<svg")) || !bytes.Contains(data, []byte("static 1")) {
+		t.Fatalf("%d bytes, %v", len(data), err)
+	}
+}
