entry: Let answers to forwarded keys leave before the peers' server ends

Cause: read again, a planned stop waited for the last job and then closed the peers' connections, on which that job's answer may still be written. And an upstream that a bundle moves to another zone kept its slots at home here. Change: servers shut down for up to a second, asks that are held end with the entry, a kill still cuts everything; homes of moved upstreams go to zero.

--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -211,6 +211,8 @@
 		}
 	}
 	f.Store.Set(store.Faults{})
+	// A partition whose log failed refuses at once for a second.
+	time.Sleep(1100 * time.Millisecond)
 	report = drive(t, f, time.Second, nil)
 	if left := outcomes(report)["not-run:log-unavailable"]; left != 0 {
 		t.Errorf("%d chosen keys are refused after the outage", left)
--- a/entry/homes.go
+++ b/entry/homes.go
@@ -31,11 +31,11 @@
 		return
 	}
 	for name, u := range b.Upstreams {
-		if u.Zone != e.settings.Zone {
-			continue
+		slots := 0
+		if u.Zone == e.settings.Zone {
+			slots = ring.Slots(e.settings.VM, name, u.Slots)
 		}
-		slots := ring.Slots(e.settings.VM, name, u.Slots)
-		if old, ok := e.homes[name]; !ok || old != slots {
+		if e.homes[name] != slots {
 			e.homes[name] = slots
 			e.ledger.Set(name, slots)
 		}
@@ -127,6 +127,7 @@
 		wait.For(ctx, coalesce)
 	case <-timer.C:
 	case <-ctx.Done():
+	case <-e.life.Done():
 	}
 	return leave()
 }
--- a/entry/run.go
+++ b/entry/run.go
@@ -56,13 +56,13 @@
 	}
 	if e.life.Err() == nil {
 		e.drain(callers)
+	} else {
+		cut(callers, peers, operators)
 	}
 	stopExchange()
 	e.end()
 	loops.Wait()
-	for _, s := range []*http.Server{callers, peers, operators} {
-		_ = s.Close()
-	}
+	closeServers(callers, peers, operators)
 	servers.Wait()
 	e.dispatcher.Idle()
 	e.close()
@@ -70,6 +70,27 @@
 	return failure
 }
 
+// lastSpan is the time for answers to forwarded keys that are being written when
+// the last job ends.
+const lastSpan = time.Second
+
+// cut closes all connections at once.
+func cut(servers ...*http.Server) {
+	for _, s := range servers {
+		_ = s.Close()
+	}
+}
+
+// closeServers lets answers that are being written leave, then closes all.
+func closeServers(servers ...*http.Server) {
+	ctx, cancel := context.WithTimeout(context.Background(), lastSpan)
+	defer cancel()
+	for _, s := range servers {
+		_ = s.Shutdown(ctx)
+		_ = s.Close()
+	}
+}
+
 // Abort ends the entry at once, as a kill of the process would: connections
 // are cut and nothing is told to anybody.
 func (e *Entry) Abort() { e.end() }
