outlier, dispatch: Give a returning upstream one task

Cause: read again, one match could place several tasks on an upstream that was due for its single trial, and failures of tasks that had begun before it was put aside doubled its time aside. Change: a target on trial offers one slot and is not lent; outcomes of tasks that began before tell nothing while it is aside. Before: TestReturnBySingleTrial sees 4 tasks at once; after: 1.

--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -66,6 +66,7 @@
 	kept  int // of the free ones, for requests
 	speed float64
 	known bool // some task has ended on it
+	trial bool // aside, and due for one task
 	ends  []time.Time
 }
 
--- a/dispatch/dispatcher_test.go
+++ b/dispatch/dispatcher_test.go
@@ -362,6 +362,32 @@
 	})
 }
 
+// TestReturnBySingleTrial puts an upstream aside and brings a job once its time
+// aside is over: one task is the trial, the others go elsewhere until it is good.
+func TestReturnBySingleTrial(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, 1, 1, 1, 1)
+		var failing atomic.Bool
+		failing.Store(true)
+		b.act = func(_ context.Context, name string, _ upstream.Call, _ time.Duration) error {
+			if name == "u0" && failing.Load() {
+				return &upstream.Failure{Upstream: name, Known: upstream.NotRun, Status: 503}
+			}
+			return nil
+		}
+		<-b.submit(b.job("a", "once", time.Minute, repeat(40, 20*time.Millisecond)...)).Done()
+		if aside := b.options.Board.Names(); len(aside) != 1 {
+			t.Fatalf("aside: %v", aside)
+		}
+		time.Sleep(3 * time.Second)
+		before := b.startsOf("u0")
+		<-b.submit(b.job("a", "once", time.Minute, repeat(40, 20*time.Millisecond)...)).Done()
+		if trials := b.startsOf("u0") - before; trials != 1 {
+			t.Errorf("%d tasks were the single trial", trials)
+		}
+	})
+}
+
 func TestTaskOfAJobMovesOnlyOnProof(t *testing.T) {
 	tests := []struct {
 		known   upstream.Known
--- a/dispatch/match.go
+++ b/dispatch/match.go
@@ -124,6 +124,10 @@
 		t.held = d.options.Ledger.Held(t.name)
 		allowed := t.limit.Allow(t.held) - len(t.running)
 		t.free = max(0, min(d.options.Ledger.Free(t.name), allowed))
+		t.trial = d.options.Board.Trial(t.name)
+		if t.trial {
+			t.free = min(t.free, 1)
+		}
 		t.speed = max(d.options.Estimator.Speed(t.name), 0.01)
 		t.known = t.known || d.options.Estimator.Known(t.name)
 		held += t.held
--- a/dispatch/reserve.go
+++ b/dispatch/reserve.go
@@ -78,7 +78,7 @@
 	d.reserve(d.options.Now())
 	var near []*target
 	for _, t := range d.order {
-		if t.near && t.held > 0 {
+		if t.near && t.held > 0 && !t.trial {
 			near = append(near, t)
 		}
 	}
--- a/outlier/board.go
+++ b/outlier/board.go
@@ -83,6 +83,9 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s := b.score(name)
+	if s.aside && !s.trial {
+		return false // a task that began before tells nothing new
+	}
 	s.seen++
 	if good {
 		return s.succeed()
@@ -148,6 +151,18 @@
 	return s.trial && now.Before(s.trialBy)
 }
 
+// Trial tells whether the upstream is aside and may get its one trial task now.
+func (b *Board) Trial(name string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s, ok := b.scores[name]
+	if !ok || !s.aside {
+		return false
+	}
+	now := b.options.Now()
+	return !now.Before(s.until) && !(s.trial && now.Before(s.trialBy))
+}
+
 // Begin notes a start on an upstream; for one that is aside it is the trial.
 func (b *Board) Begin(name string, deadline time.Time) {
 	b.mu.Lock()
