job: Free the tasks of a job that has ended

Cause: read again, a job's tasks stayed in memory as long as its key is remembered. Worked out at the target's 4,375 starts a second and entry, the task records alone are about 170 MB in ten minutes, over the 128 MB, bodies not counted; and nothing set the bound of a job's answers together. Change: tasks are freed when the job ends, the count stays; the answers of one job may not exceed the memory for kept answers. Memory at that rate was not run.

--- a/dispatch/admit.go
+++ b/dispatch/admit.go
@@ -82,11 +82,12 @@
 
 // plan estimates the tasks of a job: their number, total and longest run time.
 func (d *Dispatcher) plan(j *job.Job) ([]*task, time.Duration, time.Duration) {
-	tasks := make([]*task, len(j.Tasks))
+	list := j.List()
+	tasks := make([]*task, len(list))
 	var total, longest time.Duration
-	for i := range j.Tasks {
-		estimate := d.options.Estimator.Predict(j.Service.Name, j.Tasks[i].Hint, j.Service.Hint)
-		tasks[i] = &task{job: j, index: i, estimate: estimate}
+	for i := range list {
+		estimate := d.options.Estimator.Predict(j.Service.Name, list[i].Hint, j.Service.Hint)
+		tasks[i] = &task{job: j, index: i, part: &list[i], estimate: estimate}
 		total += estimate
 		longest = max(longest, estimate)
 	}
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -74,6 +74,7 @@
 type task struct {
 	job      *job.Job
 	index    int
+	part     *job.Task
 	estimate time.Duration // on the fastest upstream
 	item     queue.Item[*task]
 	due      time.Time
@@ -84,7 +85,7 @@
 	runs     []*run
 }
 
-func (t *task) hint() time.Duration { return t.job.Tasks[t.index].Hint }
+func (t *task) hint() time.Duration { return t.part.Hint }
 
 // run is one start of a task.
 type run struct {
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -65,7 +65,7 @@
 func (d *Dispatcher) run(ctx context.Context, r *run) {
 	defer r.cancel()
 	j := r.task.job
-	part := j.Tasks[r.task.index]
+	part := r.task.part
 	answer, err := d.options.Send(ctx, r.target.name, upstream.Call{
 		Path: j.Service.Path, Task: j.Key + "/" + strconv.Itoa(r.task.index),
 		Type: part.Type, Body: part.Body, Deadline: j.Deadline,
--- a/job/job.go
+++ b/job/job.go
@@ -36,7 +36,8 @@
 )
 
 // Job is the aggregate of the tasks and their answers. It keeps the bundle it
-// was admitted under. The exported fields are not changed after New.
+// was admitted under. The exported fields are not changed after New, but for
+// Tasks, which Release empties.
 type Job struct {
 	Key      string
 	Digest   string // of the submitted body
@@ -54,6 +55,7 @@
 
 	mu      sync.Mutex
 	state   State
+	count   int // tasks
 	answers []Answer
 	left    int
 	started int
@@ -70,7 +72,8 @@
 	j.ctx, j.cancel = context.WithDeadline(parent, j.Deadline)
 	j.state = Running
 	j.answers = make([]Answer, len(j.Tasks))
-	j.left = len(j.Tasks)
+	j.count = len(j.Tasks)
+	j.left = j.count
 	j.done = make(chan struct{})
 	context.AfterFunc(j.ctx, j.expire)
 	return j
@@ -97,6 +100,24 @@
 	return j.state == Running
 }
 
+// List gives the tasks, nil once the job has ended and Release was called. Use
+// it in place of the field after New.
+func (j *Job) List() []Task {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.Tasks
+}
+
+// Release frees the tasks of a job that has ended. Its key is remembered for
+// long after that, and what was sent to upstreams is of no more use.
+func (j *Job) Release() {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if j.state != Running {
+		j.Tasks = nil
+	}
+}
+
 // Begin counts a start, and is refused when the job has ended.
 func (j *Job) Begin() bool {
 	j.mu.Lock()
@@ -205,5 +226,5 @@
 func (j *Job) Progress() (int, int) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	return len(j.Tasks) - j.left, len(j.Tasks)
+	return j.count - j.left, j.count
 }
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -48,6 +48,7 @@
 type Options struct {
 	Self      origin.Key // zone, VM and incarnation
 	Life      context.Context
+	Room      int64 // bytes of all answers of a job at most
 	Window    *window.Window[*job.Job]
 	Shelf     *shelf.Shelf
 	Partition func(index int) *claim.Partition[*job.Job]
@@ -156,7 +157,7 @@
 	}
 	return job.New(k.options.Life, &job.Job{
 		Key: key, Digest: s.Digest, Tenant: s.Tenant, Service: service, Bundle: b,
-		Request: s.Request, Tasks: s.Tasks, Arrived: now, Deadline: deadline,
+		Request: s.Request, Tasks: s.Tasks, Arrived: now, Deadline: deadline, Room: k.options.Room,
 	})
 }
 
@@ -168,6 +169,7 @@
 	}
 	context.AfterFunc(j.Context(), func() {
 		<-j.Done()
+		j.Release()
 		k.options.Shelf.Put(j)
 	})
 	return j
