exchange: Keep one renewal a home under way

Cause: read again, a renewal was sent anew each ten milliseconds until its answer came; into a cut that is a hundred a second for each home. Change: one at a time a home, and none for 200 ms after one that failed. Before: TestRenewalsDoNotPileUp counts 250 in 3 s; after: at most 4.

--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -63,11 +63,12 @@
 	options Options
 	wake    chan struct{}
 
-	mu    sync.Mutex
-	round time.Time            // when the next round of asks may begin
-	busy  map[string]bool      // peers with an ask under way
-	rest  map[string]time.Time // peers not to be asked before
-	free  map[string]hint
+	mu       sync.Mutex
+	round    time.Time            // when the next round of asks may begin
+	busy     map[string]bool      // peers with an ask under way
+	renewing map[string]time.Time // homes with a renewal under way (zero), or not to be sent one before
+	rest     map[string]time.Time // peers not to be asked before
+	free     map[string]hint
 }
 
 // New makes an exchange; Run starts it.
@@ -95,7 +96,7 @@
 	}
 	return &Exchange{
 		options: options, wake: make(chan struct{}, 1),
-		busy: map[string]bool{}, rest: map[string]time.Time{}, free: map[string]hint{},
+		busy: map[string]bool{}, renewing: map[string]time.Time{}, rest: map[string]time.Time{}, free: map[string]hint{},
 	}
 }
 
@@ -298,7 +299,34 @@
 	}
 	need := e.options.Need()
 	for peer, ids := range ending {
+		if !e.beginRenewal(peer) {
+			continue
+		}
 		ask := loan.Ask{Holder: e.options.Self, Renew: ids, Backlog: need.Backlog, Held: need.Held}
-		group.Go(func() { _, _, _ = e.send(ctx, "renew", peer, ask, "") })
+		group.Go(func() {
+			_, _, err := e.send(ctx, "renew", peer, ask, "")
+			e.endRenewal(peer, err == nil)
+		})
+	}
+}
+
+// beginRenewal lets one renewal a home be under way, and none right after one
+// that failed.
+func (e *Exchange) beginRenewal(peer string) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if until, ok := e.renewing[peer]; ok && (until.IsZero() || time.Now().Before(until)) {
+		return false
+	}
+	e.renewing[peer] = time.Time{}
+	return true
+}
+
+func (e *Exchange) endRenewal(peer string, answered bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	delete(e.renewing, peer)
+	if !answered {
+		e.renewing[peer] = time.Now().Add(e.options.Breath)
 	}
 }
--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -124,3 +125,27 @@
 		}
 	})
 }
+
+// TestRenewalsDoNotPileUp has a home that answers nothing for a second, as in a
+// cut, while its loans run tasks.
+func TestRenewalsDoNotPileUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var renewals atomic.Int64
+		d := newDesk(1, 0, func(_ string, ask loan.Ask) (loan.Grant, error) {
+			if len(ask.Renew) > 0 {
+				renewals.Add(1)
+				time.Sleep(time.Second)
+				return loan.Grant{}, context.DeadlineExceeded
+			}
+			return loan.Grant{}, nil
+		})
+		d.ledger.Receive("near-0", loan.Grant{Life: time.Second, Loans: []loan.Loan{{ID: 1, Upstream: "u"}}}, time.Now())
+		if _, ok := d.ledger.Take("u"); !ok {
+			t.Fatal("the loan cannot be used")
+		}
+		d.run(t, Need{}, 3*time.Second)
+		if got := renewals.Load(); got > 4 {
+			t.Errorf("%d renewals in 3 s", got)
+		}
+	})
+}
