outlier, dispatch: Say twice-written things once

Cause: Aside and Trial read the same state in the same eight lines; dispatch and exchange each had a struct of the same need. Change: one function for an upstream's standing; one Need. Behaviour is the same. Measured: outlier, dispatch, exchange and capacity pass with -race, the entry's whole path, resubmission and outage tests without.

--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -11,6 +11,7 @@
 	"github.com/radishgate/radishgate/budget"
 	"github.com/radishgate/radishgate/bundle"
 	"github.com/radishgate/radishgate/estimate"
+	"github.com/radishgate/radishgate/exchange"
 	"github.com/radishgate/radishgate/job"
 	"github.com/radishgate/radishgate/limit"
 	"github.com/radishgate/radishgate/loan"
@@ -216,23 +217,11 @@
 // Idle waits until no start is under way.
 func (d *Dispatcher) Idle() { d.runs.Wait() }
 
-// Need is what the exchange should borrow for: the tasks that no slot here
-// takes soon, the whole backlog, the slots held, the service at the head, and
-// the least speed of a slot that would help.
-type Need struct {
-	Want    int
-	Backlog int
-	Held    int
-	Service string
-	Speed   float64
-	Left    time.Duration // in which the slots held here could do the backlog
-}
-
 // Need tells what to borrow for. Placements without loans need nothing.
-func (d *Dispatcher) Need() Need {
+func (d *Dispatcher) Need() exchange.Need {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	n := Need{Backlog: d.backlog}
+	n := exchange.Need{Backlog: d.backlog}
 	if d.bundle != nil && d.bundle.Rules.Placement == placementHome {
 		n.Want, n.Service, n.Speed, n.Left = d.want, d.head, d.least, d.remaining
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -191,7 +191,7 @@
 	})
 	e.exchange = exchange.New(exchange.Options{
 		Ledger: e.ledger, Self: e.settings.VM, Ask: e.ask, Peers: e.nearPeers, Far: e.farPeers,
-		Need: func() exchange.Need { return exchange.Need(e.dispatcher.Need()) }, Got: e.dispatcher.Kick,
+		Need: e.dispatcher.Need, Got: e.dispatcher.Kick,
 		Count: func(kind string) { e.measures.Messages.WithLabelValues(kind).Inc() },
 	})
 }
--- a/outlier/board.go
+++ b/outlier/board.go
@@ -136,31 +136,29 @@
 }
 
 // Aside tells whether the upstream gets no ordinary work. Once its time aside
-// is over, the first caller that passes take gets one trial task for it.
+// is over, it is due for one trial task.
 func (b *Board) Aside(name string) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	s, ok := b.scores[name]
-	if !ok || !s.aside {
-		return false
-	}
-	now := b.options.Now()
-	if now.Before(s.until) {
-		return true
-	}
-	return s.trial && now.Before(s.trialBy)
+	aside, due := b.standing(name)
+	return aside && !due
 }
 
 // Trial tells whether the upstream is aside and may get its one trial task now.
 func (b *Board) Trial(name string) bool {
+	aside, due := b.standing(name)
+	return aside && due
+}
+
+// standing tells whether the upstream is aside, and whether its trial is due.
+func (b *Board) standing(name string) (bool, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s, ok := b.scores[name]
 	if !ok || !s.aside {
-		return false
+		return false, false
 	}
 	now := b.options.Now()
-	return !now.Before(s.until) && !(s.trial && now.Before(s.trialBy))
+	underWay := s.trial && now.Before(s.trialBy)
+	return true, !now.Before(s.until) && !underWay
 }
 
 // Begin notes a start on an upstream; for one that is aside it is the trial.
