--- a/demo/demo.go
+++ b/demo/demo.go
@@ -194,6 +194,7 @@
 	report := run.Report(f.Starts())
 	counts, written := f.Messages()
 	report.Seconds = time.Since(began).Seconds()
+	report.Counts = counts
 	report.Messages = load.Waste(counts, report.Tasks)
 	report.Control = float64(written) / report.Seconds / float64(max(1, len(f.Live())))
 	fmt.Fprintln(options.Out)
