dispatch, load, common: Work things out once

Cause: read whole again: an admitted job was planned twice, every task's run time predicted each time, only to know its ideal for a histogram; the ideal, the processor time of the process and the traffic part of a report stood twice or more; a field of the claims' partition was never used. Change: admission notes the ideal on the job; common/usage; Report.Traffic; the field is gone. Measured: job, dispatch, claim, measure, capacity and bench pass with -race, the other packages without, of the entry the whole path and the resubmission; a demo of 3 s ends well.

--- a/bench/bench.go
+++ b/bench/bench.go
@@ -7,7 +7,6 @@
 	"io"
 	"runtime"
 	"strings"
-	"syscall"
 	"text/tabwriter"
 	"time"
 
@@ -15,6 +14,7 @@
 	"gonum.org/v1/plot/plotter"
 	"gonum.org/v1/plot/vg"
 
+	"github.com/radishgate/radishgate/common/usage"
 	"github.com/radishgate/radishgate/common/wait"
 	"github.com/radishgate/radishgate/demo"
 	"github.com/radishgate/radishgate/load"
@@ -86,26 +86,14 @@
 	if options.During != nil {
 		go options.During(during, f)
 	}
-	began, used := time.Now(), processor()
+	began, used := time.Now(), usage.Processor()
 	run.Do(ctx)
-	r := Result{Placement: placement, Processor: processor() - used, Report: run.Report(f.Starts())}
+	r := Result{Placement: placement, Processor: (usage.Processor() - used).Seconds(), Report: run.Report(f.Starts())}
 	counts, written := f.Messages()
-	r.Report.Counts = counts
-	r.Report.Seconds = time.Since(began).Seconds()
-	r.Report.Messages = load.Waste(counts, r.Report.Tasks)
-	r.Report.Control = float64(written) / r.Report.Seconds / float64(max(1, len(f.Live())))
+	r.Report.Traffic(counts, written, len(f.Live()), began)
 	return r, nil
 }
 
-// processor is the processor time of this process so far, in seconds.
-func processor() float64 {
-	var usage syscall.Rusage
-	if syscall.Getrusage(syscall.RUSAGE_SELF, &usage) != nil {
-		return 0
-	}
-	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano()).Seconds()
-}
-
 // Write prints all results as tables, flow by flow.
 func Write(w io.Writer, results []Result) {
 	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
--- a/bench/overhead_test.go
+++ b/bench/overhead_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/radishgate/radishgate/caller"
+	"github.com/radishgate/radishgate/common/usage"
 	"github.com/radishgate/radishgate/standin/fleet"
 )
 
@@ -62,7 +63,7 @@
 func post(b *testing.B, client *http.Client, url string, count int) ([]time.Duration, time.Duration) {
 	b.Helper()
 	var times []time.Duration
-	used := processor()
+	used := usage.Processor()
 	for range count {
 		request, _ := http.NewRequest(http.MethodPost, url, bytes.NewReader([]byte(`{"run":"1us","tag":"x"}`)))
 		request.Header.Set("Content-Type", "application/json")
@@ -79,7 +80,7 @@
 		}
 		times = append(times, time.Since(began))
 	}
-	each := time.Duration((processor() - used) / float64(count) * float64(time.Second))
+	each := (usage.Processor() - used) / time.Duration(count)
 	slices.Sort(times)
 	return times, each
 }
--- a/capacity/run.go
+++ b/capacity/run.go
@@ -3,19 +3,8 @@
 import (
 	"fmt"
 	"io"
-	"syscall"
-	"time"
 )
 
-// processor is the processor time of this process so far.
-func processor() time.Duration {
-	var usage syscall.Rusage
-	if syscall.Getrusage(syscall.RUSAGE_SELF, &usage) != nil {
-		return 0
-	}
-	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
-}
-
 // Result is all that was measured.
 type Result struct {
 	Overhead float64  `json:"overhead"` // bytes of HTTP around one message and its answer
--- a/capacity/send.go
+++ b/capacity/send.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/radishgate/radishgate/common/usage"
 	"github.com/radishgate/radishgate/upstream"
 )
 
@@ -36,11 +37,11 @@
 		}
 	}
 	one(50)
-	began := processor()
+	began := usage.Processor()
 	var group sync.WaitGroup
 	for range atOnce {
 		group.Go(func() { one(tasks / atOnce) })
 	}
 	group.Wait()
-	return (processor() - began).Seconds() * 1e6 / tasks
+	return (usage.Processor() - began).Seconds() * 1e6 / tasks
 }
--- a/capacity/series.go
+++ b/capacity/series.go
@@ -17,6 +17,7 @@
 	"github.com/radishgate/radishgate/bundle"
 	"github.com/radishgate/radishgate/claim"
 	"github.com/radishgate/radishgate/common/counted"
+	"github.com/radishgate/radishgate/common/usage"
 	"github.com/radishgate/radishgate/dispatch"
 	"github.com/radishgate/radishgate/estimate"
 	"github.com/radishgate/radishgate/home"
@@ -287,7 +288,7 @@
 		},
 	})
 	d.Apply(b)
-	began := processor()
+	began := usage.Processor()
 	const rounds = 12
 	for range rounds {
 		j := &job.Job{Tenant: "t", Service: b.Services["fit"], Bundle: b, Arrived: time.Now(), Deadline: time.Now().Add(time.Minute)}
@@ -299,7 +300,7 @@
 			<-j.Done()
 		}
 	}
-	return (processor() - began).Seconds() * 1e6 / float64(rounds*tasks)
+	return (usage.Processor() - began).Seconds() * 1e6 / float64(rounds*tasks)
 }
 
 func shares(tenants int) float64 {
--- a/claim/partition.go
+++ b/claim/partition.go
@@ -82,7 +82,6 @@
 	keys    map[string]*known[V]
 	order   []string
 	pending []pending[V]
-	flusher bool
 	appends int64
 	claims  int64
 }
--- a/demo/demo.go
+++ b/demo/demo.go
@@ -193,10 +193,7 @@
 	<-done
 	report := run.Report(f.Starts())
 	counts, written := f.Messages()
-	report.Seconds = time.Since(began).Seconds()
-	report.Counts = counts
-	report.Messages = load.Waste(counts, report.Tasks)
-	report.Control = float64(written) / report.Seconds / float64(max(1, len(f.Live())))
+	report.Traffic(counts, written, len(f.Live()), began)
 	fmt.Fprintln(options.Out)
 	return report, nil
 }
--- a/dispatch/admit.go
+++ b/dispatch/admit.go
@@ -34,7 +34,8 @@
 	if j.Request {
 		d.arrive(d.options.Now())
 	}
-	ideal := max(longest, time.Duration(float64(total)/max(1, d.speed())))
+	ideal := d.ideal(total, longest)
+	j.Expect(ideal)
 	due := dueOf(j, ideal)
 	for _, t := range tasks {
 		t.due, t.ideal = due, ideal
@@ -94,15 +95,9 @@
 	return tasks, total, longest
 }
 
-// Ideal is the response time that a job could have at best: the larger of its
+// ideal is the response time that a job could have at best: the larger of its
 // longest task and its total work over the slots of the zone, speeds counted.
-func (d *Dispatcher) Ideal(j *job.Job) time.Duration {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	_, total, longest := d.plan(j)
-	if j.Request {
-		return longest
-	}
+func (d *Dispatcher) ideal(total, longest time.Duration) time.Duration {
 	return max(longest, time.Duration(float64(total)/max(1, d.speed())))
 }
 
--- a/entry/admit.go
+++ b/entry/admit.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/radishgate/radishgate/job"
 	"github.com/radishgate/radishgate/refusal"
@@ -14,19 +13,18 @@
 	if !ok {
 		return refusal.New(refusal.OverQuota, refusal.NotRun, "tenant %s is over its quota", j.Tenant).Later(at)
 	}
-	ideal := e.dispatcher.Ideal(j)
 	if r := e.dispatcher.Submit(j); r != nil {
 		return r
 	}
 	e.running.Add(1)
-	context.AfterFunc(j.Context(), func() { e.ended(j, ideal) })
+	context.AfterFunc(j.Context(), func() { e.ended(j) })
 	return nil
 }
 
 // ended counts a job that was admitted.
-func (e *Entry) ended(j *job.Job, ideal time.Duration) {
+func (e *Entry) ended(j *job.Job) {
 	<-j.Done()
-	e.measures.Job(j, ideal)
+	e.measures.Job(j)
 	e.running.Done()
 }
 
--- a/job/job.go
+++ b/job/job.go
@@ -56,6 +56,7 @@
 	mu      sync.Mutex
 	state   State
 	count   int // tasks
+	ideal   time.Duration
 	answers []Answer
 	left    int
 	started int
@@ -118,6 +119,20 @@
 	}
 }
 
+// Expect notes the best response that the job could have.
+func (j *Job) Expect(ideal time.Duration) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.ideal = ideal
+}
+
+// Ideal is what Expect noted.
+func (j *Job) Ideal() time.Duration {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.ideal
+}
+
 // Begin counts a start, and is refused when the job has ended.
 func (j *Job) Begin() bool {
 	j.mu.Lock()
--- a/load/report.go
+++ b/load/report.go
@@ -181,6 +181,15 @@
 	return max(0, sent-2*float64(tasks)) / float64(tasks)
 }
 
+// Traffic fills in the messages of the entries by kind, the bytes that they wrote
+// to each other, and the length of the run since it began.
+func (r *Report) Traffic(counts map[string]float64, written int64, entries int, began time.Time) {
+	r.Counts = counts
+	r.Seconds = time.Since(began).Seconds()
+	r.Messages = Waste(counts, r.Tasks)
+	r.Control = float64(written) / r.Seconds / float64(max(1, entries))
+}
+
 // Broken tells whether a promise was broken.
 func (r Report) Broken() bool { return r.Check.Broken() }
 
--- a/measure/measures.go
+++ b/measure/measures.go
@@ -2,8 +2,6 @@
 package measure
 
 import (
-	"time"
-
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/radishgate/radishgate/dispatch"
@@ -81,7 +79,7 @@
 }
 
 // Job counts an ended job and its response against the ideal.
-func (m *Measures) Job(j *job.Job, ideal time.Duration) {
+func (m *Measures) Job(j *job.Job) {
 	tenant, class := j.Tenant, j.Service.Class
 	state, _, r := j.Result()
 	result := string(state)
@@ -94,7 +92,7 @@
 	}
 	response := j.Ended().Sub(j.Arrived)
 	m.Response.WithLabelValues(tenant, class).Observe(response.Seconds())
-	if ideal > 0 {
+	if ideal := j.Ideal(); ideal > 0 {
 		m.Ratio.WithLabelValues(tenant, class).Observe(float64(response) / float64(ideal))
 	}
 }
