dispatch: Cancel the waiting jobs first in the test of a wave

It ended the running job first; the slots that came free went, in another goroutine, to jobs whose cancellation was still to come. Those starts are allowed and were told as unknown, as they must be. Ruled out: a start after the cancellation of its own job (Begin refuses it; the new test counts it).

Change: the exact count is taken with the waiting jobs ended first, which leaves no slot for them. A second test keeps the old order and checks what must hold there: a job said not to have run had no start, the job that stayed had its ten.

--- a/dispatch/dispatcher_test.go
+++ b/dispatch/dispatcher_test.go
@@ -6,6 +6,7 @@
 	"math"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -279,15 +280,13 @@
 	})
 }
 
+// TestCancelledTasksDoNotStart ends the waiting jobs before the running one, so
+// that no slot comes free for a job whose own cancellation is still to come.
 func TestCancelledTasksDoNotStart(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := newBench(t, 1)
-		var jobs []*job.Job
-		for range 50 {
-			jobs = append(jobs, b.submit(b.job("a", "once", time.Minute, repeat(10, 50*time.Millisecond)...)))
-		}
-		synctest.Wait()
-		for _, j := range jobs[:49] {
+		jobs := b.wave(50)
+		for _, j := range slices.Backward(jobs[:49]) {
 			j.Fail(refusal.New(refusal.Cancelled, refusal.NotRun, "cancelled"))
 		}
 		<-jobs[49].Done()
@@ -303,6 +302,43 @@
 	})
 }
 
+// TestCancelledInTurn ends the running job first. Its slots may then go to jobs
+// whose cancellation is still to come, and each such start is told.
+func TestCancelledInTurn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, 1)
+		jobs := b.wave(50)
+		for _, j := range jobs[:49] {
+			j.Fail(refusal.New(refusal.Cancelled, refusal.NotRun, "cancelled"))
+		}
+		<-jobs[49].Done()
+		b.Idle()
+		started := map[string]int{}
+		for _, s := range b.starts {
+			key, _, _ := strings.Cut(s.task, "/")
+			started[key]++
+		}
+		for _, j := range jobs[:49] {
+			if _, _, r := j.Result(); (started[j.Key] > 0) && r.Outcome == refusal.NotRun {
+				t.Errorf("job %s had %d starts and is said not to have run", j.Key, started[j.Key])
+			}
+		}
+		if started[jobs[49].Key] != 10 || b.Backlog() != 0 {
+			t.Errorf("the job that stayed had %d starts, backlog %d", started[jobs[49].Key], b.Backlog())
+		}
+	})
+}
+
+// wave submits jobs of ten tasks, and returns when the first of them runs.
+func (b *bench) wave(count int) []*job.Job {
+	var jobs []*job.Job
+	for range count {
+		jobs = append(jobs, b.submit(b.job("a", "once", time.Minute, repeat(10, 50*time.Millisecond)...)))
+	}
+	synctest.Wait()
+	return jobs
+}
+
 // TestNoRetryStorm fails half of the upstreams at once. Starts may exceed
 // requests by a tenth and what the budgets had saved.
 func TestNoRetryStorm(t *testing.T) {
