origin, internal/mutate: Refuse keys in another writing, fuzz on fixed inputs

Two writings of one token would count as two keys. No entry gives out the second one, so a caller had to change the case itself.

Change: an origin key must be written as the entry gave it out.

--- a/origin/key.go
+++ b/origin/key.go
@@ -67,8 +67,8 @@
 		return Key{}, &KeyError{Key: text, Reason: "token is not o1~zone~vm~incarnation~slot"}
 	}
 	incarnation, err := strconv.ParseUint(parts[3], 16, 64)
-	if err != nil || len(parts[3]) != 16 {
-		return Key{}, &KeyError{Key: text, Reason: "incarnation is not 16 hexadecimal digits"}
+	if err != nil || fmt.Sprintf("%016x", incarnation) != parts[3] {
+		return Key{}, &KeyError{Key: text, Reason: "incarnation is not 16 hexadecimal digits, letters in lower case"}
 	}
 	slot, err := strconv.ParseInt(parts[4], 10, 64)
 	if err != nil || slot < 0 || strconv.FormatInt(slot, 10) != parts[4] {
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -5,6 +5,8 @@
 	"testing"
 
 	"github.com/cockroachdb/datadriven"
+
+	"github.com/radishgate/radishgate/internal/mutate"
 )
 
 // TestParse runs testdata/parse: an error names file, line, section and key.
@@ -56,6 +58,9 @@
 func FuzzParse(f *testing.F) {
 	f.Add(Print())
 	f.Add("[entry]\nvm = \n[x]")
+	for _, text := range mutate.Of(Print(), 1000) {
+		f.Add(text)
+	}
 	f.Fuzz(func(_ *testing.T, text string) {
 		_, _ = Parse("fuzz", []byte(text))
 	})
