--- a/bench/bench.go
+++ b/bench/bench.go
@@ -7,6 +7,7 @@
 	"io"
 	"runtime"
 	"strings"
+	"sync"
 	"text/tabwriter"
 	"time"
 
@@ -15,8 +16,8 @@
 	"gonum.org/v1/plot/vg"
 
 	"github.com/radishgate/radishgate/common/usage"
-	"github.com/radishgate/radishgate/common/wait"
 	"github.com/radishgate/radishgate/demo"
+	"github.com/radishgate/radishgate/fault"
 	"github.com/radishgate/radishgate/load"
 	"github.com/radishgate/radishgate/standin/fleet"
 	"github.com/radishgate/radishgate/standin/store"
@@ -35,7 +36,8 @@
 	Upstreams  int // a zone
 	Slots      int
 	Progress   io.Writer
-	During     func(ctx context.Context, f *fleet.Fleet) // faults, nil for none
+	Faults     fault.Schedule
+	Place      int // of the fault, where each kind is tried
 }
 
 // Result is one run of one placement.
@@ -62,18 +64,23 @@
 	return results, nil
 }
 
-func one(ctx context.Context, options Options, placement string) (Result, error) {
+// fleet starts the stand-ins and the entries.
+func (o Options) fleet(ctx context.Context, placement string) (*fleet.Fleet, error) {
 	starting, cancel := context.WithTimeout(ctx, 60*time.Second)
 	defer cancel()
 	var zones []string
-	for i := range options.Zones {
+	for i := range o.Zones {
 		zones = append(zones, fmt.Sprintf("zone-%c", 'a'+i))
 	}
-	f, err := fleet.New(starting, fleet.Options{
-		Zones: zones, Entries: options.Entries, Upstreams: options.Upstreams, Slots: options.Slots, Speeds: speeds,
+	return fleet.New(starting, fleet.Options{
+		Zones: zones, Entries: o.Entries, Upstreams: o.Upstreams, Slots: o.Slots, Speeds: speeds,
 		Bundle: strings.Replace(demo.Bundle, "[rules]", "[rules]\nplacement = "+placement, 1),
 		Store:  store.Options{Rate: 400, Sync: 4 * time.Millisecond},
 	})
+}
+
+func one(ctx context.Context, options Options, placement string) (Result, error) {
+	f, err := options.fleet(ctx, placement)
 	if err != nil {
 		return Result{}, err
 	}
@@ -81,13 +88,15 @@
 	runtime.GC()
 	fmt.Fprintf(options.Progress, "placement %s: %d entries, %d upstreams, %s\n", placement, len(f.Nodes), len(f.Upstreams), options.Scenario.Span)
 	run := load.New(load.Options{Scenario: options.Scenario, Entries: f.Callers, Ideal: f.Ideal})
-	during, stop := context.WithCancel(ctx)
+	faulting, stop := context.WithCancel(ctx)
 	defer stop()
-	if options.During != nil {
-		go options.During(during, f)
-	}
+	var group sync.WaitGroup
+	faults := fault.NewRun(f, func(line string) { fmt.Fprintln(options.Progress, "fault", line) })
+	group.Go(func() { faults.Do(faulting, options.Faults) })
 	began, used := time.Now(), usage.Processor()
 	run.Do(ctx)
+	stop()
+	group.Wait()
 	r := Result{Placement: placement, Processor: (usage.Processor() - used).Seconds(), Report: run.Report(f.Starts())}
 	counts, written := f.Messages()
 	r.Report.Traffic(counts, written, len(f.Live()), began)
@@ -115,22 +124,10 @@
 	}
 }
 
-// Kill makes a fault that ends one entry at a time of the run, as a kill of its
-// process would.
-func Kill(after time.Duration) func(context.Context, *fleet.Fleet) {
-	return func(ctx context.Context, f *fleet.Fleet) {
-		if wait.For(ctx, after) {
-			victim := f.Live()[0]
-			f.Forget(victim)
-			victim.Kill()
-		}
-	}
-}
-
 // WriteCourse prints the responses second by second.
 func WriteCourse(w io.Writer, r Result) {
 	for _, s := range r.Report.Course {
-		fmt.Fprintf(w, "  %s second %2d: %4d calls, p50 %.1f ms, p99 %.1f ms\n", r.Placement, s.At, s.Calls, s.P50, s.P99)
+		fmt.Fprintf(w, "  %s second %2d: %4d calls, %d complete, p50 %.1f ms, p99 %.1f ms\n", r.Placement, s.Begin, s.Calls, s.Complete, s.P50, s.P99)
 	}
 }
 
--- a/capacity/fit_test.go
+++ b/capacity/fit_test.go
@@ -1,10 +1,7 @@
 package capacity
 
 import (
-	"errors"
 	"math"
-	"os"
-	"path/filepath"
 	"strings"
 	"testing"
 )
@@ -31,26 +28,6 @@
 	}
 }
 
-func TestUpdateKeepsTheRestOfThePage(t *testing.T) {
-	name := filepath.Join(t.TempDir(), "page.md")
-	if err := os.WriteFile(name, []byte("head\n"+Begin+"\nSTALE\n"+End+"\ntail\n"), 0o600); err != nil {
-		t.Fatal(err)
-	}
-	if err := Update(name, Result{}); err != nil {
-		t.Fatal(err)
-	}
-	data, _ := os.ReadFile(name)
-	text := string(data)
-	if !strings.HasPrefix(text, "head\n") || !strings.HasSuffix(text, "\ntail\n") || strings.Contains(text, "STALE") {
-		t.Fatal(text)
-	}
-	var missing *PageError
-	_ = os.WriteFile(name, []byte("nothing"), 0o600)
-	if err := Update(name, Result{}); !errors.As(err, &missing) {
-		t.Fatal(err)
-	}
-}
-
 // TestControlTrafficIsCounted holds counts that do not depend on the machine
 // to the users' bound at the target size: bytes of control.
 func TestControlTrafficIsCounted(t *testing.T) {
--- a/capacity/page.go
+++ b/capacity/page.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"math"
-	"os"
 	"strings"
 )
 
@@ -45,32 +44,6 @@
 	pollBytes  = 350.0 // of one poll without changes, HTTP counted
 )
 
-// Begin and End mark the part of the page that is written from data.
-const (
-	Begin = "<!-- begin measured: written by radishgate capacity -->"
-	End   = "<!-- end measured -->"
-)
-
-// PageError is a page without the marks.
-type PageError struct{ File string }
-
-// Error names the file.
-func (e *PageError) Error() string { return e.File + ": the marks of the measured part are missing" }
-
-// Update writes the measured part of a page anew.
-func Update(name string, r Result) error {
-	data, err := os.ReadFile(name)
-	if err != nil {
-		return err
-	}
-	before, rest, ok := strings.Cut(string(data), Begin)
-	_, after, closed := strings.Cut(rest, End)
-	if !ok || !closed {
-		return &PageError{File: name}
-	}
-	return os.WriteFile(name, []byte(before+Begin+"\n\n"+r.Markdown()+"\n"+End+after), 0o644)
-}
-
 // Markdown gives the tables: slopes, then what they come to at the goal.
 func (r Result) Markdown() string {
 	var w strings.Builder
--- a/commands/capacity.go
+++ b/commands/capacity.go
@@ -5,6 +5,7 @@
 	"io"
 
 	"github.com/radishgate/radishgate/capacity"
+	"github.com/radishgate/radishgate/common/page"
 )
 
 type capacityCommand struct {
@@ -18,7 +19,7 @@
 		return err
 	}
 	if c.Page != "" {
-		if err := capacity.Update(c.Page, result); err != nil {
+		if err := page.Update(c.Page, "radishgate capacity", result.Markdown()); err != nil {
 			return &UsageError{Reason: err.Error()}
 		}
 	}
--- a/commands/commands.go
+++ b/commands/commands.go
@@ -43,6 +43,7 @@
 	Status   *statusCommand   `arg:"subcommand:status" help:"show the state of an entry"`
 	Standin  *standinCommand  `arg:"subcommand:standin" help:"run a stand-in platform or upstream"`
 	Load     *loadCommand     `arg:"subcommand:load" help:"send a scenario and compare with the ideal"`
+	Faults   *faultsCommand   `arg:"subcommand:faults" help:"measure what each kind of fault does to calls"`
 	Demo     *demoCommand     `arg:"subcommand:demo" help:"run both firms' examples in one process"`
 	Capacity *capacityCommand `arg:"subcommand:capacity" help:"measure the slopes behind docs/CAPACITY.md"`
 	Version  *versionCommand  `arg:"subcommand:version" help:"print the version"`
--- a/commands/load.go
+++ b/commands/load.go
@@ -9,6 +9,7 @@
 
 	"github.com/radishgate/radishgate/bench"
 	"github.com/radishgate/radishgate/demo"
+	"github.com/radishgate/radishgate/fault"
 	"github.com/radishgate/radishgate/load"
 )
 
@@ -23,7 +24,7 @@
 	Baseline  string        `arg:"--baseline" help:"placements to run as well, in turn, separated by commas"`
 	Rounds    int           `arg:"--rounds" default:"1"`
 	Span      time.Duration `arg:"--span" help:"overrides the scenario's"`
-	Kill      time.Duration `arg:"--kill" help:"end an entry so long into the run and print the course"`
+	Faults    string        `arg:"--faults" help:"faults while it runs, such as 'kill/0@2s-4s logdown/0@3s-6s'; the course is printed then"`
 	JSON      bool          `arg:"--json"`
 	Plot      string        `arg:"--plot" help:"file for a plot (.svg or .png) of the ratios"`
 }
@@ -44,8 +45,8 @@
 		Scenario: scenario, Placements: placements, Rounds: c.Rounds, Zones: c.Zones, Entries: c.Entries,
 		Upstreams: c.Upstreams, Slots: c.Slots, Progress: problems,
 	}
-	if c.Kill > 0 {
-		options.During = bench.Kill(c.Kill)
+	if options.Faults, err = fault.Parse(c.Faults); err != nil {
+		return &UsageError{Reason: err.Error()}
 	}
 	results, err := bench.Run(ctx, options)
 	if err != nil {
@@ -61,7 +62,7 @@
 	}
 	bench.Write(out, results)
 	for _, r := range results {
-		if c.Kill > 0 {
+		if c.Faults != "" {
 			bench.WriteCourse(out, r)
 		}
 	}
--- /dev/null
+++ b/common/page/page_test.go
@@ -0,0 +1,28 @@
+package page
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+func TestUpdateKeepsTheRestOfThePage(t *testing.T) {
+	name := filepath.Join(t.TempDir(), "page.md")
+	if err := os.WriteFile(name, []byte("head\n"+Begin("a b")+"\nSTALE\n"+end+"\ntail\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if err := Update(name, "a b", "fresh"); err != nil {
+		t.Fatal(err)
+	}
+	data, _ := os.ReadFile(name)
+	text := string(data)
+	if !strings.HasPrefix(text, "head\n") || !strings.HasSuffix(text, "\ntail\n") || strings.Contains(text, "STALE") || !strings.Contains(text, "fresh") {
+		t.Fatal(text)
+	}
+	var missing *MarkError
+	if err := Update(name, "another", "fresh"); !errors.As(err, &missing) {
+		t.Fatal(err)
+	}
+}
--- a/entry/run.go
+++ b/entry/run.go
@@ -10,9 +10,11 @@
 	"time"
 
 	"github.com/labstack/echo/v4"
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"github.com/radishgate/radishgate/common/wait"
+	"github.com/radishgate/radishgate/measure"
 	"github.com/radishgate/radishgate/member"
 	"github.com/radishgate/radishgate/peer"
 )
@@ -217,7 +219,8 @@
 func (e *Entry) operatorsRoutes() http.Handler {
 	routes := echo.New()
 	routes.GET("/v1/status", func(c echo.Context) error { return c.JSON(http.StatusOK, e.Status()) })
-	routes.GET("/metrics", echo.WrapHandler(promhttp.HandlerFor(e.measures.Registry, promhttp.HandlerOpts{})))
+	all := prometheus.Gatherers{e.measures.Registry, measure.Process()}
+	routes.GET("/metrics", echo.WrapHandler(promhttp.HandlerFor(all, promhttp.HandlerOpts{})))
 	routes.GET("/live", func(c echo.Context) error { return c.String(http.StatusOK, "live\n") })
 	routes.GET("/ready", func(c echo.Context) error {
 		if e.Ready() {
--- a/load/report.go
+++ b/load/report.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"io"
-	"sort"
 	"sync"
 	"sync/atomic"
 	"text/tabwriter"
@@ -66,13 +65,20 @@
 	f.calls++
 	f.done++
 	f.tasks += int64(tasks)
-	_ = f.response.RecordValue(min(max(1, response.Microseconds()), responseMost))
+	record(f.response, response.Microseconds(), responseMost)
 	if ideal > 0 {
-		ratio := int64(1000 * float64(response) / float64(ideal))
-		_ = f.ratio.RecordValue(min(max(1, ratio), ratioMost))
+		record(f.ratio, thousandths(response, ideal), ratioMost)
 	}
 }
 
+func record(h *hdrhistogram.Histogram, value, most int64) {
+	_ = h.RecordValue(min(max(1, value), most))
+}
+
+func thousandths(response, ideal time.Duration) int64 {
+	return int64(1000 * float64(response) / float64(ideal))
+}
+
 // Row is one flow's figures.
 type Row struct {
 	Flow        string           `json:"flow"`
@@ -87,14 +93,6 @@
 	RatioP99    float64          `json:"p99_ratio"`
 }
 
-// Second is the responses of the calls that were due in one second of the run.
-type Second struct {
-	At    int     `json:"at"`
-	Calls int64   `json:"calls"`
-	P50   float64 `json:"p50_ms"`
-	P99   float64 `json:"p99_ms"`
-}
-
 // Report is the result of a run.
 type Report struct {
 	Tasks    int64              `json:"tasks"`
@@ -112,7 +110,7 @@
 	Seconds  float64            `json:"seconds"`
 	Check    history.Report     `json:"check"`
 	Rows     []Row              `json:"flows"`
-	Course   []Second           `json:"course"`
+	Course   []Span             `json:"course"`
 }
 
 // Report makes the report; starts is the upstreams' record.
@@ -142,20 +140,6 @@
 	return report
 }
 
-func (r *Run) course() []Second {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	var course []Second
-	for at, h := range r.seconds {
-		course = append(course, Second{
-			At: at, Calls: h.TotalCount(),
-			P50: float64(h.ValueAtQuantile(50)) / 1000, P99: float64(h.ValueAtQuantile(99)) / 1000,
-		})
-	}
-	sort.Slice(course, func(a, b int) bool { return course[a].At < course[b].At })
-	return course
-}
-
 // Answers makes a report without a record of starts: only answers are checked.
 func (r *Run) Answers() Report {
 	report := r.Report(nil)
--- a/load/run.go
+++ b/load/run.go
@@ -11,8 +11,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/HdrHistogram/hdrhistogram-go"
-
 	"github.com/radishgate/radishgate/caller"
 	"github.com/radishgate/radishgate/client"
 	"github.com/radishgate/radishgate/common/wait"
@@ -48,13 +46,13 @@
 	began time.Time
 
 	mu      sync.Mutex
-	seconds map[int]*hdrhistogram.Histogram // responses by the second in which they were due
+	seconds map[int]*second // calls by the second in which they were due
 	clients map[string]*client.Client
 }
 
 // New prepares a run.
 func New(options Options) *Run {
-	r := &Run{options: options, clients: map[string]*client.Client{}, seconds: map[int]*hdrhistogram.Histogram{}, prefix: strconv.FormatUint(rand.Uint64(), 36)}
+	r := &Run{options: options, clients: map[string]*client.Client{}, seconds: map[int]*second{}, prefix: strconv.FormatUint(rand.Uint64(), 36)}
 	for _, flow := range options.Scenario.Flows {
 		r.flows = append(r.flows, newFlowResult(flow))
 	}
@@ -333,19 +331,6 @@
 	return t
 }
 
-// second files a response under the second in which its call was due.
-func (r *Run) second(due time.Time, response time.Duration) {
-	at := int(due.Sub(r.began) / time.Second)
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	h, ok := r.seconds[at]
-	if !ok {
-		h = hdrhistogram.New(1, responseMost, digits)
-		r.seconds[at] = h
-	}
-	_ = h.RecordValue(min(max(1, response.Microseconds()), responseMost))
-}
-
 // note files what the caller was told.
 func (r *Run) note(c *call, key string, whole bool, err error, due time.Time, ideal time.Duration) {
 	response := time.Since(due)
@@ -353,7 +338,6 @@
 	switch {
 	case err == nil && whole:
 		c.flow.complete(len(c.runs), response, ideal)
-		r.second(due, response)
 	case err == nil:
 		c.flow.count(outcomePartial)
 	case errors.As(err, &refused):
@@ -361,6 +345,7 @@
 	default:
 		c.flow.count(outcomeLost)
 	}
+	r.file(due, response, ideal, err == nil && whole)
 	r.record.Tell(told(c, key, whole, err))
 	r.calls.Add(1)
 	tasks := r.tasks.Add(int64(len(c.runs)))
--- a/measure/measures.go
+++ b/measure/measures.go
@@ -3,6 +3,7 @@
 
 import (
 	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
 
 	"github.com/radishgate/radishgate/dispatch"
 	"github.com/radishgate/radishgate/job"
@@ -57,6 +58,14 @@
 	return m
 }
 
+// Process gathers what the whole process uses: processor time, memory, open
+// files and the state of the runtime.
+func Process() prometheus.Gatherer {
+	r := prometheus.NewRegistry()
+	r.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	return r
+}
+
 // Gauge registers a value that is read when it is asked for.
 func (m *Measures) Gauge(name, help string, read func() float64) {
 	options := prometheus.GaugeOpts{Namespace: "radishgate", Name: name, Help: help}
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -81,6 +81,7 @@
 
 	mu        sync.Mutex
 	Nodes     []*Node
+	gone      []*Node // forgotten ones, whose messages still count
 	Upstreams []*Upstream
 	count     int
 	cuts      cuts
@@ -214,6 +215,9 @@
 	return n, nil
 }
 
+// Signer is the public key of the fleet's bundles, as settings have it.
+func (f *Fleet) Signer() string { return f.signer }
+
 // Forget takes a node that has ended out of the list, and out of the
 // platform's list of VMs.
 func (f *Fleet) Forget(n *Node) {
@@ -222,6 +226,7 @@
 	for i, other := range f.Nodes {
 		if other == n {
 			f.Nodes = append(f.Nodes[:i:i], f.Nodes[i+1:]...)
+			f.gone = append(f.gone, n)
 			break
 		}
 	}
@@ -244,9 +249,6 @@
 	return addresses
 }
 
-// Signer is the public key that the entries trust.
-func (f *Fleet) Signer() string { return f.signer }
-
 // Key signs bundles.
 func (f *Fleet) Key() ed25519.PrivateKey { return f.key }
 
@@ -318,12 +320,34 @@
 	return tasks
 }
 
-// Messages adds up the messages of the entries by kind, and the bytes that
-// they wrote to each other.
+// Started counts the different tasks that were started for the first time in a span.
+func (f *Fleet) Started(since, until time.Time) int64 {
+	first := map[string]time.Time{}
+	for _, u := range f.Upstreams {
+		for _, s := range u.Runner.Starts() {
+			if at, ok := first[s.Task]; !ok || s.At.Before(at) {
+				first[s.Task] = s.At
+			}
+		}
+	}
+	var count int64
+	for _, at := range first {
+		if !at.Before(since) && at.Before(until) {
+			count++
+		}
+	}
+	return count
+}
+
+// Messages adds up the messages of all entries that ever were, by kind, and the
+// bytes that they wrote to each other.
 func (f *Fleet) Messages() (map[string]float64, int64) {
 	sum := map[string]float64{}
 	var written int64
-	for _, n := range f.Live() {
+	f.mu.Lock()
+	nodes := append(f.gone[:len(f.gone):len(f.gone)], f.Nodes...)
+	f.mu.Unlock()
+	for _, n := range nodes {
 		_, w := n.Bytes()
 		written += w
 		for kind, count := range n.Measures().Counts() {
