entry: Announce until the platform has answered

Cause: an entry put itself into the platform's list once, at its start, and did not look at the answer. When the platform did not answer just then, the entry was never listed; entries that started together never met. Seen once in 24 runs of TestThreeProcesses beside other tests (members never knew each other, no heartbeat was sent), which is where a platform and its entries start at once. Ruled out: ports taken by other tests, the changes of membership.

Change: the loop that reads the list announces the entry until that succeeds. The stand-in platform refuses announcements in an outage, as it did all else.

Before: the new test, an entry added during an outage, never finds it listed. After: it passes.

--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -14,6 +15,7 @@
 	"github.com/radishgate/radishgate/client"
 	"github.com/radishgate/radishgate/demo"
 	"github.com/radishgate/radishgate/load"
+	"github.com/radishgate/radishgate/platform"
 	"github.com/radishgate/radishgate/refusal"
 	"github.com/radishgate/radishgate/standin/fleet"
 	"github.com/radishgate/radishgate/standin/runner"
@@ -219,6 +221,28 @@
 	}
 }
 
+// TestEntryThatStartsWhileThePlatformIsDown is in the list of VMs once the
+// platform is back. Entries that all started then would never meet otherwise.
+func TestEntryThatStartsWhileThePlatformIsDown(t *testing.T) {
+	f := newFleet(t, 1)
+	f.Store.Set(store.Faults{Outage: true})
+	n, err := f.Add("a")
+	if err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(100 * time.Millisecond)
+	f.Store.Set(store.Faults{})
+	listed := func() bool {
+		list, err := f.Store.VMs("a", 0)
+		return err == nil && slices.ContainsFunc(list.VMs, func(vm platform.VM) bool { return vm.ID == n.VM })
+	}
+	for deadline := time.Now().Add(30 * time.Second); !listed(); time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatal("the entry never came into the list")
+		}
+	}
+}
+
 // TestZoneCutOff cuts one zone from the platform and from the others, and
 // publishes meanwhile. Each side goes on; after healing all have the version.
 func TestZoneCutOff(t *testing.T) {
--- a/entry/list.go
+++ b/entry/list.go
@@ -8,11 +8,14 @@
 	"github.com/radishgate/radishgate/platform"
 )
 
-// listLoop reads the platform's list of VMs.
+// listLoop puts this entry into the platform's list of VMs, trying until the
+// platform has answered, and reads the list.
 func (e *Entry) listLoop(ctx context.Context) {
 	ticker := time.NewTicker(e.settings.Poll)
 	defer ticker.Stop()
+	listed := false
 	for {
+		listed = listed || e.announce(ctx)
 		e.list(ctx)
 		select {
 		case <-ctx.Done():
@@ -66,11 +69,11 @@
 	e.mu.Unlock()
 }
 
-// announce puts this entry into the platform's list.
-func (e *Entry) announce(ctx context.Context) {
+// announce puts this entry into the platform's list and tells whether it is in.
+func (e *Entry) announce(ctx context.Context) bool {
 	callers, peers, _ := e.Addresses()
 	vm := platform.VM{ID: e.settings.VM, Zone: e.settings.Zone, Role: "entry", Address: callers, Peer: peers}
 	ctx, cancel := context.WithTimeout(ctx, e.settings.Poll)
 	defer cancel()
-	_ = e.platform.Announce(ctx, vm)
+	return e.platform.Announce(ctx, vm) == nil
 }
--- a/entry/run.go
+++ b/entry/run.go
@@ -42,7 +42,6 @@
 	}{{callers, e.callers}, {peers, e.bytes.Listen(e.peers)}, {operators, e.operators}} {
 		servers.Go(func() { e.serve(s.server, s.listener, failures) })
 	}
-	e.announce(ctx)
 	exchanging, stopExchange := context.WithCancel(e.life)
 	defer stopExchange()
 	for _, loop := range []func(context.Context){e.rollout.Run, e.beatLoop, e.ownLoop, e.listLoop} {
--- a/standin/store/http.go
+++ b/standin/store/http.go
@@ -74,7 +74,10 @@
 		return
 	}
 	vm.ID = r.PathValue("id")
-	s.Announce(vm)
+	if err := s.Announce(vm); err != nil {
+		fail(w, err)
+		return
+	}
 	reply(w, vm)
 }
 
--- a/standin/store/store.go
+++ b/standin/store/store.go
@@ -229,9 +229,16 @@
 	return page, st.grown, nil
 }
 
-// Announce puts a VM into the list.
-func (s *Store) Announce(vm platform.VM) {
+// Announce puts a VM into the list. In an outage it gives a *FaultError.
+func (s *Store) Announce(vm platform.VM) error {
+	s.mu.Lock()
+	down := s.faults.Outage
+	s.mu.Unlock()
+	if down {
+		return &FaultError{Fault: "outage"}
+	}
 	s.change(func() { s.vms[vm.ID] = vm })
+	return nil
 }
 
 // Remove takes a VM from the list.
