dispatch, estimate, exchange: Place new jobs by what the zone knows and holds

Cause: a job alone in a zone took 1.7 times its ideal with three entries and 1.1 with one. The borrowing was not it: all slots were there after 2 messages. Three others were. The entry had filled its own slow slots with long tasks before the peers' answers came. Each entry learned the speeds for itself, and slowly: after a first job 0.5 was taken for 0.80, so that the first two or three jobs of each entry took 2 to 4 ideals. And a hint that errs by a fifth costs four times as much on an upstream of a quarter of the speed.

Change: for 5 ms a new job's tasks keep off slots that end them after the job's ideal. Observations of an upstream make a plain mean at first. Members of a zone teach each other whatever one knows more (speeds, run times, hints). Tasks are placed by when they end if they take two mean errors longer. Loans last 2 s, and other zones are asked from 100 ms of backlog on.

--- a/dispatch/admit.go
+++ b/dispatch/admit.go
@@ -37,8 +37,9 @@
 	ideal := d.ideal(total, longest)
 	j.Expect(ideal)
 	due := dueOf(j, ideal)
+	borrowed := d.borrowing(j)
 	for _, t := range tasks {
-		t.due, t.ideal = due, ideal
+		t.due, t.ideal, t.borrowed = due, ideal, borrowed
 	}
 	d.earn(j.Tenant, len(tasks))
 	d.unstage()
@@ -53,6 +54,19 @@
 	return nil
 }
 
+// answerSpan is the time in which peers of the zone answer an ask.
+const answerSpan = 5 * time.Millisecond
+
+// borrowing gives the time by which a new job's first loans have come, and has
+// the job looked at again then. The zero time is for jobs that do not borrow.
+func (d *Dispatcher) borrowing(j *job.Job) time.Time {
+	if j.Request || d.bundle.Rules.Placement != placementHome {
+		return time.Time{}
+	}
+	time.AfterFunc(answerSpan, d.Kick)
+	return d.options.Now().Add(answerSpan)
+}
+
 // unstage puts the staged tasks back into the queues, so that new work takes
 // its fair place among them.
 func (d *Dispatcher) unstage() {
@@ -88,7 +102,8 @@
 	var total, longest time.Duration
 	for i := range list {
 		estimate := d.options.Estimator.Predict(j.Service.Name, list[i].Hint, j.Service.Hint)
-		tasks[i] = &task{job: j, index: i, part: &list[i], estimate: estimate}
+		late := d.options.Estimator.Late(j.Service.Name, list[i].Hint)
+		tasks[i] = &task{job: j, index: i, part: &list[i], estimate: estimate, late: late}
 		total += estimate
 		longest = max(longest, estimate)
 	}
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -77,9 +77,11 @@
 	index    int
 	part     *job.Task
 	estimate time.Duration // on the fastest upstream
+	late     float64       // factor on the estimate for a task that takes long
 	item     queue.Item[*task]
 	due      time.Time
 	ideal    time.Duration // of the whole job
+	borrowed time.Time     // by when slots that peers have free have come
 	avoid    string
 	attempts int
 	done     bool
--- a/dispatch/match.go
+++ b/dispatch/match.go
@@ -264,10 +264,11 @@
 	return true
 }
 
-// best finds the target on which the task would end first.
+// best finds the target on which the task would end first if it takes long, and
+// when it is expected to end there. On a slow upstream a wrong estimate costs more.
 func (d *Dispatcher) best(t *task, now time.Time, hold bool) (*target, time.Time, bool) {
 	var best *target
-	var finish time.Time
+	var finish, latest time.Time
 	isFree := false
 	for _, g := range d.order {
 		if g.free == 0 && (!hold || len(g.ends) == 0) {
@@ -280,15 +281,16 @@
 		if !g.known && t.job.Request && d.starts%explore != 0 {
 			need *= doubt
 		}
-		if !d.leased(g, now, need) || d.tooSlow(t, need, hold) {
+		late := time.Duration(float64(need) * t.late)
+		if !d.leased(g, now, need) || (g.speed < 1 && (d.tooSlow(t, late, hold) || d.early(t, now, late))) {
 			continue
 		}
-		end := now.Add(need)
+		begin := now
 		if g.free == 0 {
-			end = g.ends[0].Add(need)
+			begin = g.ends[0]
 		}
-		if best == nil || end.Before(finish) {
-			best, finish, isFree = g, end, g.free > 0
+		if end := begin.Add(late); best == nil || end.Before(latest) {
+			best, finish, latest, isFree = g, begin.Add(need), end, g.free > 0
 		}
 	}
 	if best == nil && t.avoid != "" {
@@ -302,7 +304,14 @@
 // after all other waiting work: a shorter one goes there. With hold, the
 // expected ends decide that.
 func (d *Dispatcher) tooSlow(t *task, need time.Duration, hold bool) bool {
-	return !hold && !t.job.Request && need > d.remaining && need > t.estimate
+	return !hold && !t.job.Request && need > d.remaining
+}
+
+// early keeps a task of a job that has just come off a slot here on which it
+// would end after the job's ideal. Slots asked of peers come within that time,
+// and with them faster ones.
+func (d *Dispatcher) early(t *task, now time.Time, need time.Duration) bool {
+	return !t.job.Request && now.Before(t.borrowed) && now.Add(need).After(t.job.Arrived.Add(t.ideal))
 }
 
 // leased tells whether the worker's lease surely outlives the task.
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -82,7 +82,7 @@
 	bytes      *counted.Counter
 
 	settled  atomic.Bool
-	taught   atomic.Bool
+	learning atomic.Bool
 	seen     atomic.Bool // the list of VMs has been read
 	draining atomic.Bool
 	closing  atomic.Bool
--- a/entry/heartbeats.go
+++ b/entry/heartbeats.go
@@ -42,13 +42,13 @@
 		share = 1
 	}
 	// The change runs under the table's lock and must take no other.
-	ready, free, backlog := e.Ready(), e.dispatcher.Room(), e.dispatcher.Backlog()
+	ready, free, backlog, learned := e.Ready(), e.dispatcher.Room(), e.dispatcher.Backlog(), e.estimator.Learned()
 	e.members.Update(func(r *member.Record) {
 		r.Weight = max(r.Weight, e.settings.Weight*share)
 		if step == 0 {
 			r.Weight = 0
 		}
-		r.Ready, r.Free, r.Backlog = ready, free, backlog
+		r.Ready, r.Free, r.Backlog, r.Learned = ready, free, backlog, learned
 	})
 }
 
@@ -124,7 +124,7 @@
 		go e.replace()
 	}
 	e.hearDemands(records[0], beat)
-	if records[0].Zone == e.settings.Zone && records[0].Ready && e.taught.CompareAndSwap(false, true) {
+	if records[0].Zone == e.settings.Zone && records[0].Learned > e.estimator.Learned() && e.learning.CompareAndSwap(false, true) {
 		go e.learn(ctx, records[0])
 	}
 	if records[0].Version > e.version() {
@@ -132,15 +132,15 @@
 	}
 }
 
-// learn takes run times and speeds from a member of the own zone that serves
-// already, so that a replaced VM does not learn them at its callers' cost.
+// learn takes run times and speeds from a member of the own zone that knows more
+// of them, so that each is learned once and not at the cost of each entry's callers.
 func (e *Entry) learn(ctx context.Context, from member.Record) {
+	defer e.learning.Store(false)
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), time.Second)
 	defer cancel()
 	e.measures.Messages.WithLabelValues("fetch").Inc()
 	lesson, err := e.client.Lesson(ctx, from.Peer)
 	if err != nil {
-		e.taught.Store(false)
 		return
 	}
 	e.estimator.Learn(lesson)
--- a/estimate/estimate.go
+++ b/estimate/estimate.go
@@ -58,21 +58,22 @@
 	return &Estimator{now: now, services: map[string]*service{}, speeds: map[string]*speed{}}
 }
 
+// rate is the share of one observation in a mean over few, then the settled one.
 func rate(settled float64, seen int) float64 {
-	return math.Max(settled, 0.5/float64(seen+1))
+	return math.Max(settled, 1/float64(seen+1))
 }
 
 // Observe takes the time that a task took on an upstream.
 func (e *Estimator) Observe(name, upstream string, hint, took time.Duration) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	s := e.service(name, took)
 	u := e.speed(upstream)
 	value := math.Log(max(took, time.Microsecond).Seconds())
+	s := e.service(name, value+u.value)
 	gap := value - (e.expect(s, hint) - u.value)
-	e.learn(s, hint, value+u.value)
 	u.value -= rate(speedRate, u.seen) * gap
 	u.seen++
+	e.learn(s, hint, value+u.value)
 	e.settle()
 	if now := e.now(); now.After(s.turnAt) {
 		s.past, s.now = s.now, s.past
@@ -82,11 +83,12 @@
 	_ = s.now.RecordValue(min(max(took.Microseconds(), lowest), highest))
 }
 
-func (e *Estimator) service(name string, took time.Duration) *service {
+// service gives the model of a service; mean is for one not seen before.
+func (e *Estimator) service(name string, mean float64) *service {
 	s, ok := e.services[name]
 	if !ok {
 		s = &service{
-			mean:   math.Log(max(took, time.Microsecond).Seconds()),
+			mean:   mean,
 			now:    hdrhistogram.New(lowest, highest, digits),
 			past:   hdrhistogram.New(lowest, highest, digits),
 			turnAt: e.now().Add(turn),
@@ -152,6 +154,28 @@
 	return time.Duration(math.Exp(e.expect(s, hint)-e.fastest) * float64(time.Second))
 }
 
+// Late gives how many times its prediction a task takes that is as late as one
+// in fifteen are, by the errors of the past.
+func (e *Estimator) Late(name string, hint time.Duration) float64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	s, ok := e.services[name]
+	if !ok {
+		return 1
+	}
+	gap := s.meanError
+	if hint > 0 && s.hinted > 0 && s.hintError <= s.meanError {
+		gap = s.hintError
+	}
+	return math.Exp(min(lateGaps*gap, lateMost))
+}
+
+// lateGaps is how many mean errors late is, and lateMost bounds the logarithm.
+const (
+	lateGaps = 2
+	lateMost = 1.1
+)
+
 // Speed gives the speed of an upstream, 1 for the fastest.
 func (e *Estimator) Speed(upstream string) float64 {
 	e.mu.Lock()
@@ -174,6 +198,7 @@
 // Lesson is what an estimator has learned, for one that has just started.
 type Lesson struct {
 	Services map[string]float64 // logarithm of the mean run time in seconds at speed 1
+	Hints    map[string]float64 // logarithm of run time by hint, where callers give hints
 	Speeds   map[string]float64 // logarithm of the speed
 }
 
@@ -181,9 +206,12 @@
 func (e *Estimator) Lesson() Lesson {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	lesson := Lesson{Services: map[string]float64{}, Speeds: map[string]float64{}}
+	lesson := Lesson{Services: map[string]float64{}, Hints: map[string]float64{}, Speeds: map[string]float64{}}
 	for name, s := range e.services {
 		lesson.Services[name] = s.mean
+		if s.hinted > 0 {
+			lesson.Hints[name] = s.factor
+		}
 	}
 	for name, u := range e.speeds {
 		lesson.Speeds[name] = u.value
@@ -194,24 +222,58 @@
 // lessonWeight is the number of observations that a lesson counts for.
 const lessonWeight = 8
 
-// Learn takes a lesson for what is not known yet.
+// Learn takes a lesson for what is not known yet. What both know tells how far
+// the other's scale of speeds is from the own one.
 func (e *Estimator) Learn(lesson Lesson) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	shift := e.shift(lesson)
 	for name, mean := range lesson.Services {
 		if _, ok := e.services[name]; !ok {
-			s := e.service(name, time.Second)
-			s.mean, s.seen = mean, lessonWeight
+			e.service(name, mean+shift).seen = lessonWeight
+		}
+	}
+	for name, factor := range lesson.Hints {
+		if s, ok := e.services[name]; ok && s.hinted == 0 {
+			s.factor, s.hinted = factor+shift, lessonWeight
 		}
 	}
 	for name, value := range lesson.Speeds {
 		if _, ok := e.speeds[name]; !ok {
-			e.speeds[name] = &speed{seen: lessonWeight, value: value}
+			e.speeds[name] = &speed{seen: lessonWeight, value: value + shift}
 		}
 	}
 	e.settle()
 }
 
+// shift is the mean gap between the own scale and a lesson's.
+func (e *Estimator) shift(lesson Lesson) float64 {
+	sum, count := 0.0, 0
+	for name, value := range lesson.Speeds {
+		if u, ok := e.speeds[name]; ok {
+			sum += u.value - value
+			count++
+		}
+	}
+	if count > 0 {
+		return sum / float64(count)
+	}
+	for name, mean := range lesson.Services {
+		if s, ok := e.services[name]; ok {
+			sum += s.mean - mean
+			count++
+		}
+	}
+	return sum / float64(max(1, count))
+}
+
+// Learned counts the upstreams whose speed is known.
+func (e *Estimator) Learned() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.speeds)
+}
+
 // Forget drops an upstream that is gone.
 func (e *Estimator) Forget(upstream string) {
 	e.mu.Lock()
--- a/estimate/estimate_test.go
+++ b/estimate/estimate_test.go
@@ -58,3 +58,60 @@
 		t.Errorf("speeds %.3f and %.3f", a, b)
 	}
 }
+
+// TestOneJobTeachesTheSpeeds gives each upstream eight tasks, the fast ones
+// first, as the end of a first job does. The next job is placed by the result.
+func TestOneJobTeachesTheSpeeds(t *testing.T) {
+	e := New(time.Now)
+	random := rand.New(rand.NewPCG(5, 6))
+	speeds := []float64{1, 0.75, 0.5, 0.25}
+	for upstream, speed := range speeds {
+		for range 8 {
+			run := time.Duration(float64(80*time.Millisecond) * math.Exp(0.5*random.NormFloat64()))
+			hint := time.Duration(float64(run) * math.Exp(0.2*random.NormFloat64()))
+			e.Observe("s", string(rune('a'+upstream)), hint, time.Duration(float64(run)/speed))
+		}
+	}
+	for upstream, want := range speeds {
+		got := e.Speed(string(rune('a' + upstream)))
+		if math.Abs(math.Log(got/want)) > 0.25 {
+			t.Errorf("speed %.2f is learned as %.2f", want, got)
+		}
+	}
+}
+
+// TestLessonInAnotherScale teaches one whose reference is a slow upstream.
+func TestLessonInAnotherScale(t *testing.T) {
+	teacher, pupil := New(time.Now), New(time.Now)
+	hint := func(run time.Duration) time.Duration { return run }
+	learn(teacher, 300, hint)
+	for range 50 {
+		pupil.Observe("s", "slow", 100*time.Millisecond, 400*time.Millisecond)
+	}
+	if pupil.Learned() >= teacher.Learned() {
+		t.Fatalf("the pupil knows %d upstreams, the teacher %d", pupil.Learned(), teacher.Learned())
+	}
+	pupil.Learn(teacher.Lesson())
+	for _, name := range []string{"fast", "half", "slow"} {
+		if a, b := teacher.Speed(name), pupil.Speed(name); math.Abs(math.Log(a/b)) > 0.1 {
+			t.Errorf("%s: the teacher has %.2f, the pupil %.2f", name, a, b)
+		}
+	}
+	if got := pupil.Predict("s", 100*time.Millisecond, 0); got < 90*time.Millisecond || got > 110*time.Millisecond {
+		t.Errorf("a run of 100 ms is predicted as %s", got)
+	}
+}
+
+// TestLateFollowsTheErrors gives exact hints, then hints that are often off.
+func TestLateFollowsTheErrors(t *testing.T) {
+	exact, off := New(time.Now), New(time.Now)
+	random := rand.New(rand.NewPCG(7, 8))
+	learn(exact, 1000, func(run time.Duration) time.Duration { return run })
+	learn(off, 1000, func(run time.Duration) time.Duration {
+		return time.Duration(float64(run) * math.Exp(0.3*random.NormFloat64()))
+	})
+	a, b := exact.Late("s", time.Second), off.Late("s", time.Second)
+	if a > 1.1 || b < 1.3 || b > 2.5 {
+		t.Errorf("exact hints are late by %.2f, others by %.2f", a, b)
+	}
+}
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -80,7 +80,7 @@
 		options.Keep = 400 * time.Millisecond
 	}
 	if options.Trip == 0 {
-		options.Trip = 500 * time.Millisecond
+		options.Trip = 100 * time.Millisecond
 	}
 	if options.Pause == 0 {
 		options.Pause = 500 * time.Millisecond
--- a/member/table.go
+++ b/member/table.go
@@ -24,6 +24,7 @@
 	Free        int       // slots
 	Backlog     int       // tasks
 	Version     int64     // of the bundle in force
+	Learned     int       // upstreams whose speed it knows
 	At          time.Time // when the member told it, by the clock of this process
 }
 
--- a/peer/client.go
+++ b/peer/client.go
@@ -241,7 +241,7 @@
 	if err != nil {
 		return estimate.Lesson{}, err
 	}
-	return estimate.Lesson{Services: reply.Services, Speeds: reply.Speeds}, nil
+	return estimate.Lesson{Services: reply.Services, Hints: reply.Hints, Speeds: reply.Speeds}, nil
 }
 
 // Fetch asks a peer for a bundle above a version.
--- a/peer/server.go
+++ b/peer/server.go
@@ -97,7 +97,7 @@
 	reply := &wire.FetchReply{}
 	if r.Lesson {
 		lesson := s.Lesson()
-		reply.Services, reply.Speeds = lesson.Services, lesson.Speeds
+		reply.Services, reply.Hints, reply.Speeds = lesson.Services, lesson.Hints, lesson.Speeds
 	}
 	chain := s.Chain(r.Version)
 	if len(chain) == 0 {
@@ -149,7 +149,7 @@
 		Id: r.ID, Zone: r.Zone, Peer: r.Peer, Incarnation: r.Incarnation, Beat: r.Beat,
 		Leaving: r.Leaving, Dead: r.Dead, Ready: r.Ready, Weight: uint32(r.Weight * 1000),
 		Free: uint32(max(0, r.Free)), Backlog: uint32(max(0, r.Backlog)), Version: r.Version,
-		AgeMs: age(r.At),
+		AgeMs: age(r.At), Learned: uint32(r.Learned),
 	}
 }
 
@@ -166,6 +166,7 @@
 		ID: m.Id, Zone: m.Zone, Peer: m.Peer, Incarnation: m.Incarnation, Beat: m.Beat,
 		Leaving: m.Leaving, Dead: m.Dead, Ready: m.Ready, Weight: float64(m.Weight) / 1000,
 		Free: int(m.Free), Backlog: int(m.Backlog), Version: m.Version,
-		At: time.Now().Add(-time.Duration(m.AgeMs) * time.Millisecond),
+		Learned: int(m.Learned),
+		At:      time.Now().Add(-time.Duration(m.AgeMs) * time.Millisecond),
 	}
 }
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -157,7 +157,7 @@
 	s.Drain = f.Span(section, "drain", 30*time.Second, 0, time.Hour)
 	s.Notice = f.Span(section, "notice", 2*time.Second, 0, time.Minute)
 	s.Beat = f.Span(section, "beat", 600*time.Millisecond, 10*time.Millisecond, 10*time.Second)
-	s.Loan = f.Span(section, "loan", time.Second, 50*time.Millisecond, time.Minute)
+	s.Loan = f.Span(section, "loan", 2*time.Second, 50*time.Millisecond, time.Minute)
 }
 
 func (s *Settings) readRest(f *inifile.File) {
@@ -228,7 +228,7 @@
 # Time between heartbeats.
 # beat = 600ms
 # Life of a slot lent to another entry.
-# loan = 1s
+# loan = 2s
 
 [logs]
 # debug, info, warn or error
