bench, fault, demo: Give every fault a figure, and one schedule for all

A first table showed p99/ideal of 19 after an entry was added: callers were sent to it before it was ready, which no balancer does.

The fleet gives callers only entries that have been ready.

--- a/bench/daemon_test.go
+++ b/bench/daemon_test.go
@@ -241,14 +241,7 @@
 func BenchmarkSoak(b *testing.B) {
 	window := *soak / 4
 	d := newDaemon(b, 17, demo.Bundle, fmt.Sprintf("[limits]\nwindow = %s\n", window))
-	data, err := load.Shipped("mixed")
-	if err != nil {
-		b.Fatal(err)
-	}
-	scenario, err := load.Parse("mixed", data)
-	if err != nil {
-		b.Fatal(err)
-	}
+	scenario := shipped(b, "mixed")
 	scenario.Span = *soak
 	for i := range scenario.Flows {
 		scenario.Flows[i].Rate /= 3
--- a/bench/faults.go
+++ b/bench/faults.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/radishgate/radishgate/common/wait"
@@ -55,26 +56,17 @@
 	scenario := *options.Scenario
 	scenario.Span = effectSpan
 	run := load.New(load.Options{Scenario: &scenario, Entries: f.Callers, Ideal: f.Ideal})
-	marks := newMarks(f)
-	during, stop := context.WithCancel(ctx)
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		marks.take(during)
-	}()
+	marks := &marks{fleet: f}
 	schedule := fault.Schedule{{
 		Kind: kind, Place: options.Place, Begin: time.Duration(phases[1]) * time.Second, End: time.Duration(phases[2]) * time.Second,
 	}}
-	faults := fault.NewRun(f, nil)
-	over := make(chan struct{})
-	go func() {
-		defer close(over)
-		faults.Do(during, schedule)
-	}()
+	during, stop := context.WithCancel(ctx)
+	var group sync.WaitGroup
+	group.Go(func() { marks.take(during) })
+	group.Go(func() { fault.NewRun(f, nil).Do(during, schedule) })
 	run.Do(ctx)
 	stop()
-	<-done
-	<-over
+	group.Wait()
 	effect := Effect{Kind: kind, Report: run.Report(f.Starts())}
 	for i := range effect.Phases {
 		effect.Phases[i] = Phase{Span: run.Between(phases[i], phases[i+1]), Wasted: marks.wasted(i)}
@@ -85,35 +77,27 @@
 // marks are the message counts of a fleet at the bounds of the phases.
 type marks struct {
 	fleet  *fleet.Fleet
-	at     []time.Time
 	counts []map[string]float64
 }
 
-func newMarks(f *fleet.Fleet) *marks { return &marks{fleet: f} }
-
+// take counts at each bound; the end of the run may come just before the last.
 func (m *marks) take(ctx context.Context) {
 	began := time.Now()
 	for _, bound := range phases {
-		if !wait.For(ctx, time.Until(began.Add(time.Duration(bound)*time.Second))) && bound < phases[3] {
-			return
-		}
+		wait.For(ctx, time.Until(began.Add(time.Duration(bound)*time.Second)))
 		counts, _ := m.fleet.Messages()
-		m.at = append(m.at, time.Now())
 		m.counts = append(m.counts, counts)
 	}
 }
 
 // wasted is the messages of a phase beyond one dispatch and one answer for each
-// task that started in it.
+// task answered in it.
 func (m *marks) wasted(phase int) float64 {
-	if phase+1 >= len(m.at) {
-		return 0
-	}
 	counts := map[string]float64{}
 	for kind, count := range m.counts[phase+1] {
 		counts[kind] = count - m.counts[phase][kind]
 	}
-	return load.Waste(counts, m.fleet.Started(m.at[phase], m.at[phase+1]))
+	return load.Waste(counts, int64(counts["answer"]))
 }
 
 // EffectsTable writes the effects as a Markdown table.
--- a/bench/placement_test.go
+++ b/bench/placement_test.go
@@ -19,14 +19,7 @@
 // BenchmarkJobs runs the placements on the same load in one run and holds the
 // default one to the targets.
 func BenchmarkJobs(b *testing.B) {
-	data, err := load.Shipped("jobs")
-	if err != nil {
-		b.Fatal(err)
-	}
-	scenario, err := load.Parse("jobs", data)
-	if err != nil {
-		b.Fatal(err)
-	}
+	scenario := shipped(b, "jobs")
 	for range b.N {
 		results, err := Run(context.Background(), Options{
 			Scenario: scenario, Placements: []string{"home", "static", "least"}, Zones: 3, Entries: 3, Upstreams: 17, Slots: 8, Progress: io.Discard,
@@ -38,6 +31,20 @@
 	}
 }
 
+// shipped reads a scenario that ships with the program.
+func shipped(b *testing.B, name string) *load.Scenario {
+	b.Helper()
+	data, err := load.Shipped(name)
+	if err != nil {
+		b.Fatal(err)
+	}
+	scenario, err := load.Parse(name, data)
+	if err != nil {
+		b.Fatal(err)
+	}
+	return scenario
+}
+
 func judge(b *testing.B, results []Result) {
 	b.Helper()
 	for _, r := range results {
--- a/demo/demo.go
+++ b/demo/demo.go
@@ -8,9 +8,9 @@
 	"log/slog"
 	"time"
 
+	"github.com/radishgate/radishgate/fault"
 	"github.com/radishgate/radishgate/load"
 	"github.com/radishgate/radishgate/standin/fleet"
-	"github.com/radishgate/radishgate/standin/runner"
 	"github.com/radishgate/radishgate/standin/store"
 )
 
@@ -184,7 +184,8 @@
 	go func() {
 		defer close(done)
 		if options.Faults {
-			faults(faulting, f, options)
+			note := func(line string) { fmt.Fprintf(options.Out, "\n  fault %s\n", line) }
+			fault.NewRun(f, note).Do(faulting, faults(options.Span))
 		}
 	}()
 	began := time.Now()
@@ -208,33 +209,17 @@
 	}
 }
 
-// faults lets an entry die, an upstream leave, the log go down and connections
-// go silent, one after the other.
-func faults(ctx context.Context, f *fleet.Fleet, options Options) {
-	step := options.Span / 6
-	for _, fault := range []struct {
-		name  string
-		apply func()
-	}{
-		{"connections to two upstreams go silent", func() {
-			f.Upstreams[0].Listener.Freeze()
-			f.Upstreams[7].Listener.Freeze()
-		}},
-		{"an upstream leaves", func() { f.Upstreams[3].Set(runner.Modes{Leaving: true}) }},
-		{"the log is down", func() { f.Store.Set(store.Faults{Outage: true}) }},
-		{"an entry dies", func() {
-			victim := f.Live()[0]
-			f.Forget(victim)
-			victim.Kill()
-		}},
-		{"the log is back", func() { f.Store.Set(store.Faults{LostReplies: 3}) }},
-	} {
-		select {
-		case <-ctx.Done():
-			return
-		case <-time.After(step):
-		}
-		fmt.Fprintf(options.Out, "\n  fault: %s\n", fault.name)
-		fault.apply()
+// faults is the schedule of demo --faults: connections to two upstreams go
+// silent, an upstream leaves, the platform is down, an entry dies, and replies
+// of the log are lost, one after the other.
+func faults(span time.Duration) fault.Schedule {
+	step := span / 6
+	return fault.Schedule{
+		{Kind: "mute", Place: 0, Begin: step, End: step},
+		{Kind: "mute", Place: 7, Begin: step, End: step},
+		{Kind: "leave", Place: 3, Begin: 2 * step, End: span},
+		{Kind: "logdown", Begin: 3 * step, End: 5 * step},
+		{Kind: "kill", Begin: 4 * step, End: span},
+		{Kind: "loglost", Begin: 5 * step, End: span},
 	}
 }
--- a/fault/run.go
+++ b/fault/run.go
@@ -43,7 +43,8 @@
 }
 
 // Do runs the schedule and returns when it is over or the context ends. In both
-// cases the fleet is healthy again, but for connections that went silent.
+// cases the states are healthy again; silent connections stay so, and an entry
+// that died is replaced only at the end of its fault.
 func (r *Run) Do(ctx context.Context, schedule Schedule) {
 	began := time.Now()
 	defer r.group.Wait()
@@ -54,7 +55,8 @@
 			return
 		}
 		if !wait.For(ctx, next-now) {
-			r.step(schedule, forever)
+			r.active = nil
+			r.apply()
 			return
 		}
 	}
@@ -72,7 +74,7 @@
 		case !begun && now < f.Begin:
 			next, more = min(next, f.Begin), true
 			continue
-		case !begun && now < forever:
+		case !begun:
 			r.begin(f)
 		case begun && now >= f.End:
 			r.end(f)
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/radishgate/radishgate/bundle"
@@ -52,6 +53,7 @@
 	VM      string
 	Zone    string
 	Callers string
+	joined  atomic.Bool // has been ready
 	stop    context.CancelFunc
 	done    chan struct{}
 }
@@ -240,11 +242,17 @@
 	return append([]*Node(nil), f.Nodes...)
 }
 
-// Callers lists the callers' addresses of the nodes.
+// Callers lists the callers' addresses of the nodes that have been ready, as the
+// platform's balancer would.
 func (f *Fleet) Callers() []string {
 	var addresses []string
 	for _, n := range f.Live() {
-		addresses = append(addresses, n.Callers)
+		if n.Ready() {
+			n.joined.Store(true)
+		}
+		if n.joined.Load() {
+			addresses = append(addresses, n.Callers)
+		}
 	}
 	return addresses
 }
@@ -320,25 +328,6 @@
 	return tasks
 }
 
-// Started counts the different tasks that were started for the first time in a span.
-func (f *Fleet) Started(since, until time.Time) int64 {
-	first := map[string]time.Time{}
-	for _, u := range f.Upstreams {
-		for _, s := range u.Runner.Starts() {
-			if at, ok := first[s.Task]; !ok || s.At.Before(at) {
-				first[s.Task] = s.At
-			}
-		}
-	}
-	var count int64
-	for _, at := range first {
-		if !at.Before(since) && at.Before(until) {
-			count++
-		}
-	}
-	return count
-}
-
 // Messages adds up the messages of all entries that ever were, by kind, and the
 // bytes that they wrote to each other.
 func (f *Fleet) Messages() (map[string]float64, int64) {
