dispatch: Look up leases once and judge few tasks when no slot is free

Cause: of an entry's processor time under jobs of 60 tasks, 54% went into matching, 20% into asking for the lease of each upstream for each waiting task.

Change: leases are read once a match.

--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -62,13 +62,15 @@
 	running []*run
 
 	// The fields below are filled anew for each match.
-	free  int
-	held  int
-	kept  int // of the free ones, for requests
-	speed float64
-	known bool // some task has ended on it
-	trial bool // aside, and due for one task
-	ends  []time.Time
+	free   int
+	held   int
+	kept   int // of the free ones, for requests
+	speed  float64
+	known  bool // some task has ended on it
+	trial  bool // aside, and due for one task
+	ends   []time.Time
+	lease  time.Time // end of the worker's lease, where leased
+	leased bool
 }
 
 // task is one waiting or running task.
--- a/dispatch/match.go
+++ b/dispatch/match.go
@@ -130,6 +130,7 @@
 		}
 		t.speed = max(d.options.Estimator.Speed(t.name), 0.01)
 		t.known = t.known || d.options.Estimator.Known(t.name)
+		t.lease, t.leased = d.options.Lease(t.name)
 		held += t.held
 	}
 	return held
@@ -178,8 +179,10 @@
 
 // place starts the tasks whose best slot is free and keeps the others. With
 // hold, a task waits for a fast slot that ends it sooner than a free slow one.
+// Once no slot is free, a few tasks tell whether the others would borrow.
 func (d *Dispatcher) place(tasks []*task, now time.Time, hold bool, free *int) []*task {
 	kept := tasks[:0]
+	judged, wished := 0, 0
 	for _, t := range tasks {
 		if !t.job.Live() {
 			continue
@@ -188,14 +191,26 @@
 			d.giveUp(t)
 			continue
 		}
+		if *free == 0 && judged == lookLeast {
+			if 2*wished >= lookLeast {
+				d.want++
+			}
+			kept = append(kept, t)
+			continue
+		}
 		if *free == 0 && !hold {
 			d.wish(t, now, time.Time{})
 			kept = append(kept, t)
 			continue
 		}
+		before := d.want
 		if !d.placeOne(t, now, hold, free) {
 			kept = append(kept, t)
 		}
+		if *free == 0 && hold {
+			judged++
+			wished += d.want - before
+		}
 	}
 	clear(tasks[len(kept):])
 	return kept
@@ -316,11 +331,10 @@
 
 // leased tells whether the worker's lease surely outlives the task.
 func (d *Dispatcher) leased(g *target, now time.Time, need time.Duration) bool {
-	end, known := d.options.Lease(g.name)
-	if !known {
+	if !g.leased {
 		return !g.bundle.Lease
 	}
-	return end.After(now.Add(leaseShare * need))
+	return g.lease.After(now.Add(leaseShare * need))
 }
 
 // matchOpen serves the baselines, which do not agree on slots with other entries.
