shelf: Let answers go when their keys are forgotten

Cause: BenchmarkSoak showed memory that grows from 89.6 to 151.3 MB in the second half of 9 minutes. The shelf let answers go only past its bound of bytes (64 MB by default), also those whose keys had left the window and that nobody could ask for any more, so an entry grew to the bound whatever the window was.

Change: an answer stays for the window at most, counted from its end, by when its origin key is forgotten.

Before: the new test keeps all three answers. After: the one whose time is over goes.

--- a/caller/server_test.go
+++ b/caller/server_test.go
@@ -61,7 +61,7 @@
 	k := keeper.New(keeper.Options{
 		Self: origin.Key{Zone: "z", VM: "vm", Incarnation: 0xabc}, Life: t.Context(),
 		Window: window.New[*job.Job](window.Options{Now: func() time.Time { return d.now }}),
-		Shelf:  shelf.New(1 << 20), Bundle: func() *bundle.Bundle { return b },
+		Shelf:  shelf.New(1<<20, time.Minute), Bundle: func() *bundle.Bundle { return b },
 		Find: func(id string) (member.Record, member.State, bool) {
 			return member.Record{ID: id, Zone: "z", Incarnation: 1}, member.Alive, id == "other"
 		},
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -199,7 +199,7 @@
 func (e *Entry) buildKeeper() {
 	e.keeper = keeper.New(keeper.Options{
 		Self: origin.Key{Zone: e.settings.Zone, VM: e.settings.VM, Incarnation: e.incarnation},
-		Life: e.life, Room: e.settings.Answers, Window: e.window, Shelf: shelf.New(e.settings.Answers),
+		Life: e.life, Room: e.settings.Answers, Window: e.window, Shelf: shelf.New(e.settings.Answers, e.settings.Window),
 		Partition: e.partition, Owner: e.owner, Find: e.members.Find, Bundle: e.rollout.Bundle,
 		Admit: e.admit,
 		Submit: func(ctx context.Context, to member.Record, s keeper.Submission) (keeper.Result, error) {
--- a/shelf/shelf_test.go
+++ b/shelf/shelf_test.go
@@ -1,6 +1,10 @@
 package shelf
 
-import "testing"
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+)
 
 type kept struct {
 	size    int64
@@ -11,7 +15,7 @@
 func (k *kept) Drop()        { k.dropped = true }
 
 func TestOldestGoFirstAndTheBoundHolds(t *testing.T) {
-	s := New(10_000)
+	s := New(10_000, time.Hour)
 	var all []*kept
 	for i := range 30 {
 		k := &kept{size: int64(500 + 10*i)}
@@ -30,3 +34,20 @@
 		t.Fatal("the newest went or the oldest stayed")
 	}
 }
+
+// TestAnswersOfForgottenKeysGo puts an answer when the key of an earlier one is
+// no longer known. The bound alone would keep both.
+func TestAnswersOfForgottenKeysGo(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := New(10_000, time.Minute)
+		old, young, last := &kept{size: 100}, &kept{size: 100}, &kept{size: 100}
+		s.Put(old)
+		time.Sleep(40 * time.Second)
+		s.Put(young)
+		time.Sleep(21 * time.Second)
+		s.Put(last)
+		if !old.dropped || young.dropped || last.dropped || s.Bytes() != 2*(100+overhead) {
+			t.Errorf("dropped %v %v %v, %d bytes", old.dropped, young.dropped, last.dropped, s.Bytes())
+		}
+	})
+}
