--- a/commands/commands.go
+++ b/commands/commands.go
@@ -16,6 +16,7 @@
 	"github.com/radishgate/radishgate/client"
 	"github.com/radishgate/radishgate/common/inifile"
 	"github.com/radishgate/radishgate/demo"
+	pool "github.com/radishgate/radishgate/internal/gateway/settings"
 	"github.com/radishgate/radishgate/refusal"
 	"github.com/radishgate/radishgate/settings"
 )
@@ -35,6 +36,7 @@
 
 type arguments struct {
 	Serve    *serveCommand    `arg:"subcommand:serve" help:"run an entry"`
+	Dispatch *dispatchCommand `arg:"subcommand:dispatch" help:"run an entry for jobs of workers with room"`
 	Settings *settingsCommand `arg:"subcommand:settings" help:"check or print settings"`
 	Bundle   *bundleCommand   `arg:"subcommand:bundle" help:"check, sign, publish and show bundles"`
 	Keys     *keysCommand     `arg:"subcommand:keys" help:"make keys"`
@@ -101,12 +103,13 @@
 func code(err error) int {
 	var place *inifile.Error
 	var file *settings.Error
+	var poolFile *pool.Error
 	var usage *UsageError
 	var refused *client.Refused
 	var lost *client.LostError
 	var broken *demo.BrokenError
 	switch {
-	case errors.As(err, &place), errors.As(err, &file), errors.As(err, &usage):
+	case errors.As(err, &place), errors.As(err, &file), errors.As(err, &poolFile), errors.As(err, &usage):
 		return exitUsage
 	case errors.As(err, &broken):
 		return exitBroken
--- /dev/null
+++ b/commands/dispatch.go
@@ -0,0 +1,78 @@
+package commands
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/radishgate/radishgate/internal/gateway/journal"
+	"github.com/radishgate/radishgate/internal/gateway/node"
+	"github.com/radishgate/radishgate/internal/gateway/settings"
+	"github.com/radishgate/radishgate/platform"
+)
+
+type dispatchCommand struct {
+	Settings string `arg:"--settings" help:"settings file (INI); default: the one that the platform names"`
+}
+
+// heapShare is the part of the VM's memory that the heap may take before the
+// collector works harder; the rest is for stacks, buffers and the kernel.
+const heapShare = 0.6
+
+func (c *dispatchCommand) run(ctx context.Context, out, _ io.Writer) error {
+	if c.Settings == "" {
+		c.Settings = os.Getenv(platform.SettingsVariable)
+	}
+	if c.Settings == "" {
+		return &UsageError{Reason: "dispatch: --settings is required outside the platform"}
+	}
+	s, err := settings.Load(c.Settings)
+	if err != nil {
+		return err
+	}
+	debug.SetMemoryLimit(int64(heapShare * float64(s.Memory<<20)))
+	var level slog.Level
+	if err := level.UnmarshalText([]byte(s.Level)); err != nil {
+		return &UsageError{Reason: c.Settings + ": [logs] level: " + err.Error()}
+	}
+	j := journal.New(out)
+	log := j.Logger(level)
+	writing, stop := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		j.Run(writing)
+		close(done)
+	}()
+	defer func() {
+		stop()
+		<-done
+	}()
+	go reloads(ctx, c.Settings, log)
+	n, err := node.New(node.Options{Settings: s, Log: log, Dropped: j.Dropped})
+	if err != nil {
+		return err
+	}
+	return n.Run(ctx)
+}
+
+// reloads checks the settings again when the platform says that they have
+// changed. All that they hold is bound to a start; what has changed is taken
+// with the next one.
+func reloads(ctx context.Context, name string, log *slog.Logger) {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangups:
+			_, err := settings.Load(name)
+			log.Info("settings read again", "file", name, "error", err)
+		}
+	}
+}
--- /dev/null
+++ b/internal/gateway/node/groups.go
@@ -0,0 +1,204 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/radishgate/radishgate/internal/gateway/desk"
+	"github.com/radishgate/radishgate/internal/placement/holder"
+	"github.com/radishgate/radishgate/internal/placement/tenure"
+	"github.com/radishgate/radishgate/internal/work/batch"
+	"github.com/radishgate/radishgate/member"
+	"github.com/radishgate/radishgate/platform"
+)
+
+// listenSpan is how long an entry that has just started listens for claims
+// before it makes any.
+const listenSpan = 500 * time.Millisecond
+
+// govern claims the groups that fall to this entry and begins or ends its
+// holders accordingly.
+func (n *Node) govern(ctx context.Context) {
+	if time.Since(n.began) < listenSpan || ctx.Err() != nil {
+		return
+	}
+	var live []tenure.Candidate
+	for _, r := range n.members.Live("") {
+		live = append(live, tenure.Candidate{ID: r.ID, Life: r.Incarnation, Zone: r.Zone, Weight: r.Weight})
+	}
+	heard, now, claimed := n.hears(), time.Now(), false
+	for _, zone := range n.settings.Zones {
+		for i := range n.settings.Groups {
+			if n.tenure.Settle(groupName(zone, i), zone, live, heard, now) {
+				claimed = true
+			}
+		}
+	}
+	changed := n.matchHolders()
+	if claimed {
+		go n.announce(ctx)
+	}
+	if changed {
+		n.enlist()
+	}
+}
+
+// matchHolders begins a holder for each claim of this entry and ends the others.
+func (n *Node) matchHolders() bool {
+	n.mu.Lock()
+	var ended []*holder.Holder
+	changed := false
+	for _, c := range n.tenure.Claims() {
+		own := c.Holder == n.settings.VM && c.Life == n.life
+		h, held := n.holders[c.Group]
+		switch {
+		case own && !held:
+			n.holders[c.Group] = n.newHolder(c)
+			changed = true
+			n.log.Info("group taken", "group", c.Group, "epoch", c.Epoch)
+		case !own && held:
+			delete(n.holders, c.Group)
+			ended = append(ended, h)
+			n.log.Info("group given up", "group", c.Group, "epoch", c.Epoch, "holder", c.Holder)
+		}
+	}
+	n.mu.Unlock()
+	for _, h := range ended {
+		h.Yield()
+	}
+	return changed
+}
+
+func (n *Node) newHolder(c tenure.Claim) *holder.Holder {
+	return holder.New(n.ctx, holder.Options{
+		Group: c.Group, Number: xxhash.Sum64String(n.settings.VM) ^ n.life, Lease: n.settings.Lease,
+		Calls: holder.Calls{Start: n.workers.Start, Stop: n.workers.Stop, Hold: n.workers.Hold},
+		Log:   n.log, Settled: n.settled, Counted: n.measures.order,
+		Fenced: func() bool {
+			n.tenure.Fenced(n.hears(), time.Now())
+			return n.tenure.Standing(c.Group)
+		},
+	})
+}
+
+// groupOfJob gives the group of the own zone that a job belongs to, the same at
+// every entry of the zone.
+func (n *Node) groupOfJob(b *batch.Batch) string {
+	return groupName(n.settings.Zone, int(xxhash.Sum64String(b.ID)%uint64(n.settings.Groups)))
+}
+
+// seat finds the present holder of a group.
+func (n *Node) seat(group string) (desk.Seat, bool) {
+	c, ok := n.tenure.Holder(group)
+	if !ok {
+		return desk.Seat{}, false
+	}
+	if c.Holder == n.settings.VM {
+		return desk.Seat{Group: group, Epoch: c.Epoch, Holder: c.Holder, Own: true}, c.Life == n.life && n.tenure.Standing(group)
+	}
+	r, state, known := n.members.Find(c.Holder)
+	if !known || state == member.Dead || r.Incarnation != c.Life {
+		return desk.Seat{}, false
+	}
+	return desk.Seat{Group: group, Epoch: c.Epoch, Holder: c.Holder, Address: r.Peer}, true
+}
+
+func (n *Node) holder(group string) (*holder.Holder, bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	h, ok := n.holders[group]
+	return h, ok
+}
+
+// answerSpan bounds a call to another entry's holder.
+const answerSpan = 400 * time.Millisecond
+
+func (n *Node) placeAt(ctx context.Context, to desk.Seat, b *batch.Batch, done []string) (bool, error) {
+	if to.Own {
+		return n.onPlace(to.Group, b, done), nil
+	}
+	n.measures.message("place")
+	return n.client.Place(ctx, to.Address, to.Group, b, done)
+}
+
+func (n *Node) awaitAt(ctx context.Context, to desk.Seat, ids []string) ([]batch.Result, []string, bool, error) {
+	if to.Own {
+		results, unknown, held := n.onAwait(to.Group, ids)
+		return results, unknown, held, nil
+	}
+	n.measures.message("await")
+	return n.client.Await(ctx, to.Address, to.Group, ids)
+}
+
+func (n *Node) withdrawAt(ctx context.Context, to desk.Seat, id string) {
+	if to.Own {
+		n.onWithdraw(to.Group, id)
+		return
+	}
+	n.measures.message("withdraw")
+	if err := n.client.Withdraw(ctx, to.Address, to.Group, id); err != nil {
+		// The holder drops a job that is no longer asked for by itself.
+		n.log.Warn("job not withdrawn", "job", id, "from", to.Holder, "error", err)
+	}
+}
+
+// onPlace takes a job for a group that this entry holds.
+func (n *Node) onPlace(group string, b *batch.Batch, done []string) bool {
+	h, held := n.holder(group)
+	if held {
+		h.Admit(b, done)
+	}
+	return held
+}
+
+func (n *Node) onAwait(group string, ids []string) ([]batch.Result, []string, bool) {
+	h, held := n.holder(group)
+	if !held {
+		return nil, nil, false
+	}
+	results, unknown := h.Wanted(ids)
+	return results, unknown, true
+}
+
+func (n *Node) onWithdraw(group, id string) {
+	if h, held := n.holder(group); held {
+		h.Withdraw(id)
+	}
+}
+
+// settled passes the result of a job to the entry that waits for it.
+func (n *Node) settled(b *batch.Batch, r batch.Result) {
+	if b.From == n.settings.VM {
+		n.desk.Settle([]batch.Result{r})
+		return
+	}
+	n.outbox.add(b.From, r)
+}
+
+// leaveAddress tells other entries through the store where this one is.
+func (n *Node) leaveAddress(ctx context.Context, put func(ctx context.Context, key string, value []byte) error) bool {
+	ctx, cancel := context.WithTimeout(ctx, storeSpan)
+	defer cancel()
+	if err := put(ctx, n.settings.VM, []byte(n.settings.Peers)); err != nil {
+		n.log.Warn("address not left in the store", "error", err)
+		return false
+	}
+	return true
+}
+
+func (n *Node) readAddresses(ctx context.Context, newest func(ctx context.Context) ([]platform.Keyed, int64, error)) {
+	ctx, cancel := context.WithTimeout(ctx, storeSpan)
+	defer cancel()
+	records, _, err := newest(ctx)
+	if err != nil {
+		n.log.Warn("addresses of entries not read", "error", err)
+		return
+	}
+	for _, k := range records {
+		if len(k.Value) > 0 && k.Key != n.settings.VM {
+			n.contacts.add(string(k.Value))
+		}
+	}
+}
--- /dev/null
+++ b/internal/gateway/node/measures.go
@@ -0,0 +1,94 @@
+package node
+
+import (
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"github.com/radishgate/radishgate/internal/work/batch"
+)
+
+// responseBounds are those of the histogram of response times, in seconds.
+var responseBounds = []float64{.025, .05, .1, .15, .2, .3, .5, .75, 1, 1.5, 2, 3, 5}
+
+// measures are the counters and histograms of a node.
+type measures struct {
+	registry     *prometheus.Registry
+	messages     *prometheus.CounterVec
+	orders       *prometheus.CounterVec
+	jobs         *prometheus.CounterVec
+	response     *prometheus.HistogramVec
+	dependencies *prometheus.GaugeVec
+
+	mu     sync.Mutex
+	counts map[string]prometheus.Counter
+}
+
+func newMeasures(n *Node, dropped func() int64) *measures {
+	name := func(what string) string { return "radishgate_dispatch_" + what }
+	counter := func(what, help, label string) *prometheus.CounterVec {
+		return prometheus.NewCounterVec(prometheus.CounterOpts{Name: name(what), Help: help}, []string{label})
+	}
+	m := &measures{
+		registry: prometheus.NewRegistry(), counts: map[string]prometheus.Counter{},
+		messages: counter("messages_total", "Messages to other entries, by kind.", "kind"),
+		orders:   counter("orders_total", "Orders to workers and ends that they list, by kind and answer.", "what"),
+		jobs:     counter("jobs_total", "Jobs of clients of this entry, by result.", "result"),
+		response: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: name("response_seconds"), Help: "Arrival to result, by queue.", Buckets: responseBounds,
+		}, []string{"queue"}),
+		dependencies: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: name("dependency"), Help: "1 while a dependency answers.",
+		}, []string{"name"}),
+	}
+	gauge := func(what, help string, read func() float64) prometheus.Collector {
+		return prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name(what), Help: help}, read)
+	}
+	m.registry.MustRegister(
+		m.messages, m.orders, m.jobs, m.response, m.dependencies,
+		gauge("log_lines_dropped", "Log lines beyond the bounds.", func() float64 { return float64(dropped()) }),
+		gauge("configuration_version", "Version in force.", func() float64 { return float64(n.routes.Version()) }),
+		gauge("jobs_waiting", "Jobs that clients wait for.", func() float64 { return float64(n.desk.Len()) }),
+	)
+	return m
+}
+
+func (m *measures) handler() http.Handler {
+	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
+}
+
+// count keeps the counters by label, since finding them costs more than adding.
+func (m *measures) count(of *prometheus.CounterVec, label string) {
+	m.mu.Lock()
+	c, known := m.counts[label]
+	if !known {
+		c = of.WithLabelValues(label)
+		m.counts[label] = c
+	}
+	m.mu.Unlock()
+	c.Inc()
+}
+
+func (m *measures) message(kind string) { m.count(m.messages, kind) }
+
+func (m *measures) order(what string) { m.count(m.orders, what) }
+
+func (m *measures) dependency(name string, up bool) {
+	value := 0.0
+	if up {
+		value = 1
+	}
+	m.dependencies.WithLabelValues(name).Set(value)
+}
+
+// jobEnded counts and logs the result of a job.
+func (n *Node) jobEnded(b *batch.Batch, r batch.Result, tries int) {
+	took := time.Since(b.Arrived)
+	n.measures.jobs.WithLabelValues(string(r.State)).Inc()
+	n.measures.response.WithLabelValues(b.Queue).Observe(took.Seconds())
+	n.log.Info("job ended", "job", b.ID, "queue", b.Queue, "version", b.Version, "state", string(r.State), "reason", r.Reason,
+		"ms", took.Milliseconds(), "left_ms", time.Until(b.Expires).Milliseconds(), "tasks", b.Tasks(), "tries", tries)
+}
--- /dev/null
+++ b/internal/gateway/node/node.go
@@ -0,0 +1,220 @@
+// Package node puts the parts together into the process that serves the platform's jobs.
+package node
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/radishgate/radishgate/common/counted"
+	"github.com/radishgate/radishgate/internal/gateway/desk"
+	"github.com/radishgate/radishgate/internal/gateway/feed"
+	"github.com/radishgate/radishgate/internal/gateway/routes"
+	"github.com/radishgate/radishgate/internal/gateway/settings"
+	"github.com/radishgate/radishgate/internal/placement/holder"
+	"github.com/radishgate/radishgate/internal/placement/tenure"
+	"github.com/radishgate/radishgate/internal/worker/registry"
+	"github.com/radishgate/radishgate/member"
+	"github.com/radishgate/radishgate/peer"
+	"github.com/radishgate/radishgate/platform"
+)
+
+// Options of a node. The listeners may be given, so that a test knows their ports.
+type Options struct {
+	Settings *settings.Settings
+	Log      *slog.Logger
+	Dropped  func() int64 // log lines that were not written
+	Clients  net.Listener
+	Peers    net.Listener
+	Ready    net.Listener
+	Metrics  net.Listener
+}
+
+// Node is one entry.
+type Node struct {
+	settings *settings.Settings
+	log      *slog.Logger
+	life     uint64
+	began    time.Time
+
+	listeners
+	store    *platform.Store
+	workers  *platform.Workers
+	client   *peer.Client
+	members  *member.Table
+	tenure   *tenure.Table
+	routes   *routes.Table
+	registry *registry.Registry
+	desk     *desk.Desk
+	measures *measures
+	outbox   *outbox
+
+	draining atomic.Bool
+	heardAt  atomic.Int64 // Unix ms of the last heartbeat of another entry
+	contacts contacts
+
+	mu      sync.Mutex
+	holders map[string]*holder.Holder // by group
+
+	ctx    context.Context
+	cancel context.CancelFunc
+	loops  sync.WaitGroup
+}
+
+// New makes a node and opens its listeners; Run starts it.
+func New(options Options) (*Node, error) {
+	s := options.Settings
+	n := &Node{
+		settings: s, log: options.Log, life: rand.Uint64() | 1, began: time.Now(),
+		store: platform.NewStore(s.Store), workers: platform.NewWorkers(),
+		client: peer.NewClient(nil, &counted.Counter{}, nil),
+		routes: routes.New(), registry: registry.New(), holders: map[string]*holder.Holder{},
+		contacts: contacts{addresses: map[string]bool{}},
+	}
+	n.ctx, n.cancel = context.WithCancel(context.Background())
+	if err := n.listen(options); err != nil {
+		return nil, err
+	}
+	n.members = member.New(member.Options{
+		Self: member.Record{ID: s.VM, Zone: s.Zone, Peer: s.Peers, Incarnation: n.life, Weight: s.Processors},
+		// Work moves to another entry once one is dead. A false death costs a
+		// change of holder, a late one a second of service.
+		Suspect: suspectBeats * s.Beat, Dead: deadBeats * s.Beat, Fanout: beatFanout, Relay: beatRelay,
+	})
+	n.tenure = tenure.New(tenure.Options{
+		Self:     tenure.Candidate{ID: s.VM, Life: n.life, Zone: s.Zone, Weight: s.Processors},
+		Patience: alonePatience,
+	})
+	n.measures = newMeasures(n, options.Dropped)
+	n.outbox = newOutbox(n)
+	n.desk = desk.New(desk.Options{
+		Self: s.VM, Group: n.groupOfJob, Seat: n.seat, Place: n.placeAt, Await: n.awaitAt, Withdraw: n.withdrawAt,
+		Ended: n.jobEnded, Log: n.log,
+	})
+	n.contacts.add(s.Seeds...)
+	return n, nil
+}
+
+// Bounds of membership, in heartbeats.
+const (
+	suspectBeats  = 4
+	deadBeats     = 6
+	beatFanout    = 3
+	beatRelay     = 8
+	alonePatience = 2500 * time.Millisecond // an entry that hears nobody may be the one cut off
+)
+
+// groupName names a group of workers.
+func groupName(zone string, index int) string {
+	return zone + "/" + string(rune('0'+index%10)) + string(rune('0'+index/10%10))
+}
+
+// groupOfWorker gives the group of a worker.
+func (n *Node) groupOfWorker(r platform.Registration) string {
+	return groupName(r.Zone, int(xxhash.Sum64String(r.ID)%uint64(n.settings.Groups)))
+}
+
+// followers read what the operators and the workers write.
+func (n *Node) followers() []*feed.Follower {
+	return []*feed.Follower{
+		{
+			Name: "configuration", Feed: n.store.Operator(), Wait: configurationWait, Log: n.log,
+			Reset: n.takeConfiguration, Apply: n.takeConfiguration,
+			Lost: func() { n.measures.dependency("configuration", false) },
+			Back: func() { n.measures.dependency("configuration", true) },
+		},
+		{
+			Name: "workers", Feed: n.store.Workers(), Pause: workersPause, Log: n.log,
+			Reset: func(records []platform.Keyed) { n.takeWorkers(n.registry.Reset(records, time.Now())) },
+			Apply: func(records []platform.Keyed) { n.takeWorkers(n.registry.Apply(records, time.Now())) },
+			Lost:  func() { n.measures.dependency("workers", false) },
+			Back:  func() { n.measures.dependency("workers", true) },
+		},
+	}
+}
+
+// Spans of reading. A configuration has to be in force within two seconds, also
+// when the connection of the read under way has fallen silent; a worker that
+// drains must get nothing after two seconds.
+const (
+	configurationWait = 800 * time.Millisecond
+	workersPause      = 800 * time.Millisecond
+)
+
+func (n *Node) takeConfiguration(records []platform.Keyed) {
+	for _, k := range records {
+		if k.Key != platform.KeyConfiguration || len(k.Value) == 0 {
+			continue
+		}
+		c, err := platform.ReadConfiguration(k.Value)
+		if err != nil {
+			n.log.Error("configuration refused", "offset", k.Offset, "error", err)
+			continue
+		}
+		before := n.routes.Version()
+		if n.routes.Apply(c) {
+			n.log.Info("configuration in force", "version", c.Version, "before", before, "queues", len(c.Queues), "offset", k.Offset)
+		}
+	}
+}
+
+func (n *Node) takeWorkers(changes []registry.Change) {
+	for _, c := range changes {
+		if c.Err != nil {
+			n.log.Warn(c.What, "worker", c.ID, "error", c.Err)
+			continue
+		}
+		n.log.Info(c.What, "worker", c.ID)
+	}
+	n.enlist()
+}
+
+// enlist tells the holders of this entry which workers there are.
+func (n *Node) enlist() {
+	gone := n.registry.Expire(n.answering, time.Now())
+	live := n.registry.Live()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, h := range n.holders {
+		for _, id := range gone {
+			h.Dismiss(id, "its registration has gone")
+		}
+	}
+	for _, r := range live {
+		if h, own := n.holders[n.groupOfWorker(r)]; own {
+			h.Enlist(r)
+		}
+	}
+}
+
+func (n *Node) answering(id string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, h := range n.holders {
+		if h.Answering(id) {
+			return true
+		}
+	}
+	return false
+}
+
+// workersLoop lets registrations that are missing run out also while nothing is
+// read.
+func (n *Node) workersLoop(ctx context.Context) {
+	ticker := time.NewTicker(time.Second)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			n.enlist()
+		}
+	}
+}
--- /dev/null
+++ b/internal/placement/plan/job.go
@@ -0,0 +1,263 @@
+package plan
+
+import (
+	"time"
+
+	"github.com/radishgate/radishgate/internal/work/batch"
+)
+
+// task is one task of a job.
+type task struct {
+	job     *job
+	step    int
+	name    string
+	current *run
+	lastRun int
+	fails   int
+	moves   int
+	done    bool
+	avoid   map[string]bool // workers on which it failed or stood still
+}
+
+// job is one batch with the state of its tasks.
+type job struct {
+	*batch.Batch
+	tasks     []*task
+	pending   []*task // to be placed
+	left      int     // tasks that have not ended well
+	started   bool    // a task may have run
+	result    batch.Result
+	dropped   bool // nobody waits for it
+	wanted    time.Time
+	forgetAt  time.Time
+	objective time.Time
+	queued    bool // in the list of jobs with tasks to place
+}
+
+// Admit takes a job. One that is known goes on, or has its result told again.
+func (p *Plan) Admit(b *batch.Batch, done []string, now time.Time) {
+	p.at = now
+	j, known := p.jobs[b.ID]
+	switch {
+	case !known:
+		j = p.newJob(b, done)
+	case j.result.State.Ended() && !j.dropped:
+		if j.result.State == batch.Refused || j.result.State == batch.Unknown {
+			p.revive(j, b)
+			break
+		}
+		j.Batch = b
+		p.order(Order{Kind: Settle, Batch: b, Result: j.result})
+		return
+	case j.dropped:
+		p.revive(j, b)
+	default:
+		j.Batch = b
+	}
+	j.wanted = now.Add(p.options.Wanted)
+	if j.left == 0 {
+		p.settle(j, batch.Result{State: batch.Completed})
+		return
+	}
+	if reason := p.hopeless(j); reason != "" {
+		p.refuse(j, reason)
+		return
+	}
+	p.place()
+}
+
+func (p *Plan) newJob(b *batch.Batch, done []string) *job {
+	j := &job{Batch: b, result: batch.Result{ID: b.ID, State: batch.Pending}, started: b.Again}
+	p.jobs[b.ID] = j
+	ended := map[string]bool{}
+	for _, name := range done {
+		ended[name] = true
+	}
+	longest := time.Duration(0)
+	for n, s := range b.Steps {
+		longest = max(longest, p.pace.Base(b.Queue, s.Hint))
+		for i := range s.Count {
+			t := &task{job: j, step: n, name: batch.TaskName(b.ID, 0, n, i)}
+			if _, there := p.orphans[t.name]; there || ended[t.name] {
+				t.done = true
+				delete(p.orphans, t.name)
+			}
+			j.tasks = append(j.tasks, t)
+		}
+	}
+	j.objective = b.Arrived.Add(time.Duration(float64(longest)*b.Stretch) + b.Slack)
+	for _, t := range j.tasks {
+		if t.done {
+			continue
+		}
+		j.left++
+		if !p.adopt(t) {
+			p.requeue(t)
+		}
+	}
+	return j
+}
+
+// adopt finds a run of the task that an earlier holder started.
+func (p *Plan) adopt(t *task) bool {
+	for _, w := range p.workers {
+		for key, r := range w.runs {
+			if key.task != t.name {
+				continue
+			}
+			t.lastRun = max(t.lastRun, key.run)
+			t.job.started = true
+			if r.phase != foreign || w.standing != ready || !r.stopAt.IsZero() {
+				continue
+			}
+			p.own(r, t)
+			return true
+		}
+	}
+	return false
+}
+
+// own makes a foreign run one of a task of this holder.
+func (p *Plan) own(r *run, t *task) {
+	r.worker.used = r.worker.used.Minus(r.room)
+	r.task, r.phase, r.room = t, running, t.job.Steps[t.step].Room
+	r.worker.used = r.worker.used.Plus(r.room)
+	r.expected = r.beganAt.Add(p.expect(t, r.worker))
+	t.current = r
+}
+
+// revive takes a job again that was given up or whose client had left.
+func (p *Plan) revive(j *job, b *batch.Batch) {
+	j.Batch, j.dropped, j.started = b, false, true
+	j.result = batch.Result{ID: b.ID, State: batch.Pending}
+	for _, t := range j.tasks {
+		if !t.done && t.current == nil {
+			p.requeue(t)
+		}
+	}
+}
+
+// requeue lets a task wait for a worker.
+func (p *Plan) requeue(t *task) {
+	j := t.job
+	if t.done || j.dropped || j.result.State.Ended() {
+		return
+	}
+	for _, other := range j.pending {
+		if other == t {
+			return
+		}
+	}
+	j.pending = append(j.pending, t)
+	if !j.queued {
+		j.queued = true
+		p.waiting = append(p.waiting, j)
+	}
+}
+
+// Withdraw drops a job whose client has left: what runs of it is stopped.
+func (p *Plan) Withdraw(id string, now time.Time) {
+	p.at = now
+	if j, known := p.jobs[id]; known && !j.result.State.Ended() {
+		p.abandon(j, batch.Result{State: batch.Cancelled, Reason: "its client has left"})
+		p.place()
+	}
+}
+
+// Wanted notes that an entry still waits for a job, and gives its result where
+// it has ended. It tells whether the job is known.
+func (p *Plan) Wanted(id string, now time.Time) (batch.Result, bool) {
+	p.at = now
+	j, known := p.jobs[id]
+	if !known || j.dropped {
+		return batch.Result{}, false
+	}
+	j.wanted = now.Add(p.options.Wanted)
+	return j.result, true
+}
+
+// abandon ends a job that nobody waits for, without telling anybody.
+func (p *Plan) abandon(j *job, result batch.Result) {
+	j.dropped = true
+	p.end(j, result)
+}
+
+// settle ends a job and tells its entry.
+func (p *Plan) settle(j *job, result batch.Result) {
+	p.end(j, result)
+	p.order(Order{Kind: Settle, Batch: j.Batch, Result: j.result})
+}
+
+func (p *Plan) end(j *job, result batch.Result) {
+	result.ID = j.ID
+	j.result, j.pending = result, nil
+	j.forgetAt = p.at.Add(p.options.Keep)
+	if result.State == batch.Moved {
+		return
+	}
+	for _, t := range j.tasks {
+		if t.current != nil {
+			p.stop(t.current, result.Reason)
+		}
+	}
+}
+
+// refuse turns a job away of which nothing has run.
+func (p *Plan) refuse(j *job, reason string) {
+	p.settle(j, batch.Result{State: batch.Refused, Reason: reason, RetryAt: p.at.Add(p.drained(j))})
+}
+
+// giveUp ends a job that can no longer be served in its client's time.
+func (p *Plan) giveUp(j *job, reason string) {
+	if j.started {
+		p.settle(j, batch.Result{State: batch.Unknown, Reason: reason})
+		return
+	}
+	p.refuse(j, reason)
+}
+
+// age applies the passing of time to a job.
+func (p *Plan) age(j *job) {
+	switch {
+	case j.result.State.Ended():
+		if j.forgetAt.Before(p.at) && !j.runs() {
+			delete(p.jobs, j.ID)
+		}
+	case j.wanted.Before(p.at):
+		p.abandon(j, batch.Result{State: batch.Cancelled, Reason: "its entry no longer asks for it"})
+	case j.Expires.Before(p.at):
+		p.giveUp(j, "its client's time is over")
+	case len(j.pending) > 0:
+		if t := j.pending[0]; p.at.Add(p.soonest(t)).After(j.Expires) {
+			p.giveUp(j, "too little is left of its client's time")
+		}
+	}
+}
+
+func (j *job) runs() bool {
+	for _, t := range j.tasks {
+		if t.current != nil {
+			return true
+		}
+	}
+	return false
+}
+
+// finish notes that a task has ended well.
+func (p *Plan) finish(t *task) {
+	if t.done {
+		return
+	}
+	t.done = true
+	j := t.job
+	j.left--
+	for i, other := range j.pending {
+		if other == t {
+			j.pending = append(j.pending[:i], j.pending[i+1:]...)
+			break
+		}
+	}
+	if j.left == 0 && !j.result.State.Ended() {
+		p.settle(j, batch.Result{State: batch.Completed})
+	}
+}
--- /dev/null
+++ b/internal/placement/plan/place.go
@@ -0,0 +1,257 @@
+package plan
+
+import (
+	"slices"
+	"sort"
+	"time"
+
+	"github.com/radishgate/radishgate/internal/work/batch"
+	"github.com/radishgate/radishgate/internal/work/room"
+)
+
+// expect is the run time of a task on a worker.
+func (p *Plan) expect(t *task, w *worker) time.Duration {
+	if t == nil {
+		return defaultLease
+	}
+	base := p.pace.Base(t.job.Queue, t.job.Steps[t.step].Hint)
+	return time.Duration(float64(base) * p.pace.Factor(w.ID, w.Kind))
+}
+
+// soonest is the least run time of a task on any worker.
+func (p *Plan) soonest(t *task) time.Duration {
+	least := time.Duration(-1)
+	for _, w := range p.workers {
+		if w.Service != t.job.Service {
+			continue
+		}
+		if d := p.expect(t, w); least < 0 || d < least {
+			least = d
+		}
+	}
+	return max(0, least)
+}
+
+// place gives tasks to workers, in the order of what is lost by waiting.
+func (p *Plan) place() {
+	p.compact()
+	if len(p.waiting) == 0 {
+		return
+	}
+	settled := p.settled()
+	p.arrange()
+	open := p.openWorkers()
+	for _, j := range p.waiting {
+		if len(open) == 0 {
+			break
+		}
+		if j.Again && !settled {
+			continue
+		}
+		p.placeJob(j, open)
+	}
+	p.compact()
+}
+
+// compact drops the jobs that have nothing to place.
+func (p *Plan) compact() {
+	p.waiting = slices.DeleteFunc(p.waiting, func(j *job) bool {
+		if len(j.pending) > 0 && !j.result.State.Ended() {
+			return false
+		}
+		j.queued = false
+		return true
+	})
+}
+
+// arrange puts first the jobs that can still meet their objective, by the last
+// moment at which they have to start; those that cannot follow by the time their
+// clients leave. It answers bursts: a job that has lost its objective must not
+// take the room of one that has not.
+func (p *Plan) arrange() {
+	type rank struct {
+		late bool
+		at   time.Time
+	}
+	ranks := make(map[*job]rank, len(p.waiting))
+	for _, j := range p.waiting {
+		need := p.soonest(j.pending[0])
+		latest := j.objective.Add(-need)
+		r := rank{latest.Before(p.at), latest}
+		if r.late {
+			r.at = j.Expires
+		}
+		ranks[j] = r
+	}
+	sort.SliceStable(p.waiting, func(a, b int) bool {
+		x, y := ranks[p.waiting[a]], ranks[p.waiting[b]]
+		if x.late != y.late {
+			return y.late
+		}
+		return x.at.Before(y.at)
+	})
+}
+
+// openWorkers lists the workers that can take any task, in a stable order.
+func (p *Plan) openWorkers() []*worker {
+	var open []*worker
+	for _, w := range p.workers {
+		if w.usable() && w.free().Processors > 0 {
+			open = append(open, w)
+		}
+	}
+	slices.SortFunc(open, func(a, b *worker) int {
+		if a.ID < b.ID {
+			return -1
+		}
+		return 1
+	})
+	return open
+}
+
+func (p *Plan) placeJob(j *job, open []*worker) {
+	left := j.pending[:0]
+	for _, t := range j.pending {
+		if t.current != nil || !p.turn(t) {
+			left = append(left, t)
+			continue
+		}
+		w := p.choose(t, open)
+		if w == nil {
+			left = append(left, t)
+			continue
+		}
+		p.start(t, w)
+	}
+	j.pending = left
+}
+
+// turn tells whether the steps before the task's have ended.
+func (p *Plan) turn(t *task) bool {
+	for _, before := range t.job.Steps[t.step].After {
+		for _, other := range t.job.tasks {
+			if other.step == before && !other.done {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// choose finds the worker that ends the task first; of those about as fast, the
+// one whose room it fills best.
+func (p *Plan) choose(t *task, open []*worker) *worker {
+	step := t.job.Steps[t.step]
+	var best *worker
+	bestCost := 0.0
+	for _, w := range open {
+		if !p.suits(t, step, w) {
+			continue
+		}
+		took := float64(p.expect(t, w))
+		left := float64(w.free().Processors-step.Room.Processors) / float64(max(1, w.Room.Processors))
+		cost := took * (1 + residueWeight*left)
+		if best == nil || cost < bestCost {
+			best, bestCost = w, cost
+		}
+	}
+	return best
+}
+
+// residueWeight is how much of its run time a task may lose for a worker that it
+// fills without a rest.
+const residueWeight = 0.3
+
+func (p *Plan) suits(t *task, step batch.Step, w *worker) bool {
+	if w.Service != t.job.Service || t.avoid[w.ID] || !step.Room.Fits(w.free()) || p.board.Aside(w.ID) {
+		return false
+	}
+	if step.Label != "" && !slices.Contains(w.Labels, step.Label) {
+		return false
+	}
+	return step.PerWorker == 0 || p.sameStep(t, w) < step.PerWorker
+}
+
+// sameStep counts the tasks of the task's step on a worker.
+func (p *Plan) sameStep(t *task, w *worker) int {
+	count := 0
+	for _, r := range w.runs {
+		if r.task != nil && r.task.job == t.job && r.task.step == t.step {
+			count++
+		}
+	}
+	return count
+}
+
+func (p *Plan) start(t *task, w *worker) {
+	t.lastRun++
+	r := &run{
+		runKey: runKey{t.name, t.lastRun}, worker: w, task: t, phase: ordered,
+		room: t.job.Steps[t.step].Room, sentAt: p.at,
+	}
+	t.current = r
+	t.job.started = true
+	if t.job.result.State == batch.Pending {
+		t.job.result.State = batch.Running
+	}
+	p.add(r)
+	p.board.Begin(w.ID, p.at.Add(trialSpan))
+	p.order(Order{Kind: Start, Worker: w.ID, Task: t.name, Run: r.runKey.run, Batch: t.job.Batch})
+}
+
+// trialSpan is the time after which a trial task that has told nothing makes room
+// for another one.
+const trialSpan = 2 * time.Second
+
+// hopeless says why a job cannot be served, or nothing.
+func (p *Plan) hopeless(j *job) string {
+	largest := room.Room{}
+	known := 0
+	for _, w := range p.workers {
+		if w.Service == j.Service {
+			known++
+			largest.Processors = max(largest.Processors, w.Room.Processors)
+			largest.Memory = max(largest.Memory, w.Room.Memory)
+			largest.Accelerators = max(largest.Accelerators, w.Room.Accelerators)
+		}
+	}
+	if known == 0 {
+		return ""
+	}
+	for _, s := range j.Steps {
+		if !s.Room.Fits(largest) {
+			return "no worker of " + j.Service + " has room for a task"
+		}
+	}
+	if !j.started && p.at.Add(p.drained(j)).After(j.Expires) {
+		return "the work ahead of it takes longer than its client waits"
+	}
+	return ""
+}
+
+// drained is the time in which the room of the workers takes the work that waits
+// already.
+func (p *Plan) drained(j *job) time.Duration {
+	var ahead, whole float64 // core-seconds, cores
+	for _, other := range p.waiting {
+		if other == j || other.Service != j.Service {
+			continue
+		}
+		for _, t := range other.pending {
+			s := other.Steps[t.step]
+			ahead += float64(s.Room.Processors) * p.pace.Base(other.Queue, s.Hint).Seconds()
+		}
+	}
+	for _, w := range p.workers {
+		if w.Service == j.Service && w.standing == ready && !w.Draining {
+			whole += float64(w.Room.Processors) * packing
+		}
+	}
+	if whole == 0 {
+		return 0
+	}
+	return time.Duration(ahead / whole * float64(time.Second))
+}
+
+// packing is the share of the cores that tasks of about half a worker fill.
+const packing = 0.85
--- /dev/null
+++ b/internal/placement/plan/plan.go
@@ -0,0 +1,200 @@
+// Package plan decides which task runs on which worker. It does no input or output: events and times go in, orders come out.
+package plan
+
+import (
+	"time"
+
+	"github.com/radishgate/radishgate/internal/placement/pace"
+	"github.com/radishgate/radishgate/internal/work/batch"
+	"github.com/radishgate/radishgate/internal/work/room"
+	"github.com/radishgate/radishgate/outlier"
+)
+
+// Worker is one life of a worker as it is registered.
+type Worker struct {
+	ID       string
+	Service  string
+	Zone     string
+	Kind     string // label by which speeds are learned
+	Labels   []string
+	Room     room.Room
+	Draining bool
+}
+
+// Kind of an order.
+type Kind int
+
+// The kinds of orders.
+const (
+	Start  Kind = iota // a run of a task
+	Stop               // a run of a task
+	Fence              // raise the token of a worker, since the fate of an order is unknown
+	Settle             // tell the waiting entry what became of a job
+)
+
+// Order is what the plan wants done.
+type Order struct {
+	Kind   Kind
+	Worker string
+	Task   string
+	Run    int
+	Batch  *batch.Batch
+	Result batch.Result
+	Reason string
+}
+
+// Options of a plan.
+type Options struct {
+	Lease  time.Duration // of what runs on a worker, at most
+	Orphan time.Duration // for which runs of unknown jobs are kept for their entry to ask again
+	Keep   time.Duration // for which the result of an ended job is remembered
+	Wanted time.Duration // after which a job that its entry no longer asks for is dropped
+}
+
+// Defaults of the options that a caller leaves at zero.
+const (
+	defaultLease  = time.Second
+	defaultOrphan = 400 * time.Millisecond // some heartbeats between entries
+	defaultKeep   = 5 * time.Second        // a client sends again after a second or two
+	defaultWanted = 1200 * time.Millisecond
+)
+
+// Plan is the state of one holder. It is not safe for concurrent use.
+type Plan struct {
+	options Options
+	pace    *pace.Pace
+	board   *outlier.Board
+
+	workers map[string]*worker
+	jobs    map[string]*job
+	waiting []*job // with tasks to place
+	orphans map[string]orphan
+	began   time.Time
+	orders  []Order
+	at      time.Time // of the event that is being handled
+	limit   int       // of workers that may be aside
+}
+
+// orphan is a task that ended well before its job was known here.
+type orphan struct{ until time.Time }
+
+// New makes a plan without workers and jobs; began is when its holder took over.
+func New(options Options, began time.Time) *Plan {
+	if options.Lease == 0 {
+		options.Lease = defaultLease
+	}
+	if options.Orphan == 0 {
+		options.Orphan = defaultOrphan
+	}
+	if options.Keep == 0 {
+		options.Keep = defaultKeep
+	}
+	if options.Wanted == 0 {
+		options.Wanted = defaultWanted
+	}
+	p := &Plan{
+		options: options, pace: pace.New(), began: began, at: began,
+		workers: map[string]*worker{}, jobs: map[string]*job{}, orphans: map[string]orphan{},
+	}
+	p.board = outlier.New(outlier.Options{
+		Failures: failuresInRow, Aside: asideFirst, Longest: asideLongest, Now: func() time.Time { return p.at },
+	})
+	return p
+}
+
+// Judgement of workers. A healthy worker fails about one task in 500, so two in
+// a row are the worker's fault rather than the tasks'.
+const (
+	failuresInRow = 2
+	asideFirst    = time.Second
+	asideLongest  = 8 * time.Second
+	asideShare    = 0.4 // of the workers may be aside at once
+)
+
+// Orders gives the orders since the last call.
+func (p *Plan) Orders() []Order {
+	orders := p.orders
+	p.orders = nil
+	return orders
+}
+
+func (p *Plan) order(o Order) { p.orders = append(p.orders, o) }
+
+// leaseEnd is when all that was renewed at a time has lapsed by any worker's
+// clock, which may be slow.
+func (p *Plan) leaseEnd(renewed time.Time) time.Time {
+	return renewed.Add(p.options.Lease + p.options.Lease/clockSlack + leaseMargin)
+}
+
+const (
+	clockSlack  = 50                    // a worker's clock is 2% slow at most
+	leaseMargin = 60 * time.Millisecond // the time in which a lapsed run is ended, and a trip
+)
+
+// settled tells whether all that an earlier holder may have started is known:
+// every worker has taken the token of this holder, or its leases are over.
+func (p *Plan) settled() bool {
+	if !p.at.Before(p.leaseEnd(p.began)) {
+		return true
+	}
+	for _, w := range p.workers {
+		if w.standing == fencing {
+			return false
+		}
+	}
+	return len(p.workers) > 0
+}
+
+// Tick lets time pass.
+func (p *Plan) Tick(now time.Time) {
+	p.at = now
+	for _, w := range p.workers {
+		p.expireRuns(w)
+	}
+	for name, o := range p.orphans {
+		if o.until.Before(now) {
+			delete(p.orphans, name)
+		}
+	}
+	for _, j := range p.jobs {
+		p.age(j)
+	}
+	p.place()
+}
+
+// Load is what a holder tells of its work.
+type Load struct {
+	Waiting int // tasks without a worker
+	Running int // tasks
+	Aside   int // workers that get no ordinary work
+	Workers int
+	Unused  int64 // thousandths of a core of workers that can be used
+}
+
+// Load counts the present work.
+func (p *Plan) Load() Load {
+	var l Load
+	for _, j := range p.waiting {
+		l.Waiting += len(j.pending)
+	}
+	for _, w := range p.workers {
+		l.Workers++
+		l.Running += len(w.runs)
+		if w.usable() {
+			l.Unused += max(0, w.Room.Processors-w.used.Processors)
+		}
+	}
+	l.Aside = len(p.board.Names())
+	return l
+}
+
+// Yield ends the plan: every job goes back to its entry, which hands it to the
+// next holder. What runs is left alone, for the next holder to find.
+func (p *Plan) Yield(now time.Time) {
+	p.at = now
+	for _, j := range p.jobs {
+		if !j.result.State.Ended() {
+			p.settle(j, batch.Result{State: batch.Moved, Reason: "another entry places its tasks now", Done: j.doneTasks()})
+		}
+	}
+}
--- /dev/null
+++ b/internal/placement/tenure/tenure.go
@@ -0,0 +1,198 @@
+// Package tenure agrees among entries on which of them places the tasks of a group of workers.
+//
+// It steers performance alone: two entries that both take themselves for the
+// holder are told apart by the workers, which obey the highest token only.
+package tenure
+
+import (
+	"math"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Claim says that an entry places the tasks of a group. Of two claims the one
+// with the higher epoch counts.
+type Claim struct {
+	Group  string
+	Epoch  uint64
+	Holder string // ID of the entry
+	Life   uint64 // its incarnation
+}
+
+// Candidate is an entry that could hold a group.
+type Candidate struct {
+	ID     string
+	Life   uint64
+	Zone   string
+	Weight float64
+}
+
+// Options of a table. Patience is how long an entry that hears nobody waits
+// before it takes a group over: it may be the one that is cut off.
+type Options struct {
+	Self     Candidate
+	Patience time.Duration
+}
+
+// Table is safe for concurrent use.
+type Table struct {
+	options Options
+
+	mu      sync.Mutex
+	claims  map[string]Claim
+	vacant  map[string]time.Time // since when a group has no live holder
+	fenced  time.Time            // when another holder was met while nobody was heard
+	changed uint64
+}
+
+// New makes a table without claims.
+func New(options Options) *Table {
+	return &Table{options: options, claims: map[string]Claim{}, vacant: map[string]time.Time{}}
+}
+
+// Merge takes claims that were heard of and tells whether one of them is news.
+func (t *Table) Merge(claims []Claim) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	news := false
+	for _, c := range claims {
+		if beats(c, t.claims[c.Group]) {
+			t.claims[c.Group] = c
+			t.changed++
+			news = true
+		}
+	}
+	return news
+}
+
+// beats orders claims, those of the same epoch by a hash that all entries share.
+func beats(c, known Claim) bool {
+	if c.Epoch != known.Epoch {
+		return c.Epoch > known.Epoch
+	}
+	if c.Holder == known.Holder {
+		return c.Life != known.Life && c.Life > known.Life
+	}
+	return rank(c.Group, c.Holder, 1) > rank(c.Group, known.Holder, 1)
+}
+
+// Claims gives all claims, for heartbeats.
+func (t *Table) Claims() []Claim {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	claims := make([]Claim, 0, len(t.claims))
+	for _, c := range t.claims {
+		claims = append(claims, c)
+	}
+	sort.Slice(claims, func(a, b int) bool { return claims[a].Group < claims[b].Group })
+	return claims
+}
+
+// Generation rises with each change of a claim.
+func (t *Table) Generation() uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.changed
+}
+
+// Holder gives the claim of a group; false where there is none.
+func (t *Table) Holder(group string) (Claim, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	c, ok := t.claims[group]
+	return c, ok
+}
+
+// Settle claims the group for the own entry where it falls to it: the holder is
+// gone and of the live candidates the own entry ranks first. Heard tells whether
+// any other entry is heard of. It tells whether a claim was made.
+func (t *Table) Settle(group, zone string, live []Candidate, heard bool, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if heard {
+		t.fenced = time.Time{}
+	}
+	c, claimed := t.claims[group]
+	if claimed && holds(c, live) && !t.outranked(c, zone, live) {
+		delete(t.vacant, group)
+		return false
+	}
+	since, waiting := t.vacant[group]
+	if !waiting {
+		since = now
+		t.vacant[group] = now
+	}
+	if !heard && (claimed && now.Sub(since) < t.options.Patience || !t.fenced.IsZero()) {
+		return false
+	}
+	if first(group, zone, live) != t.options.Self.ID {
+		return false
+	}
+	t.claims[group] = Claim{Group: group, Epoch: c.Epoch + 1, Holder: t.options.Self.ID, Life: t.options.Self.Life}
+	t.changed++
+	delete(t.vacant, group)
+	return true
+}
+
+// outranked tells whether the holder is of another zone though the group's own
+// zone has candidates again.
+func (t *Table) outranked(c Claim, zone string, live []Candidate) bool {
+	inside := false
+	for _, l := range live {
+		if l.ID == c.Holder && l.Zone == zone {
+			return false
+		}
+		inside = inside || l.Zone == zone
+	}
+	return inside
+}
+
+// Fenced notes that another holder was met at a worker. An entry that hears
+// nobody then stands back until it hears somebody.
+func (t *Table) Fenced(heard bool, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !heard {
+		t.fenced = now
+	}
+}
+
+// Standing tells whether the own entry may act as the holder of a group.
+func (t *Table) Standing(group string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	c := t.claims[group]
+	return c.Holder == t.options.Self.ID && c.Life == t.options.Self.Life && t.fenced.IsZero()
+}
+
+func holds(c Claim, live []Candidate) bool {
+	for _, l := range live {
+		if l.ID == c.Holder && l.Life == c.Life {
+			return true
+		}
+	}
+	return false
+}
+
+// first is the candidate that takes a vacant group: one of its zone where there
+// are any.
+func first(group, zone string, live []Candidate) string {
+	best, bestRank, bestNear := "", 0.0, false
+	for _, l := range live {
+		near, r := l.Zone == zone, rank(group, l.ID, l.Weight)
+		if best == "" || near && !bestNear || near == bestNear && r > bestRank {
+			best, bestRank, bestNear = l.ID, r, near
+		}
+	}
+	return best
+}
+
+// rank is a weighted rendezvous hash.
+func rank(group, id string, weight float64) float64 {
+	const span = 1 << 32
+	u := (float64(xxhash.Sum64String(group+"/"+id)%span) + 1) / (span + 1)
+	return -max(weight, 0.001) / math.Log(u)
+}
--- /dev/null
+++ b/peer/pool.go
@@ -0,0 +1,161 @@
+package peer
+
+import (
+	"context"
+	"time"
+
+	"github.com/radishgate/radishgate/internal/placement/tenure"
+	"github.com/radishgate/radishgate/internal/work/batch"
+	"github.com/radishgate/radishgate/internal/work/room"
+	"github.com/radishgate/radishgate/peer/wire"
+)
+
+// Pool are the seams for messages about jobs whose tasks run on workers with
+// room. The functions tell with their last result whether the receiver places
+// the tasks of the group.
+type Pool struct {
+	OnPlace    func(group string, b *batch.Batch, done []string) bool
+	OnAwait    func(group string, ids []string) (results []batch.Result, unknown []string, held bool)
+	OnSettle   func(results []batch.Result)
+	OnWithdraw func(group, id string)
+}
+
+// Place takes a job.
+func (p Pool) Place(_ context.Context, r *wire.PlaceRequest) (*wire.PlaceReply, error) {
+	return &wire.PlaceReply{Held: p.OnPlace(r.Group, unpackBatch(r), r.Done)}, nil
+}
+
+// Await renews the interest in jobs.
+func (p Pool) Await(_ context.Context, r *wire.AwaitRequest) (*wire.AwaitReply, error) {
+	results, unknown, held := p.OnAwait(r.Group, r.Ids)
+	return &wire.AwaitReply{Held: held, Outcomes: packOutcomes(results), Unknown: unknown}, nil
+}
+
+// Settle takes the results of jobs.
+func (p Pool) Settle(_ context.Context, r *wire.SettleRequest) (*wire.SettleReply, error) {
+	p.OnSettle(unpackOutcomes(r.Outcomes))
+	return &wire.SettleReply{}, nil
+}
+
+// Withdraw drops a job.
+func (p Pool) Withdraw(_ context.Context, r *wire.WithdrawRequest) (*wire.WithdrawReply, error) {
+	p.OnWithdraw(r.Group, r.Id)
+	return &wire.WithdrawReply{}, nil
+}
+
+// Place hands a job to another entry and tells whether that entry places the
+// tasks of the group. After an error it may have taken the job.
+func (c *Client) Place(ctx context.Context, address, group string, b *batch.Batch, done []string) (bool, error) {
+	reply, err := c.peer(address).Place(ctx, packBatch(group, b, done))
+	if err != nil {
+		return false, err
+	}
+	return reply.Held, nil
+}
+
+// Await asks another entry for the results of jobs.
+func (c *Client) Await(ctx context.Context, address, group string, ids []string) ([]batch.Result, []string, bool, error) {
+	reply, err := c.peer(address).Await(ctx, &wire.AwaitRequest{Group: group, Ids: ids})
+	if err != nil {
+		return nil, nil, false, err
+	}
+	return unpackOutcomes(reply.Outcomes), reply.Unknown, reply.Held, nil
+}
+
+// Settle tells another entry what became of its jobs.
+func (c *Client) Settle(ctx context.Context, address string, results []batch.Result) error {
+	_, err := c.peer(address).Settle(ctx, &wire.SettleRequest{Outcomes: packOutcomes(results)})
+	return err
+}
+
+// Withdraw tells another entry that a job's client has left.
+func (c *Client) Withdraw(ctx context.Context, address, group, id string) error {
+	_, err := c.peer(address).Withdraw(ctx, &wire.WithdrawRequest{Group: group, Id: id})
+	return err
+}
+
+func packBatch(group string, b *batch.Batch, done []string) *wire.PlaceRequest {
+	r := &wire.PlaceRequest{
+		Group: group, Id: b.ID, Spec: b.Spec, Queue: b.Queue, Service: b.Service, Version: b.Version,
+		Priority: uint32(max(0, b.Priority)), Attempts: uint32(b.Attempts), Stretch: float32(b.Stretch),
+		SlackMs: uint32(b.Slack.Milliseconds()), From: b.From, AgeMs: age(b.Arrived), LeftMs: waitMs(b.Expires),
+		Again: b.Again, Done: done,
+	}
+	for _, s := range b.Steps {
+		step := &wire.Step{
+			Count: uint32(s.Count), Processors: s.Room.Processors, Memory: s.Room.Memory, Accelerators: s.Room.Accelerators,
+			HintMs: uint32(s.Hint.Milliseconds()), Label: s.Label, Rack: s.Rack, PerWorker: uint32(s.PerWorker),
+			SameRack: s.SameRack, Together: s.Together, Copies: s.Copies, Saves: s.Saves,
+		}
+		for _, before := range s.After {
+			step.After = append(step.After, uint32(before))
+		}
+		r.Steps = append(r.Steps, step)
+	}
+	return r
+}
+
+func unpackBatch(r *wire.PlaceRequest) *batch.Batch {
+	now := time.Now()
+	b := &batch.Batch{
+		Terms: batch.Terms{
+			Queue: r.Queue, Service: r.Service, Version: r.Version, Priority: int(r.Priority), Attempts: int(r.Attempts),
+			Stretch: float64(r.Stretch), Slack: milliseconds(r.SlackMs),
+		},
+		ID: r.Id, Spec: r.Spec, From: r.From, Again: r.Again,
+		Arrived: now.Add(-milliseconds(r.AgeMs)), Expires: now.Add(milliseconds(r.LeftMs)),
+	}
+	for _, s := range r.Steps {
+		step := batch.Step{
+			Count: int(s.Count), Room: room.Room{Processors: s.Processors, Memory: s.Memory, Accelerators: s.Accelerators},
+			Hint: milliseconds(s.HintMs), Label: s.Label, Rack: s.Rack, PerWorker: int(s.PerWorker),
+			SameRack: s.SameRack, Together: s.Together, Copies: s.Copies, Saves: s.Saves,
+		}
+		for _, before := range s.After {
+			step.After = append(step.After, int(before))
+		}
+		b.Steps = append(b.Steps, step)
+	}
+	return b
+}
+
+func milliseconds(ms uint32) time.Duration { return time.Duration(ms) * time.Millisecond }
+
+func packOutcomes(results []batch.Result) []*wire.Outcome {
+	var outcomes []*wire.Outcome
+	for _, r := range results {
+		outcomes = append(outcomes, &wire.Outcome{
+			Id: r.ID, State: string(r.State), Reason: r.Reason, RetryMs: waitMs(r.RetryAt), Done: r.Done,
+		})
+	}
+	return outcomes
+}
+
+func unpackOutcomes(outcomes []*wire.Outcome) []batch.Result {
+	now := time.Now()
+	var results []batch.Result
+	for _, o := range outcomes {
+		results = append(results, batch.Result{
+			ID: o.Id, State: batch.State(o.State), Reason: o.Reason, RetryAt: now.Add(milliseconds(o.RetryMs)), Done: o.Done,
+		})
+	}
+	return results
+}
+
+// PackClaims turns claims into their messages.
+func PackClaims(claims []tenure.Claim) []*wire.Claim {
+	var packed []*wire.Claim
+	for _, c := range claims {
+		packed = append(packed, &wire.Claim{Group: c.Group, Epoch: c.Epoch, Holder: c.Holder, Life: c.Life})
+	}
+	return packed
+}
+
+// UnpackClaims is the inverse of PackClaims.
+func UnpackClaims(packed []*wire.Claim) []tenure.Claim {
+	var claims []tenure.Claim
+	for _, c := range packed {
+		claims = append(claims, tenure.Claim{Group: c.Group, Epoch: c.Epoch, Holder: c.Holder, Life: c.Life})
+	}
+	return claims
+}
--- a/peer/server.go
+++ b/peer/server.go
@@ -20,6 +20,7 @@
 
 // Server answers the messages of other entries. The functions are its seams.
 type Server struct {
+	Pool
 	OnBeat   func(beat *wire.Beat) *wire.Beat
 	OnBorrow func(ctx context.Context, ask loan.Ask, service string) (loan.Grant, int)
 	OnSubmit func(ctx context.Context, s keeper.Submission) keeper.Result
--- a/peer/wire/peer.twirp.go
+++ b/peer/wire/peer.twirp.go
@@ -48,6 +48,18 @@
 
 	// Fetch gives the signed records of the bundle in force.
 	Fetch(context.Context, *FetchRequest) (*FetchReply, error)
+
+	// Place hands a job to the entry that places the tasks of a group of workers.
+	Place(context.Context, *PlaceRequest) (*PlaceReply, error)
+
+	// Await renews the interest in jobs and gives the results of those that ended.
+	Await(context.Context, *AwaitRequest) (*AwaitReply, error)
+
+	// Settle tells the entry that waits what became of its jobs.
+	Settle(context.Context, *SettleRequest) (*SettleReply, error)
+
+	// Withdraw drops a job whose client has left.
+	Withdraw(context.Context, *WithdrawRequest) (*WithdrawReply, error)
 }
 
 // ====================
@@ -56,7 +68,7 @@
 
 type peerProtobufClient struct {
 	client      HTTPClient
-	urls        [5]string
+	urls        [9]string
 	interceptor twirp.Interceptor
 	opts        twirp.ClientOptions
 }
@@ -84,12 +96,16 @@
 	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
 	serviceURL := sanitizeBaseURL(baseURL)
 	serviceURL += baseServicePath(pathPrefix, "radishgate.peer", "Peer")
-	urls := [5]string{
+	urls := [9]string{
 		serviceURL + "Gossip",
 		serviceURL + "Borrow",
 		serviceURL + "Submit",
 		serviceURL + "Look",
 		serviceURL + "Fetch",
+		serviceURL + "Place",
+		serviceURL + "Await",
+		serviceURL + "Settle",
+		serviceURL + "Withdraw",
 	}
 
 	return &peerProtobufClient{
@@ -330,13 +346,197 @@
 	return out, nil
 }
 
+func (c *peerProtobufClient) Place(ctx context.Context, in *PlaceRequest) (*PlaceReply, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "radishgate.peer")
+	ctx = ctxsetters.WithServiceName(ctx, "Peer")
+	ctx = ctxsetters.WithMethodName(ctx, "Place")
+	caller := c.callPlace
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *PlaceRequest) (*PlaceReply, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*PlaceRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*PlaceRequest) when calling interceptor")
+					}
+					return c.callPlace(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*PlaceReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*PlaceReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *peerProtobufClient) callPlace(ctx context.Context, in *PlaceRequest) (*PlaceReply, error) {
+	out := new(PlaceReply)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[5], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+func (c *peerProtobufClient) Await(ctx context.Context, in *AwaitRequest) (*AwaitReply, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "radishgate.peer")
+	ctx = ctxsetters.WithServiceName(ctx, "Peer")
+	ctx = ctxsetters.WithMethodName(ctx, "Await")
+	caller := c.callAwait
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *AwaitRequest) (*AwaitReply, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*AwaitRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*AwaitRequest) when calling interceptor")
+					}
+					return c.callAwait(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*AwaitReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*AwaitReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *peerProtobufClient) callAwait(ctx context.Context, in *AwaitRequest) (*AwaitReply, error) {
+	out := new(AwaitReply)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[6], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+func (c *peerProtobufClient) Settle(ctx context.Context, in *SettleRequest) (*SettleReply, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "radishgate.peer")
+	ctx = ctxsetters.WithServiceName(ctx, "Peer")
+	ctx = ctxsetters.WithMethodName(ctx, "Settle")
+	caller := c.callSettle
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *SettleRequest) (*SettleReply, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*SettleRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*SettleRequest) when calling interceptor")
+					}
+					return c.callSettle(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*SettleReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*SettleReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *peerProtobufClient) callSettle(ctx context.Context, in *SettleRequest) (*SettleReply, error) {
+	out := new(SettleReply)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[7], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+func (c *peerProtobufClient) Withdraw(ctx context.Context, in *WithdrawRequest) (*WithdrawReply, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "radishgate.peer")
+	ctx = ctxsetters.WithServiceName(ctx, "Peer")
+	ctx = ctxsetters.WithMethodName(ctx, "Withdraw")
+	caller := c.callWithdraw
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *WithdrawRequest) (*WithdrawReply, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*WithdrawRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*WithdrawRequest) when calling interceptor")
+					}
+					return c.callWithdraw(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*WithdrawReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*WithdrawReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *peerProtobufClient) callWithdraw(ctx context.Context, in *WithdrawRequest) (*WithdrawReply, error) {
+	out := new(WithdrawReply)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[8], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
 // ================
 // Peer JSON Client
 // ================
 
 type peerJSONClient struct {
 	client      HTTPClient
-	urls        [5]string
+	urls        [9]string
 	interceptor twirp.Interceptor
 	opts        twirp.ClientOptions
 }
@@ -364,12 +564,16 @@
 	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
 	serviceURL := sanitizeBaseURL(baseURL)
 	serviceURL += baseServicePath(pathPrefix, "radishgate.peer", "Peer")
-	urls := [5]string{
+	urls := [9]string{
 		serviceURL + "Gossip",
 		serviceURL + "Borrow",
 		serviceURL + "Submit",
 		serviceURL + "Look",
 		serviceURL + "Fetch",
+		serviceURL + "Place",
+		serviceURL + "Await",
+		serviceURL + "Settle",
+		serviceURL + "Withdraw",
 	}
 
 	return &peerJSONClient{
@@ -610,126 +814,1042 @@
 	return out, nil
 }
 
-// ===================
-// Peer Server Handler
-// ===================
-
-type peerServer struct {
-	Peer
-	interceptor      twirp.Interceptor
-	hooks            *twirp.ServerHooks
-	pathPrefix       string // prefix for routing
-	jsonSkipDefaults bool   // do not include unpopulated fields (default values) in the response
-	jsonCamelCase    bool   // JSON fields are serialized as lowerCamelCase rather than keeping the original proto names
+func (c *peerJSONClient) Place(ctx context.Context, in *PlaceRequest) (*PlaceReply, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "radishgate.peer")
+	ctx = ctxsetters.WithServiceName(ctx, "Peer")
+	ctx = ctxsetters.WithMethodName(ctx, "Place")
+	caller := c.callPlace
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *PlaceRequest) (*PlaceReply, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*PlaceRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*PlaceRequest) when calling interceptor")
+					}
+					return c.callPlace(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*PlaceReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*PlaceReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
 }
 
-// NewPeerServer builds a TwirpServer that can be used as an http.Handler to handle
-// HTTP requests that are routed to the right method in the provided svc implementation.
-// The opts are twirp.ServerOption modifiers, for example twirp.WithServerHooks(hooks).
-func NewPeerServer(svc Peer, opts ...interface{}) TwirpServer {
-	serverOpts := newServerOpts(opts)
-
-	// Using ReadOpt allows backwards and forwards compatibility with new options in the future
-	jsonSkipDefaults := false
-	_ = serverOpts.ReadOpt("jsonSkipDefaults", &jsonSkipDefaults)
-	jsonCamelCase := false
-	_ = serverOpts.ReadOpt("jsonCamelCase", &jsonCamelCase)
-	var pathPrefix string
-	if ok := serverOpts.ReadOpt("pathPrefix", &pathPrefix); !ok {
-		pathPrefix = "/twirp" // default prefix
+func (c *peerJSONClient) callPlace(ctx context.Context, in *PlaceRequest) (*PlaceReply, error) {
+	out := new(PlaceReply)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[5], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
 	}
 
-	return &peerServer{
-		Peer:             svc,
-		hooks:            serverOpts.Hooks,
-		interceptor:      twirp.ChainInterceptors(serverOpts.Interceptors...),
-		pathPrefix:       pathPrefix,
-		jsonSkipDefaults: jsonSkipDefaults,
-		jsonCamelCase:    jsonCamelCase,
-	}
-}
+	callClientResponseReceived(ctx, c.opts.Hooks)
 
-// writeError writes an HTTP response with a valid Twirp error format, and triggers hooks.
-// If err is not a twirp.Error, it will get wrapped with twirp.InternalErrorWith(err)
-func (s *peerServer) writeError(ctx context.Context, resp http.ResponseWriter, err error) {
-	writeError(ctx, resp, err, s.hooks)
+	return out, nil
 }
 
-// handleRequestBodyError is used to handle error when the twirp server cannot read request
-func (s *peerServer) handleRequestBodyError(ctx context.Context, resp http.ResponseWriter, msg string, err error) {
-	if context.Canceled == ctx.Err() {
-		s.writeError(ctx, resp, twirp.NewError(twirp.Canceled, "failed to read request: context canceled"))
-		return
-	}
-	if context.DeadlineExceeded == ctx.Err() {
-		s.writeError(ctx, resp, twirp.NewError(twirp.DeadlineExceeded, "failed to read request: deadline exceeded"))
-		return
+func (c *peerJSONClient) Await(ctx context.Context, in *AwaitRequest) (*AwaitReply, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "radishgate.peer")
+	ctx = ctxsetters.WithServiceName(ctx, "Peer")
+	ctx = ctxsetters.WithMethodName(ctx, "Await")
+	caller := c.callAwait
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *AwaitRequest) (*AwaitReply, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*AwaitRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*AwaitRequest) when calling interceptor")
+					}
+					return c.callAwait(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*AwaitReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*AwaitReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
 	}
-	s.writeError(ctx, resp, twirp.WrapError(malformedRequestError(msg), err))
+	return caller(ctx, in)
 }
 
-// PeerPathPrefix is a convenience constant that may identify URL paths.
-// Should be used with caution, it only matches routes generated by Twirp Go clients,
-// with the default "/twirp" prefix and default CamelCase service and method names.
-// More info: https://twitchtv.github.io/twirp/docs/routing.html
-const PeerPathPrefix = "/twirp/radishgate.peer.Peer/"
+func (c *peerJSONClient) callAwait(ctx context.Context, in *AwaitRequest) (*AwaitReply, error) {
+	out := new(AwaitReply)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[6], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
 
-func (s *peerServer) ServeHTTP(resp http.ResponseWriter, req *http.Request) {
-	ctx := req.Context()
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+func (c *peerJSONClient) Settle(ctx context.Context, in *SettleRequest) (*SettleReply, error) {
 	ctx = ctxsetters.WithPackageName(ctx, "radishgate.peer")
 	ctx = ctxsetters.WithServiceName(ctx, "Peer")
-	ctx = ctxsetters.WithResponseWriter(ctx, resp)
+	ctx = ctxsetters.WithMethodName(ctx, "Settle")
+	caller := c.callSettle
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *SettleRequest) (*SettleReply, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*SettleRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*SettleRequest) when calling interceptor")
+					}
+					return c.callSettle(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*SettleReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*SettleReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *peerJSONClient) callSettle(ctx context.Context, in *SettleRequest) (*SettleReply, error) {
+	out := new(SettleReply)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[7], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+func (c *peerJSONClient) Withdraw(ctx context.Context, in *WithdrawRequest) (*WithdrawReply, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "radishgate.peer")
+	ctx = ctxsetters.WithServiceName(ctx, "Peer")
+	ctx = ctxsetters.WithMethodName(ctx, "Withdraw")
+	caller := c.callWithdraw
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *WithdrawRequest) (*WithdrawReply, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*WithdrawRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*WithdrawRequest) when calling interceptor")
+					}
+					return c.callWithdraw(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*WithdrawReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*WithdrawReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *peerJSONClient) callWithdraw(ctx context.Context, in *WithdrawRequest) (*WithdrawReply, error) {
+	out := new(WithdrawReply)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[8], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+// ===================
+// Peer Server Handler
+// ===================
+
+type peerServer struct {
+	Peer
+	interceptor      twirp.Interceptor
+	hooks            *twirp.ServerHooks
+	pathPrefix       string // prefix for routing
+	jsonSkipDefaults bool   // do not include unpopulated fields (default values) in the response
+	jsonCamelCase    bool   // JSON fields are serialized as lowerCamelCase rather than keeping the original proto names
+}
+
+// NewPeerServer builds a TwirpServer that can be used as an http.Handler to handle
+// HTTP requests that are routed to the right method in the provided svc implementation.
+// The opts are twirp.ServerOption modifiers, for example twirp.WithServerHooks(hooks).
+func NewPeerServer(svc Peer, opts ...interface{}) TwirpServer {
+	serverOpts := newServerOpts(opts)
+
+	// Using ReadOpt allows backwards and forwards compatibility with new options in the future
+	jsonSkipDefaults := false
+	_ = serverOpts.ReadOpt("jsonSkipDefaults", &jsonSkipDefaults)
+	jsonCamelCase := false
+	_ = serverOpts.ReadOpt("jsonCamelCase", &jsonCamelCase)
+	var pathPrefix string
+	if ok := serverOpts.ReadOpt("pathPrefix", &pathPrefix); !ok {
+		pathPrefix = "/twirp" // default prefix
+	}
+
+	return &peerServer{
+		Peer:             svc,
+		hooks:            serverOpts.Hooks,
+		interceptor:      twirp.ChainInterceptors(serverOpts.Interceptors...),
+		pathPrefix:       pathPrefix,
+		jsonSkipDefaults: jsonSkipDefaults,
+		jsonCamelCase:    jsonCamelCase,
+	}
+}
+
+// writeError writes an HTTP response with a valid Twirp error format, and triggers hooks.
+// If err is not a twirp.Error, it will get wrapped with twirp.InternalErrorWith(err)
+func (s *peerServer) writeError(ctx context.Context, resp http.ResponseWriter, err error) {
+	writeError(ctx, resp, err, s.hooks)
+}
+
+// handleRequestBodyError is used to handle error when the twirp server cannot read request
+func (s *peerServer) handleRequestBodyError(ctx context.Context, resp http.ResponseWriter, msg string, err error) {
+	if context.Canceled == ctx.Err() {
+		s.writeError(ctx, resp, twirp.NewError(twirp.Canceled, "failed to read request: context canceled"))
+		return
+	}
+	if context.DeadlineExceeded == ctx.Err() {
+		s.writeError(ctx, resp, twirp.NewError(twirp.DeadlineExceeded, "failed to read request: deadline exceeded"))
+		return
+	}
+	s.writeError(ctx, resp, twirp.WrapError(malformedRequestError(msg), err))
+}
+
+// PeerPathPrefix is a convenience constant that may identify URL paths.
+// Should be used with caution, it only matches routes generated by Twirp Go clients,
+// with the default "/twirp" prefix and default CamelCase service and method names.
+// More info: https://twitchtv.github.io/twirp/docs/routing.html
+const PeerPathPrefix = "/twirp/radishgate.peer.Peer/"
+
+func (s *peerServer) ServeHTTP(resp http.ResponseWriter, req *http.Request) {
+	ctx := req.Context()
+	ctx = ctxsetters.WithPackageName(ctx, "radishgate.peer")
+	ctx = ctxsetters.WithServiceName(ctx, "Peer")
+	ctx = ctxsetters.WithResponseWriter(ctx, resp)
+
+	var err error
+	ctx, err = callRequestReceived(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	if req.Method != "POST" {
+		msg := fmt.Sprintf("unsupported method %q (only POST is allowed)", req.Method)
+		s.writeError(ctx, resp, badRouteError(msg, req.Method, req.URL.Path))
+		return
+	}
+
+	// Verify path format: [<prefix>]/<package>.<Service>/<Method>
+	prefix, pkgService, method := parseTwirpPath(req.URL.Path)
+	if pkgService != "radishgate.peer.Peer" {
+		msg := fmt.Sprintf("no handler for path %q", req.URL.Path)
+		s.writeError(ctx, resp, badRouteError(msg, req.Method, req.URL.Path))
+		return
+	}
+	if prefix != s.pathPrefix {
+		msg := fmt.Sprintf("invalid path prefix %q, expected %q, on path %q", prefix, s.pathPrefix, req.URL.Path)
+		s.writeError(ctx, resp, badRouteError(msg, req.Method, req.URL.Path))
+		return
+	}
+
+	switch method {
+	case "Gossip":
+		s.serveGossip(ctx, resp, req)
+		return
+	case "Borrow":
+		s.serveBorrow(ctx, resp, req)
+		return
+	case "Submit":
+		s.serveSubmit(ctx, resp, req)
+		return
+	case "Look":
+		s.serveLook(ctx, resp, req)
+		return
+	case "Fetch":
+		s.serveFetch(ctx, resp, req)
+		return
+	case "Place":
+		s.servePlace(ctx, resp, req)
+		return
+	case "Await":
+		s.serveAwait(ctx, resp, req)
+		return
+	case "Settle":
+		s.serveSettle(ctx, resp, req)
+		return
+	case "Withdraw":
+		s.serveWithdraw(ctx, resp, req)
+		return
+	default:
+		msg := fmt.Sprintf("no handler for path %q", req.URL.Path)
+		s.writeError(ctx, resp, badRouteError(msg, req.Method, req.URL.Path))
+		return
+	}
+}
+
+func (s *peerServer) serveGossip(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	header := req.Header.Get("Content-Type")
+	i := strings.Index(header, ";")
+	if i == -1 {
+		i = len(header)
+	}
+	switch strings.TrimSpace(strings.ToLower(header[:i])) {
+	case "application/json":
+		s.serveGossipJSON(ctx, resp, req)
+	case "application/protobuf":
+		s.serveGossipProtobuf(ctx, resp, req)
+	default:
+		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
+		twerr := badRouteError(msg, req.Method, req.URL.Path)
+		s.writeError(ctx, resp, twerr)
+	}
+}
+
+func (s *peerServer) serveGossipJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Gossip")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	d := json.NewDecoder(req.Body)
+	rawReqBody := json.RawMessage{}
+	if err := d.Decode(&rawReqBody); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+	reqContent := new(Beat)
+	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+
+	handler := s.Peer.Gossip
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *Beat) (*Beat, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*Beat)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*Beat) when calling interceptor")
+					}
+					return s.Peer.Gossip(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*Beat)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*Beat) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *Beat
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *Beat and nil error while calling Gossip. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
+	respBytes, err := marshaler.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/json")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *peerServer) serveGossipProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Gossip")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	buf, err := io.ReadAll(req.Body)
+	if err != nil {
+		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
+		return
+	}
+	reqContent := new(Beat)
+	if err = proto.Unmarshal(buf, reqContent); err != nil {
+		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
+		return
+	}
+
+	handler := s.Peer.Gossip
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *Beat) (*Beat, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*Beat)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*Beat) when calling interceptor")
+					}
+					return s.Peer.Gossip(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*Beat)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*Beat) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *Beat
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *Beat and nil error while calling Gossip. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	respBytes, err := proto.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/protobuf")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *peerServer) serveBorrow(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	header := req.Header.Get("Content-Type")
+	i := strings.Index(header, ";")
+	if i == -1 {
+		i = len(header)
+	}
+	switch strings.TrimSpace(strings.ToLower(header[:i])) {
+	case "application/json":
+		s.serveBorrowJSON(ctx, resp, req)
+	case "application/protobuf":
+		s.serveBorrowProtobuf(ctx, resp, req)
+	default:
+		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
+		twerr := badRouteError(msg, req.Method, req.URL.Path)
+		s.writeError(ctx, resp, twerr)
+	}
+}
+
+func (s *peerServer) serveBorrowJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Borrow")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	d := json.NewDecoder(req.Body)
+	rawReqBody := json.RawMessage{}
+	if err := d.Decode(&rawReqBody); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+	reqContent := new(BorrowRequest)
+	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+
+	handler := s.Peer.Borrow
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *BorrowRequest) (*BorrowReply, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*BorrowRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*BorrowRequest) when calling interceptor")
+					}
+					return s.Peer.Borrow(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*BorrowReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*BorrowReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *BorrowReply
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *BorrowReply and nil error while calling Borrow. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
+	respBytes, err := marshaler.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/json")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *peerServer) serveBorrowProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Borrow")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	buf, err := io.ReadAll(req.Body)
+	if err != nil {
+		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
+		return
+	}
+	reqContent := new(BorrowRequest)
+	if err = proto.Unmarshal(buf, reqContent); err != nil {
+		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
+		return
+	}
+
+	handler := s.Peer.Borrow
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *BorrowRequest) (*BorrowReply, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*BorrowRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*BorrowRequest) when calling interceptor")
+					}
+					return s.Peer.Borrow(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*BorrowReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*BorrowReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *BorrowReply
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *BorrowReply and nil error while calling Borrow. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	respBytes, err := proto.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/protobuf")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *peerServer) serveSubmit(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	header := req.Header.Get("Content-Type")
+	i := strings.Index(header, ";")
+	if i == -1 {
+		i = len(header)
+	}
+	switch strings.TrimSpace(strings.ToLower(header[:i])) {
+	case "application/json":
+		s.serveSubmitJSON(ctx, resp, req)
+	case "application/protobuf":
+		s.serveSubmitProtobuf(ctx, resp, req)
+	default:
+		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
+		twerr := badRouteError(msg, req.Method, req.URL.Path)
+		s.writeError(ctx, resp, twerr)
+	}
+}
+
+func (s *peerServer) serveSubmitJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Submit")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	d := json.NewDecoder(req.Body)
+	rawReqBody := json.RawMessage{}
+	if err := d.Decode(&rawReqBody); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+	reqContent := new(SubmitRequest)
+	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+
+	handler := s.Peer.Submit
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *SubmitRequest) (*JobReply, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*SubmitRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*SubmitRequest) when calling interceptor")
+					}
+					return s.Peer.Submit(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*JobReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*JobReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *JobReply
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *JobReply and nil error while calling Submit. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
+	respBytes, err := marshaler.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/json")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *peerServer) serveSubmitProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Submit")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	buf, err := io.ReadAll(req.Body)
+	if err != nil {
+		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
+		return
+	}
+	reqContent := new(SubmitRequest)
+	if err = proto.Unmarshal(buf, reqContent); err != nil {
+		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
+		return
+	}
+
+	handler := s.Peer.Submit
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *SubmitRequest) (*JobReply, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*SubmitRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*SubmitRequest) when calling interceptor")
+					}
+					return s.Peer.Submit(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*JobReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*JobReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *JobReply
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *JobReply and nil error while calling Submit. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	respBytes, err := proto.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/protobuf")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *peerServer) serveLook(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	header := req.Header.Get("Content-Type")
+	i := strings.Index(header, ";")
+	if i == -1 {
+		i = len(header)
+	}
+	switch strings.TrimSpace(strings.ToLower(header[:i])) {
+	case "application/json":
+		s.serveLookJSON(ctx, resp, req)
+	case "application/protobuf":
+		s.serveLookProtobuf(ctx, resp, req)
+	default:
+		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
+		twerr := badRouteError(msg, req.Method, req.URL.Path)
+		s.writeError(ctx, resp, twerr)
+	}
+}
+
+func (s *peerServer) serveLookJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Look")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	d := json.NewDecoder(req.Body)
+	rawReqBody := json.RawMessage{}
+	if err := d.Decode(&rawReqBody); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+	reqContent := new(LookRequest)
+	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+
+	handler := s.Peer.Look
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *LookRequest) (*JobReply, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*LookRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*LookRequest) when calling interceptor")
+					}
+					return s.Peer.Look(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*JobReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*JobReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *JobReply
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *JobReply and nil error while calling Look. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
+	respBytes, err := marshaler.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/json")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
 
+func (s *peerServer) serveLookProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	var err error
-	ctx, err = callRequestReceived(ctx, s.hooks)
+	ctx = ctxsetters.WithMethodName(ctx, "Look")
+	ctx, err = callRequestRouted(ctx, s.hooks)
 	if err != nil {
 		s.writeError(ctx, resp, err)
 		return
 	}
 
-	if req.Method != "POST" {
-		msg := fmt.Sprintf("unsupported method %q (only POST is allowed)", req.Method)
-		s.writeError(ctx, resp, badRouteError(msg, req.Method, req.URL.Path))
+	buf, err := io.ReadAll(req.Body)
+	if err != nil {
+		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
 		return
 	}
-
-	// Verify path format: [<prefix>]/<package>.<Service>/<Method>
-	prefix, pkgService, method := parseTwirpPath(req.URL.Path)
-	if pkgService != "radishgate.peer.Peer" {
-		msg := fmt.Sprintf("no handler for path %q", req.URL.Path)
-		s.writeError(ctx, resp, badRouteError(msg, req.Method, req.URL.Path))
+	reqContent := new(LookRequest)
+	if err = proto.Unmarshal(buf, reqContent); err != nil {
+		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
 		return
 	}
-	if prefix != s.pathPrefix {
-		msg := fmt.Sprintf("invalid path prefix %q, expected %q, on path %q", prefix, s.pathPrefix, req.URL.Path)
-		s.writeError(ctx, resp, badRouteError(msg, req.Method, req.URL.Path))
-		return
+
+	handler := s.Peer.Look
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *LookRequest) (*JobReply, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*LookRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*LookRequest) when calling interceptor")
+					}
+					return s.Peer.Look(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*JobReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*JobReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
 	}
 
-	switch method {
-	case "Gossip":
-		s.serveGossip(ctx, resp, req)
-		return
-	case "Borrow":
-		s.serveBorrow(ctx, resp, req)
-		return
-	case "Submit":
-		s.serveSubmit(ctx, resp, req)
-		return
-	case "Look":
-		s.serveLook(ctx, resp, req)
+	// Call service method
+	var respContent *JobReply
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
 		return
-	case "Fetch":
-		s.serveFetch(ctx, resp, req)
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *JobReply and nil error while calling Look. nil responses are not supported"))
 		return
-	default:
-		msg := fmt.Sprintf("no handler for path %q", req.URL.Path)
-		s.writeError(ctx, resp, badRouteError(msg, req.Method, req.URL.Path))
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	respBytes, err := proto.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
 		return
 	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/protobuf")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
 }
 
-func (s *peerServer) serveGossip(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *peerServer) serveFetch(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	header := req.Header.Get("Content-Type")
 	i := strings.Index(header, ";")
 	if i == -1 {
@@ -737,9 +1857,9 @@
 	}
 	switch strings.TrimSpace(strings.ToLower(header[:i])) {
 	case "application/json":
-		s.serveGossipJSON(ctx, resp, req)
+		s.serveFetchJSON(ctx, resp, req)
 	case "application/protobuf":
-		s.serveGossipProtobuf(ctx, resp, req)
+		s.serveFetchProtobuf(ctx, resp, req)
 	default:
 		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
 		twerr := badRouteError(msg, req.Method, req.URL.Path)
@@ -747,9 +1867,9 @@
 	}
 }
 
-func (s *peerServer) serveGossipJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *peerServer) serveFetchJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	var err error
-	ctx = ctxsetters.WithMethodName(ctx, "Gossip")
+	ctx = ctxsetters.WithMethodName(ctx, "Fetch")
 	ctx, err = callRequestRouted(ctx, s.hooks)
 	if err != nil {
 		s.writeError(ctx, resp, err)
@@ -762,29 +1882,29 @@
 		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
 		return
 	}
-	reqContent := new(Beat)
+	reqContent := new(FetchRequest)
 	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
 	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
 		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
 		return
 	}
 
-	handler := s.Peer.Gossip
+	handler := s.Peer.Fetch
 	if s.interceptor != nil {
-		handler = func(ctx context.Context, req *Beat) (*Beat, error) {
+		handler = func(ctx context.Context, req *FetchRequest) (*FetchReply, error) {
 			resp, err := s.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*Beat)
+					typedReq, ok := req.(*FetchRequest)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*Beat) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*FetchRequest) when calling interceptor")
 					}
-					return s.Peer.Gossip(ctx, typedReq)
+					return s.Peer.Fetch(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*Beat)
+				typedResp, ok := resp.(*FetchReply)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*Beat) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*FetchReply) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -793,7 +1913,7 @@
 	}
 
 	// Call service method
-	var respContent *Beat
+	var respContent *FetchReply
 	func() {
 		defer ensurePanicResponses(ctx, resp, s.hooks)
 		respContent, err = handler(ctx, reqContent)
@@ -804,7 +1924,7 @@
 		return
 	}
 	if respContent == nil {
-		s.writeError(ctx, resp, twirp.InternalError("received a nil *Beat and nil error while calling Gossip. nil responses are not supported"))
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *FetchReply and nil error while calling Fetch. nil responses are not supported"))
 		return
 	}
 
@@ -830,9 +1950,9 @@
 	callResponseSent(ctx, s.hooks)
 }
 
-func (s *peerServer) serveGossipProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *peerServer) serveFetchProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	var err error
-	ctx = ctxsetters.WithMethodName(ctx, "Gossip")
+	ctx = ctxsetters.WithMethodName(ctx, "Fetch")
 	ctx, err = callRequestRouted(ctx, s.hooks)
 	if err != nil {
 		s.writeError(ctx, resp, err)
@@ -844,28 +1964,28 @@
 		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
 		return
 	}
-	reqContent := new(Beat)
+	reqContent := new(FetchRequest)
 	if err = proto.Unmarshal(buf, reqContent); err != nil {
 		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
 		return
 	}
 
-	handler := s.Peer.Gossip
+	handler := s.Peer.Fetch
 	if s.interceptor != nil {
-		handler = func(ctx context.Context, req *Beat) (*Beat, error) {
+		handler = func(ctx context.Context, req *FetchRequest) (*FetchReply, error) {
 			resp, err := s.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*Beat)
+					typedReq, ok := req.(*FetchRequest)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*Beat) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*FetchRequest) when calling interceptor")
 					}
-					return s.Peer.Gossip(ctx, typedReq)
+					return s.Peer.Fetch(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*Beat)
+				typedResp, ok := resp.(*FetchReply)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*Beat) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*FetchReply) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -874,7 +1994,7 @@
 	}
 
 	// Call service method
-	var respContent *Beat
+	var respContent *FetchReply
 	func() {
 		defer ensurePanicResponses(ctx, resp, s.hooks)
 		respContent, err = handler(ctx, reqContent)
@@ -885,7 +2005,7 @@
 		return
 	}
 	if respContent == nil {
-		s.writeError(ctx, resp, twirp.InternalError("received a nil *Beat and nil error while calling Gossip. nil responses are not supported"))
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *FetchReply and nil error while calling Fetch. nil responses are not supported"))
 		return
 	}
 
@@ -909,7 +2029,7 @@
 	callResponseSent(ctx, s.hooks)
 }
 
-func (s *peerServer) serveBorrow(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *peerServer) servePlace(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	header := req.Header.Get("Content-Type")
 	i := strings.Index(header, ";")
 	if i == -1 {
@@ -917,9 +2037,9 @@
 	}
 	switch strings.TrimSpace(strings.ToLower(header[:i])) {
 	case "application/json":
-		s.serveBorrowJSON(ctx, resp, req)
+		s.servePlaceJSON(ctx, resp, req)
 	case "application/protobuf":
-		s.serveBorrowProtobuf(ctx, resp, req)
+		s.servePlaceProtobuf(ctx, resp, req)
 	default:
 		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
 		twerr := badRouteError(msg, req.Method, req.URL.Path)
@@ -927,9 +2047,9 @@
 	}
 }
 
-func (s *peerServer) serveBorrowJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *peerServer) servePlaceJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	var err error
-	ctx = ctxsetters.WithMethodName(ctx, "Borrow")
+	ctx = ctxsetters.WithMethodName(ctx, "Place")
 	ctx, err = callRequestRouted(ctx, s.hooks)
 	if err != nil {
 		s.writeError(ctx, resp, err)
@@ -942,29 +2062,29 @@
 		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
 		return
 	}
-	reqContent := new(BorrowRequest)
+	reqContent := new(PlaceRequest)
 	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
 	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
 		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
 		return
 	}
 
-	handler := s.Peer.Borrow
+	handler := s.Peer.Place
 	if s.interceptor != nil {
-		handler = func(ctx context.Context, req *BorrowRequest) (*BorrowReply, error) {
+		handler = func(ctx context.Context, req *PlaceRequest) (*PlaceReply, error) {
 			resp, err := s.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*BorrowRequest)
+					typedReq, ok := req.(*PlaceRequest)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*BorrowRequest) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*PlaceRequest) when calling interceptor")
 					}
-					return s.Peer.Borrow(ctx, typedReq)
+					return s.Peer.Place(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*BorrowReply)
+				typedResp, ok := resp.(*PlaceReply)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*BorrowReply) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*PlaceReply) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -973,7 +2093,7 @@
 	}
 
 	// Call service method
-	var respContent *BorrowReply
+	var respContent *PlaceReply
 	func() {
 		defer ensurePanicResponses(ctx, resp, s.hooks)
 		respContent, err = handler(ctx, reqContent)
@@ -984,7 +2104,7 @@
 		return
 	}
 	if respContent == nil {
-		s.writeError(ctx, resp, twirp.InternalError("received a nil *BorrowReply and nil error while calling Borrow. nil responses are not supported"))
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *PlaceReply and nil error while calling Place. nil responses are not supported"))
 		return
 	}
 
@@ -1010,9 +2130,9 @@
 	callResponseSent(ctx, s.hooks)
 }
 
-func (s *peerServer) serveBorrowProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *peerServer) servePlaceProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	var err error
-	ctx = ctxsetters.WithMethodName(ctx, "Borrow")
+	ctx = ctxsetters.WithMethodName(ctx, "Place")
 	ctx, err = callRequestRouted(ctx, s.hooks)
 	if err != nil {
 		s.writeError(ctx, resp, err)
@@ -1024,28 +2144,28 @@
 		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
 		return
 	}
-	reqContent := new(BorrowRequest)
+	reqContent := new(PlaceRequest)
 	if err = proto.Unmarshal(buf, reqContent); err != nil {
 		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
 		return
 	}
 
-	handler := s.Peer.Borrow
+	handler := s.Peer.Place
 	if s.interceptor != nil {
-		handler = func(ctx context.Context, req *BorrowRequest) (*BorrowReply, error) {
+		handler = func(ctx context.Context, req *PlaceRequest) (*PlaceReply, error) {
 			resp, err := s.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*BorrowRequest)
+					typedReq, ok := req.(*PlaceRequest)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*BorrowRequest) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*PlaceRequest) when calling interceptor")
 					}
-					return s.Peer.Borrow(ctx, typedReq)
+					return s.Peer.Place(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*BorrowReply)
+				typedResp, ok := resp.(*PlaceReply)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*BorrowReply) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*PlaceReply) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -1054,7 +2174,7 @@
 	}
 
 	// Call service method
-	var respContent *BorrowReply
+	var respContent *PlaceReply
 	func() {
 		defer ensurePanicResponses(ctx, resp, s.hooks)
 		respContent, err = handler(ctx, reqContent)
@@ -1065,7 +2185,7 @@
 		return
 	}
 	if respContent == nil {
-		s.writeError(ctx, resp, twirp.InternalError("received a nil *BorrowReply and nil error while calling Borrow. nil responses are not supported"))
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *PlaceReply and nil error while calling Place. nil responses are not supported"))
 		return
 	}
 
@@ -1089,7 +2209,7 @@
 	callResponseSent(ctx, s.hooks)
 }
 
-func (s *peerServer) serveSubmit(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *peerServer) serveAwait(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	header := req.Header.Get("Content-Type")
 	i := strings.Index(header, ";")
 	if i == -1 {
@@ -1097,9 +2217,9 @@
 	}
 	switch strings.TrimSpace(strings.ToLower(header[:i])) {
 	case "application/json":
-		s.serveSubmitJSON(ctx, resp, req)
+		s.serveAwaitJSON(ctx, resp, req)
 	case "application/protobuf":
-		s.serveSubmitProtobuf(ctx, resp, req)
+		s.serveAwaitProtobuf(ctx, resp, req)
 	default:
 		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
 		twerr := badRouteError(msg, req.Method, req.URL.Path)
@@ -1107,9 +2227,9 @@
 	}
 }
 
-func (s *peerServer) serveSubmitJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *peerServer) serveAwaitJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	var err error
-	ctx = ctxsetters.WithMethodName(ctx, "Submit")
+	ctx = ctxsetters.WithMethodName(ctx, "Await")
 	ctx, err = callRequestRouted(ctx, s.hooks)
 	if err != nil {
 		s.writeError(ctx, resp, err)
@@ -1122,29 +2242,29 @@
 		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
 		return
 	}
-	reqContent := new(SubmitRequest)
+	reqContent := new(AwaitRequest)
 	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
 	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
 		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
 		return
 	}
 
-	handler := s.Peer.Submit
+	handler := s.Peer.Await
 	if s.interceptor != nil {
-		handler = func(ctx context.Context, req *SubmitRequest) (*JobReply, error) {
+		handler = func(ctx context.Context, req *AwaitRequest) (*AwaitReply, error) {
 			resp, err := s.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*SubmitRequest)
+					typedReq, ok := req.(*AwaitRequest)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*SubmitRequest) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*AwaitRequest) when calling interceptor")
 					}
-					return s.Peer.Submit(ctx, typedReq)
+					return s.Peer.Await(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*JobReply)
+				typedResp, ok := resp.(*AwaitReply)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*JobReply) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*AwaitReply) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -1153,7 +2273,7 @@
 	}
 
 	// Call service method
-	var respContent *JobReply
+	var respContent *AwaitReply
 	func() {
 		defer ensurePanicResponses(ctx, resp, s.hooks)
 		respContent, err = handler(ctx, reqContent)
@@ -1164,7 +2284,7 @@
 		return
 	}
 	if respContent == nil {
-		s.writeError(ctx, resp, twirp.InternalError("received a nil *JobReply and nil error while calling Submit. nil responses are not supported"))
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *AwaitReply and nil error while calling Await. nil responses are not supported"))
 		return
 	}
 
@@ -1190,9 +2310,9 @@
 	callResponseSent(ctx, s.hooks)
 }
 
-func (s *peerServer) serveSubmitProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *peerServer) serveAwaitProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	var err error
-	ctx = ctxsetters.WithMethodName(ctx, "Submit")
+	ctx = ctxsetters.WithMethodName(ctx, "Await")
 	ctx, err = callRequestRouted(ctx, s.hooks)
 	if err != nil {
 		s.writeError(ctx, resp, err)
@@ -1204,28 +2324,28 @@
 		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
 		return
 	}
-	reqContent := new(SubmitRequest)
+	reqContent := new(AwaitRequest)
 	if err = proto.Unmarshal(buf, reqContent); err != nil {
 		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
 		return
 	}
 
-	handler := s.Peer.Submit
+	handler := s.Peer.Await
 	if s.interceptor != nil {
-		handler = func(ctx context.Context, req *SubmitRequest) (*JobReply, error) {
+		handler = func(ctx context.Context, req *AwaitRequest) (*AwaitReply, error) {
 			resp, err := s.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*SubmitRequest)
+					typedReq, ok := req.(*AwaitRequest)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*SubmitRequest) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*AwaitRequest) when calling interceptor")
 					}
-					return s.Peer.Submit(ctx, typedReq)
+					return s.Peer.Await(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*JobReply)
+				typedResp, ok := resp.(*AwaitReply)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*JobReply) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*AwaitReply) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -1234,7 +2354,7 @@
 	}
 
 	// Call service method
-	var respContent *JobReply
+	var respContent *AwaitReply
 	func() {
 		defer ensurePanicResponses(ctx, resp, s.hooks)
 		respContent, err = handler(ctx, reqContent)
@@ -1245,7 +2365,7 @@
 		return
 	}
 	if respContent == nil {
-		s.writeError(ctx, resp, twirp.InternalError("received a nil *JobReply and nil error while calling Submit. nil responses are not supported"))
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *AwaitReply and nil error while calling Await. nil responses are not supported"))
 		return
 	}
 
@@ -1269,7 +2389,7 @@
 	callResponseSent(ctx, s.hooks)
 }
 
-func (s *peerServer) serveLook(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *peerServer) serveSettle(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	header := req.Header.Get("Content-Type")
 	i := strings.Index(header, ";")
 	if i == -1 {
@@ -1277,9 +2397,9 @@
 	}
 	switch strings.TrimSpace(strings.ToLower(header[:i])) {
 	case "application/json":
-		s.serveLookJSON(ctx, resp, req)
+		s.serveSettleJSON(ctx, resp, req)
 	case "application/protobuf":
-		s.serveLookProtobuf(ctx, resp, req)
+		s.serveSettleProtobuf(ctx, resp, req)
 	default:
 		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
 		twerr := badRouteError(msg, req.Method, req.URL.Path)
@@ -1287,9 +2407,9 @@
 	}
 }
 
-func (s *peerServer) serveLookJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *peerServer) serveSettleJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	var err error
-	ctx = ctxsetters.WithMethodName(ctx, "Look")
+	ctx = ctxsetters.WithMethodName(ctx, "Settle")
 	ctx, err = callRequestRouted(ctx, s.hooks)
 	if err != nil {
 		s.writeError(ctx, resp, err)
@@ -1302,29 +2422,29 @@
 		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
 		return
 	}
-	reqContent := new(LookRequest)
+	reqContent := new(SettleRequest)
 	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
 	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
 		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
 		return
 	}
 
-	handler := s.Peer.Look
+	handler := s.Peer.Settle
 	if s.interceptor != nil {
-		handler = func(ctx context.Context, req *LookRequest) (*JobReply, error) {
+		handler = func(ctx context.Context, req *SettleRequest) (*SettleReply, error) {
 			resp, err := s.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*LookRequest)
+					typedReq, ok := req.(*SettleRequest)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*LookRequest) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*SettleRequest) when calling interceptor")
 					}
-					return s.Peer.Look(ctx, typedReq)
+					return s.Peer.Settle(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*JobReply)
+				typedResp, ok := resp.(*SettleReply)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*JobReply) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*SettleReply) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -1333,7 +2453,7 @@
 	}
 
 	// Call service method
-	var respContent *JobReply
+	var respContent *SettleReply
 	func() {
 		defer ensurePanicResponses(ctx, resp, s.hooks)
 		respContent, err = handler(ctx, reqContent)
@@ -1344,7 +2464,7 @@
 		return
 	}
 	if respContent == nil {
-		s.writeError(ctx, resp, twirp.InternalError("received a nil *JobReply and nil error while calling Look. nil responses are not supported"))
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *SettleReply and nil error while calling Settle. nil responses are not supported"))
 		return
 	}
 
@@ -1370,9 +2490,9 @@
 	callResponseSent(ctx, s.hooks)
 }
 
-func (s *peerServer) serveLookProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *peerServer) serveSettleProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	var err error
-	ctx = ctxsetters.WithMethodName(ctx, "Look")
+	ctx = ctxsetters.WithMethodName(ctx, "Settle")
 	ctx, err = callRequestRouted(ctx, s.hooks)
 	if err != nil {
 		s.writeError(ctx, resp, err)
@@ -1384,28 +2504,28 @@
 		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
 		return
 	}
-	reqContent := new(LookRequest)
+	reqContent := new(SettleRequest)
 	if err = proto.Unmarshal(buf, reqContent); err != nil {
 		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
 		return
 	}
 
-	handler := s.Peer.Look
+	handler := s.Peer.Settle
 	if s.interceptor != nil {
-		handler = func(ctx context.Context, req *LookRequest) (*JobReply, error) {
+		handler = func(ctx context.Context, req *SettleRequest) (*SettleReply, error) {
 			resp, err := s.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*LookRequest)
+					typedReq, ok := req.(*SettleRequest)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*LookRequest) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*SettleRequest) when calling interceptor")
 					}
-					return s.Peer.Look(ctx, typedReq)
+					return s.Peer.Settle(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*JobReply)
+				typedResp, ok := resp.(*SettleReply)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*JobReply) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*SettleReply) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -1414,7 +2534,7 @@
 	}
 
 	// Call service method
-	var respContent *JobReply
+	var respContent *SettleReply
 	func() {
 		defer ensurePanicResponses(ctx, resp, s.hooks)
 		respContent, err = handler(ctx, reqContent)
@@ -1425,7 +2545,7 @@
 		return
 	}
 	if respContent == nil {
-		s.writeError(ctx, resp, twirp.InternalError("received a nil *JobReply and nil error while calling Look. nil responses are not supported"))
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *SettleReply and nil error while calling Settle. nil responses are not supported"))
 		return
 	}
 
@@ -1449,7 +2569,7 @@
 	callResponseSent(ctx, s.hooks)
 }
 
-func (s *peerServer) serveFetch(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *peerServer) serveWithdraw(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	header := req.Header.Get("Content-Type")
 	i := strings.Index(header, ";")
 	if i == -1 {
@@ -1457,9 +2577,9 @@
 	}
 	switch strings.TrimSpace(strings.ToLower(header[:i])) {
 	case "application/json":
-		s.serveFetchJSON(ctx, resp, req)
+		s.serveWithdrawJSON(ctx, resp, req)
 	case "application/protobuf":
-		s.serveFetchProtobuf(ctx, resp, req)
+		s.serveWithdrawProtobuf(ctx, resp, req)
 	default:
 		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
 		twerr := badRouteError(msg, req.Method, req.URL.Path)
@@ -1467,9 +2587,9 @@
 	}
 }
 
-func (s *peerServer) serveFetchJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *peerServer) serveWithdrawJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	var err error
-	ctx = ctxsetters.WithMethodName(ctx, "Fetch")
+	ctx = ctxsetters.WithMethodName(ctx, "Withdraw")
 	ctx, err = callRequestRouted(ctx, s.hooks)
 	if err != nil {
 		s.writeError(ctx, resp, err)
@@ -1482,29 +2602,29 @@
 		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
 		return
 	}
-	reqContent := new(FetchRequest)
+	reqContent := new(WithdrawRequest)
 	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
 	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
 		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
 		return
 	}
 
-	handler := s.Peer.Fetch
+	handler := s.Peer.Withdraw
 	if s.interceptor != nil {
-		handler = func(ctx context.Context, req *FetchRequest) (*FetchReply, error) {
+		handler = func(ctx context.Context, req *WithdrawRequest) (*WithdrawReply, error) {
 			resp, err := s.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*FetchRequest)
+					typedReq, ok := req.(*WithdrawRequest)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*FetchRequest) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*WithdrawRequest) when calling interceptor")
 					}
-					return s.Peer.Fetch(ctx, typedReq)
+					return s.Peer.Withdraw(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*FetchReply)
+				typedResp, ok := resp.(*WithdrawReply)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*FetchReply) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*WithdrawReply) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -1513,7 +2633,7 @@
 	}
 
 	// Call service method
-	var respContent *FetchReply
+	var respContent *WithdrawReply
 	func() {
 		defer ensurePanicResponses(ctx, resp, s.hooks)
 		respContent, err = handler(ctx, reqContent)
@@ -1524,7 +2644,7 @@
 		return
 	}
 	if respContent == nil {
-		s.writeError(ctx, resp, twirp.InternalError("received a nil *FetchReply and nil error while calling Fetch. nil responses are not supported"))
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *WithdrawReply and nil error while calling Withdraw. nil responses are not supported"))
 		return
 	}
 
@@ -1550,9 +2670,9 @@
 	callResponseSent(ctx, s.hooks)
 }
 
-func (s *peerServer) serveFetchProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *peerServer) serveWithdrawProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	var err error
-	ctx = ctxsetters.WithMethodName(ctx, "Fetch")
+	ctx = ctxsetters.WithMethodName(ctx, "Withdraw")
 	ctx, err = callRequestRouted(ctx, s.hooks)
 	if err != nil {
 		s.writeError(ctx, resp, err)
@@ -1564,28 +2684,28 @@
 		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
 		return
 	}
-	reqContent := new(FetchRequest)
+	reqContent := new(WithdrawRequest)
 	if err = proto.Unmarshal(buf, reqContent); err != nil {
 		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
 		return
 	}
 
-	handler := s.Peer.Fetch
+	handler := s.Peer.Withdraw
 	if s.interceptor != nil {
-		handler = func(ctx context.Context, req *FetchRequest) (*FetchReply, error) {
+		handler = func(ctx context.Context, req *WithdrawRequest) (*WithdrawReply, error) {
 			resp, err := s.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*FetchRequest)
+					typedReq, ok := req.(*WithdrawRequest)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*FetchRequest) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*WithdrawRequest) when calling interceptor")
 					}
-					return s.Peer.Fetch(ctx, typedReq)
+					return s.Peer.Withdraw(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*FetchReply)
+				typedResp, ok := resp.(*WithdrawReply)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*FetchReply) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*WithdrawReply) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -1594,7 +2714,7 @@
 	}
 
 	// Call service method
-	var respContent *FetchReply
+	var respContent *WithdrawReply
 	func() {
 		defer ensurePanicResponses(ctx, resp, s.hooks)
 		respContent, err = handler(ctx, reqContent)
@@ -1605,7 +2725,7 @@
 		return
 	}
 	if respContent == nil {
-		s.writeError(ctx, resp, twirp.InternalError("received a nil *FetchReply and nil error while calling Fetch. nil responses are not supported"))
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *WithdrawReply and nil error while calling Withdraw. nil responses are not supported"))
 		return
 	}
 
@@ -2210,76 +3330,111 @@
 }
 
 var twirpFileDescriptor0 = []byte{
-	// 1129 bytes of a gzipped FileDescriptorProto
-	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0x94, 0x56, 0xdd, 0xae, 0xdb, 0x44,
-	0x10, 0x96, 0x63, 0xc7, 0x49, 0x26, 0x4d, 0xa9, 0x56, 0xed, 0xa9, 0x1b, 0x0a, 0x8a, 0x7c, 0x01,
-	0xe1, 0x47, 0xa9, 0x38, 0x48, 0xa8, 0x05, 0xa4, 0x42, 0x4b, 0x7f, 0x84, 0x1a, 0xa9, 0xda, 0x72,
-	0x75, 0x2e, 0x40, 0x9b, 0x78, 0x4e, 0x62, 0xc5, 0xb1, 0x83, 0x77, 0x73, 0xa2, 0xf0, 0x28, 0x7d,
-	0x13, 0x9e, 0x81, 0x2b, 0x5e, 0x82, 0x47, 0x40, 0x5c, 0xa2, 0x99, 0x5d, 0xe7, 0x38, 0x24, 0xe7,
-	0x88, 0xde, 0xcd, 0xb7, 0x9e, 0x99, 0xdd, 0x9d, 0xef, 0x9b, 0x59, 0x03, 0xac, 0x10, 0xcb, 0xd1,
-	0xaa, 0x2c, 0x4c, 0x21, 0xde, 0x2b, 0x55, 0x92, 0xea, 0xf9, 0x4c, 0x19, 0x1c, 0xd1, 0x72, 0xfc,
-	0x47, 0x03, 0xc2, 0x31, 0x2e, 0x27, 0x58, 0x8a, 0x9b, 0xd0, 0x48, 0x93, 0xc8, 0x1b, 0x78, 0xc3,
-	0x8e, 0x6c, 0xa4, 0x89, 0x10, 0x10, 0xfc, 0x56, 0xe4, 0x18, 0x35, 0x78, 0x85, 0x6d, 0x5a, 0xa3,
-	0xb0, 0xc8, 0xb7, 0x6b, 0x64, 0x8b, 0x01, 0x74, 0xd3, 0x7c, 0xaa, 0xca, 0x5c, 0x99, 0xb4, 0xc8,
-	0xa3, 0x60, 0xe0, 0x0d, 0x43, 0x59, 0x5f, 0xa2, 0xa8, 0x09, 0x2a, 0x13, 0x35, 0x07, 0xde, 0x30,
-	0x90, 0x6c, 0x8b, 0x08, 0x5a, 0x19, 0xaa, 0x8b, 0x34, 0x9f, 0x45, 0xe1, 0xc0, 0x1b, 0xb6, 0x65,
-	0x05, 0xc5, 0x6d, 0x68, 0x96, 0xa8, 0x92, 0x6d, 0xd4, 0xe2, 0x75, 0x0b, 0xc4, 0x09, 0x84, 0x1b,
-	0x4c, 0x67, 0x73, 0x13, 0xb5, 0x07, 0xde, 0xb0, 0x27, 0x1d, 0xa2, 0xdc, 0xe7, 0x25, 0x62, 0xd4,
-	0xe1, 0x55, 0xb6, 0x29, 0xf7, 0x44, 0x4d, 0x17, 0x59, 0x31, 0x8b, 0x80, 0x97, 0x2b, 0x48, 0x5f,
-	0x2e, 0xb0, 0xd4, 0x74, 0xce, 0xee, 0xc0, 0x1b, 0xfa, 0xb2, 0x82, 0x94, 0x27, 0x41, 0x95, 0x44,
-	0x37, 0x78, 0x53, 0xb6, 0xc5, 0x1d, 0x08, 0xd5, 0x0c, 0x7f, 0x59, 0xea, 0xa8, 0xc7, 0x69, 0x9a,
-	0x6a, 0x86, 0x63, 0xed, 0x8e, 0x5e, 0xe6, 0x98, 0x44, 0x37, 0x6d, 0x7a, 0x07, 0xe3, 0x47, 0xd0,
-	0xfa, 0x01, 0x97, 0x2a, 0x4f, 0xd8, 0xc9, 0x60, 0xae, 0x72, 0xa3, 0x23, 0x6f, 0xe0, 0x0f, 0x5b,
-	0xb2, 0x82, 0x7c, 0x3f, 0x65, 0x50, 0x47, 0x8d, 0x81, 0x3f, 0x6c, 0x48, 0x0b, 0xe2, 0xb7, 0x1e,
-	0x04, 0x4f, 0xa8, 0x30, 0x5f, 0x40, 0x6b, 0xc9, 0x84, 0xd8, 0xc0, 0xee, 0xe9, 0xdd, 0xd1, 0x7f,
-	0x48, 0x1b, 0x59, 0xc2, 0x64, 0xe5, 0x27, 0x4e, 0xa1, 0x95, 0xd8, 0x6d, 0x99, 0xac, 0xee, 0x69,
-	0x74, 0x10, 0xe2, 0x8e, 0x25, 0x2b, 0x47, 0xf1, 0x19, 0x34, 0x89, 0x51, 0x1d, 0xf9, 0xbc, 0xc9,
-	0x9d, 0x83, 0x88, 0xb3, 0x22, 0x47, 0x69, 0x7d, 0xe2, 0x9f, 0x21, 0x38, 0x73, 0xf4, 0xe7, 0x6a,
-	0x89, 0x4e, 0x24, 0x6c, 0x93, 0x6c, 0x94, 0xe1, 0x7d, 0x03, 0xd9, 0x50, 0xa6, 0x7e, 0x18, 0xff,
-	0x7f, 0x1e, 0x26, 0xfe, 0xdb, 0x83, 0xde, 0x93, 0xa2, 0x2c, 0x8b, 0x8d, 0xc4, 0x5f, 0xd7, 0xa8,
-	0x0d, 0xd1, 0x3d, 0x2f, 0xb2, 0x04, 0x4b, 0xb7, 0x97, 0x43, 0x74, 0x82, 0x8d, 0xca, 0xed, 0x7e,
-	0x3d, 0xc9, 0x76, 0x9d, 0x6e, 0x7f, 0x9f, 0x6e, 0x01, 0xc1, 0x1c, 0xb3, 0x84, 0x35, 0xd9, 0x93,
-	0x6c, 0x8b, 0x3e, 0xb4, 0x4b, 0x34, 0x6b, 0xa6, 0xaf, 0x39, 0xf0, 0x87, 0x81, 0xdc, 0x61, 0x2b,
-	0xbd, 0x1c, 0x37, 0x51, 0xc8, 0x1f, 0x2c, 0xa0, 0xfc, 0x1a, 0xcb, 0x8b, 0x74, 0x8a, 0x2c, 0xc9,
-	0x8e, 0xac, 0xa0, 0xb8, 0x0b, 0xad, 0x8d, 0x4a, 0x0d, 0x29, 0xa4, 0x52, 0xa5, 0x4a, 0xcd, 0x98,
-	0x39, 0xd6, 0x2b, 0xc4, 0x84, 0x65, 0xd9, 0x90, 0x16, 0x88, 0x5b, 0xe0, 0x9f, 0xab, 0x92, 0x35,
-	0xd9, 0x96, 0x64, 0xc6, 0xa7, 0x10, 0xbc, 0x2a, 0x54, 0x5e, 0xeb, 0xbd, 0x80, 0x7b, 0xaf, 0x0f,
-	0xed, 0xf5, 0x4a, 0x9b, 0x12, 0xd5, 0xd2, 0xf5, 0xdf, 0x0e, 0xc7, 0xbf, 0x7b, 0xd0, 0xad, 0x8a,
-	0xb5, 0xca, 0xb6, 0xc4, 0x64, 0x56, 0xa8, 0xbc, 0x92, 0xcb, 0x21, 0x93, 0xb4, 0x83, 0xb4, 0x3e,
-	0x74, 0x17, 0xbe, 0x14, 0x26, 0x2c, 0xbf, 0x40, 0x56, 0xd0, 0xd6, 0x65, 0xaa, 0xb2, 0x0c, 0x13,
-	0xd6, 0x04, 0xd7, 0xc5, 0x62, 0xba, 0x67, 0x96, 0x9e, 0x73, 0x27, 0xd8, 0x52, 0x86, 0x04, 0xc7,
-	0x7a, 0xd7, 0x7d, 0xcd, 0x5a, 0xf7, 0xd5, 0x0b, 0x1c, 0xee, 0x17, 0x38, 0x7e, 0x01, 0xc1, 0x4f,
-	0x4a, 0x2f, 0x78, 0x22, 0x14, 0xc9, 0x96, 0x6f, 0x7c, 0x43, 0xb2, 0x4d, 0x6b, 0x66, 0xbb, 0xda,
-	0xcd, 0x1b, 0xb2, 0x69, 0xe3, 0x79, 0x9a, 0x73, 0x81, 0x2d, 0xb5, 0x21, 0xc1, 0xb1, 0x8e, 0xff,
-	0xf2, 0xa0, 0xf7, 0x66, 0x3d, 0x59, 0xa6, 0xa6, 0x52, 0xcc, 0x2d, 0xf0, 0x17, 0xb8, 0x75, 0x72,
-	0x21, 0x93, 0x34, 0x64, 0x7b, 0xce, 0xa5, 0x74, 0xa8, 0xce, 0xa7, 0xbf, 0xcf, 0xe7, 0x09, 0x84,
-	0x49, 0x3a, 0x43, 0x6d, 0xf8, 0x9a, 0x1d, 0xe9, 0x90, 0xb8, 0x07, 0xed, 0x2c, 0x5d, 0x5a, 0xa2,
-	0x9b, 0xae, 0xe5, 0x09, 0x8f, 0x5d, 0x41, 0xf9, 0x04, 0xd5, 0x1c, 0x73, 0x90, 0x78, 0x31, 0x4a,
-	0x2f, 0x74, 0xd4, 0xba, 0x82, 0x17, 0xaa, 0x84, 0xb4, 0x3e, 0x57, 0x2a, 0x29, 0x7e, 0x0d, 0xdd,
-	0x57, 0x45, 0xb1, 0xb8, 0xfa, 0x96, 0xb5, 0xc8, 0xc6, 0x9e, 0x06, 0x4f, 0x20, 0x9c, 0xaa, 0x7c,
-	0x8a, 0x19, 0xdf, 0xb2, 0x2d, 0x1d, 0x8a, 0x5f, 0x42, 0xf8, 0x7d, 0xae, 0x37, 0x58, 0x92, 0x87,
-	0x36, 0xca, 0xac, 0x35, 0xe7, 0xeb, 0x49, 0x87, 0x8e, 0x32, 0x51, 0x31, 0xe6, 0x5f, 0x32, 0x16,
-	0xff, 0xe3, 0x41, 0xfb, 0xc7, 0x62, 0x62, 0x65, 0x48, 0x92, 0x37, 0xca, 0x54, 0xc3, 0xc1, 0x02,
-	0x9a, 0x66, 0x8a, 0x37, 0xb3, 0xe3, 0xee, 0xd8, 0x34, 0xb3, 0x87, 0x91, 0x95, 0x1f, 0x4f, 0x62,
-	0x7a, 0x77, 0x2c, 0xe1, 0x6c, 0x53, 0x72, 0x5b, 0x4b, 0x2b, 0x3f, 0x57, 0x34, 0x01, 0xc1, 0x22,
-	0xcd, 0x13, 0xa6, 0xa4, 0x23, 0xd9, 0x26, 0x3e, 0x8a, 0xb5, 0x99, 0x16, 0x4b, 0x64, 0x3e, 0x3a,
-	0xb2, 0x82, 0x4c, 0x2e, 0x1a, 0x95, 0x66, 0xae, 0x8b, 0x1d, 0x22, 0x72, 0x4b, 0x34, 0xe5, 0xf6,
-	0xb2, 0xf6, 0x2d, 0xc6, 0x96, 0x5c, 0x54, 0x65, 0x96, 0x62, 0xc9, 0x8d, 0xdc, 0x91, 0x15, 0x8c,
-	0xbf, 0x83, 0x1b, 0xcf, 0xd1, 0x4c, 0xe7, 0x15, 0x2f, 0xb5, 0x87, 0xc5, 0xdb, 0x7f, 0x58, 0x4e,
-	0x20, 0xcc, 0x50, 0xeb, 0x22, 0xe7, 0x72, 0xb6, 0xa5, 0x43, 0xf1, 0x5b, 0x1f, 0xc0, 0xa5, 0x70,
-	0xe5, 0x9b, 0xce, 0x55, 0x9a, 0xbb, 0x96, 0xb0, 0x40, 0x3c, 0x83, 0xb6, 0xd3, 0x66, 0x55, 0xbf,
-	0x4f, 0x0e, 0xea, 0x77, 0x99, 0x64, 0xf4, 0xc6, 0xf9, 0x3e, 0xcb, 0x4d, 0xb9, 0x95, 0xbb, 0x50,
-	0xf1, 0x18, 0x42, 0x9e, 0x40, 0xd5, 0xb4, 0xff, 0xf8, 0xda, 0x24, 0xec, 0x69, 0x53, 0xb8, 0x30,
-	0xf1, 0x2d, 0x34, 0xa9, 0xf1, 0xa8, 0xfe, 0x14, 0xff, 0xd1, 0x75, 0xf1, 0x2f, 0xc9, 0xd1, 0x86,
-	0xdb, 0xa0, 0xfe, 0x37, 0xd0, 0xdb, 0x3b, 0xd9, 0x11, 0x15, 0xdf, 0x86, 0xe6, 0x85, 0xca, 0xd6,
-	0x56, 0x73, 0x9e, 0xb4, 0xe0, 0xeb, 0xc6, 0x43, 0xaf, 0xff, 0x08, 0xba, 0xb5, 0x13, 0xbd, 0x53,
-	0xe8, 0x43, 0x80, 0xcb, 0xc3, 0xbc, 0x4b, 0xe4, 0xe9, 0x9f, 0x0d, 0x08, 0x5e, 0xd3, 0xcf, 0xcd,
-	0x57, 0x10, 0xbe, 0x28, 0xb4, 0x4e, 0x57, 0xe2, 0xb0, 0x7f, 0xe9, 0xb9, 0xee, 0x1f, 0x5f, 0x16,
-	0xcf, 0x21, 0xb4, 0x33, 0x5a, 0x7c, 0x78, 0xe8, 0x50, 0x7f, 0xe9, 0xfa, 0xf7, 0xaf, 0xfc, 0x4e,
-	0xb2, 0x78, 0x0a, 0xa1, 0x1d, 0x73, 0x47, 0xf2, 0xec, 0xcd, 0xbf, 0xfe, 0xbd, 0x83, 0xef, 0xbb,
-	0xd6, 0x7c, 0x4c, 0xaf, 0x4c, 0xb1, 0x10, 0xf7, 0x8f, 0x3c, 0x0d, 0xbb, 0xd1, 0x72, 0x5d, 0x82,
-	0xa7, 0xd0, 0x64, 0x82, 0xc5, 0x07, 0x57, 0x11, 0x6f, 0x53, 0xbc, 0x7f, 0x8d, 0x2e, 0x9e, 0x7c,
-	0x7e, 0xf6, 0xe9, 0x2c, 0x35, 0xf3, 0xf5, 0x64, 0x34, 0x2d, 0x96, 0x0f, 0x2e, 0x1d, 0xeb, 0x26,
-	0xc5, 0x3c, 0xd8, 0xa4, 0x25, 0x4e, 0x42, 0xfe, 0x61, 0xfd, 0xf2, 0xdf, 0x00, 0x00, 0x00, 0xff,
-	0xff, 0xbb, 0xf6, 0xf1, 0x3c, 0xbe, 0x0a, 0x00, 0x00,
+	// 1694 bytes of a gzipped FileDescriptorProto
+	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0x94, 0x58, 0x51, 0x8f, 0xdb, 0xc6,
+	0x11, 0x06, 0x45, 0x8a, 0xa2, 0x46, 0xa7, 0xd8, 0x20, 0x12, 0x9b, 0x51, 0x12, 0x43, 0xe0, 0x43,
+	0x7b, 0x6d, 0x8a, 0x0b, 0x72, 0x2d, 0xd2, 0xa4, 0x2d, 0x90, 0xc6, 0xae, 0x9d, 0xa0, 0xf0, 0xa1,
+	0xc6, 0xba, 0x40, 0x00, 0x3f, 0xf4, 0xb0, 0x47, 0xce, 0x49, 0x84, 0x48, 0x2e, 0xb3, 0x5c, 0x9d,
+	0xa0, 0xfe, 0x94, 0xfe, 0x93, 0xfe, 0x85, 0xf6, 0x07, 0xf4, 0x1f, 0xf4, 0xbd, 0x2f, 0x45, 0x1f,
+	0x8b, 0x99, 0x5d, 0xea, 0x28, 0x4b, 0x77, 0x88, 0xdf, 0xe6, 0x5b, 0xce, 0xcc, 0xee, 0xce, 0x7c,
+	0x3b, 0x33, 0x12, 0x40, 0x83, 0xa8, 0xcf, 0x1a, 0xad, 0x8c, 0x8a, 0x1f, 0x68, 0x99, 0x17, 0xed,
+	0x72, 0x21, 0x0d, 0x9e, 0xd1, 0x72, 0xfa, 0xcf, 0x01, 0x84, 0x17, 0x58, 0x5d, 0xa1, 0x8e, 0xdf,
+	0x83, 0x41, 0x91, 0x27, 0xde, 0xdc, 0x3b, 0x1d, 0x8b, 0x41, 0x91, 0xc7, 0x31, 0x04, 0x7f, 0x55,
+	0x35, 0x26, 0x03, 0x5e, 0x61, 0x99, 0xd6, 0xc8, 0x2c, 0xf1, 0xed, 0x1a, 0xc9, 0xf1, 0x1c, 0x26,
+	0x45, 0x9d, 0x49, 0x5d, 0x4b, 0x53, 0xa8, 0x3a, 0x09, 0xe6, 0xde, 0x69, 0x28, 0xfa, 0x4b, 0x64,
+	0x75, 0x85, 0xd2, 0x24, 0xc3, 0xb9, 0x77, 0x1a, 0x08, 0x96, 0xe3, 0x04, 0x46, 0x25, 0xca, 0x9b,
+	0xa2, 0x5e, 0x24, 0xe1, 0xdc, 0x3b, 0x8d, 0x44, 0x07, 0xe3, 0xf7, 0x61, 0xa8, 0x51, 0xe6, 0xdb,
+	0x64, 0xc4, 0xeb, 0x16, 0xc4, 0x8f, 0x20, 0xdc, 0x60, 0xb1, 0x58, 0x9a, 0x24, 0x9a, 0x7b, 0xa7,
+	0x53, 0xe1, 0x10, 0xf9, 0xbe, 0xd6, 0x88, 0xc9, 0x98, 0x57, 0x59, 0x26, 0xdf, 0x57, 0x32, 0x5b,
+	0x95, 0x6a, 0x91, 0x00, 0x2f, 0x77, 0x90, 0xbe, 0xdc, 0xa0, 0x6e, 0xe9, 0x9c, 0x93, 0xb9, 0x77,
+	0xea, 0x8b, 0x0e, 0x92, 0x9f, 0x1c, 0x65, 0x9e, 0x9c, 0xf0, 0xa6, 0x2c, 0xc7, 0x1f, 0x40, 0x28,
+	0x17, 0x78, 0x59, 0xb5, 0xc9, 0x94, 0xdd, 0x0c, 0xe5, 0x02, 0x2f, 0x5a, 0x77, 0x74, 0x5d, 0x63,
+	0x9e, 0xbc, 0x67, 0xdd, 0x3b, 0x98, 0x7e, 0x05, 0xa3, 0x3f, 0x60, 0x25, 0xeb, 0x9c, 0x95, 0x0c,
+	0xd6, 0xb2, 0x36, 0x6d, 0xe2, 0xcd, 0xfd, 0xd3, 0x91, 0xe8, 0x20, 0xdf, 0x4f, 0x1a, 0x6c, 0x93,
+	0xc1, 0xdc, 0x3f, 0x1d, 0x08, 0x0b, 0xd2, 0x7f, 0x78, 0x10, 0x3c, 0xa5, 0xc0, 0x7c, 0x0e, 0xa3,
+	0x8a, 0x13, 0x62, 0x0d, 0x27, 0xe7, 0x8f, 0xcf, 0xde, 0x4a, 0xda, 0x99, 0x4d, 0x98, 0xe8, 0xf4,
+	0xe2, 0x73, 0x18, 0xe5, 0x76, 0x5b, 0x4e, 0xd6, 0xe4, 0x3c, 0x39, 0x30, 0x71, 0xc7, 0x12, 0x9d,
+	0x62, 0xfc, 0x29, 0x0c, 0x29, 0xa3, 0x6d, 0xe2, 0xf3, 0x26, 0x1f, 0x1c, 0x58, 0xbc, 0x51, 0x35,
+	0x0a, 0xab, 0x13, 0x9f, 0x41, 0x98, 0x95, 0xb2, 0xa8, 0xda, 0x24, 0x60, 0xed, 0x47, 0x07, 0xda,
+	0xcf, 0xe8, 0xb3, 0x70, 0x5a, 0xe9, 0x25, 0x0c, 0x79, 0x81, 0xee, 0xba, 0xd0, 0x6a, 0xdd, 0x38,
+	0x5a, 0x59, 0x40, 0xab, 0xd8, 0xa8, 0x6c, 0xc9, 0xa7, 0x0d, 0x84, 0x05, 0x94, 0xe1, 0xa5, 0x2a,
+	0xf3, 0x1d, 0xbb, 0x1c, 0xa2, 0xcc, 0x94, 0xc5, 0x35, 0x3a, 0x62, 0xb1, 0x9c, 0xfe, 0x6b, 0x00,
+	0xc1, 0x6b, 0x83, 0xec, 0x2a, 0x53, 0xeb, 0xda, 0xf0, 0x06, 0x53, 0x61, 0x41, 0xfc, 0x04, 0xa0,
+	0xd1, 0x2a, 0xc3, 0xb6, 0x55, 0xda, 0xc6, 0xc4, 0x17, 0xbd, 0x15, 0xda, 0xaa, 0xc2, 0x4a, 0xe9,
+	0x2d, 0x6f, 0xe5, 0x0b, 0x87, 0xe2, 0x14, 0x4e, 0x64, 0x96, 0x61, 0x89, 0x5a, 0x1a, 0xb2, 0x0c,
+	0xf8, 0xeb, 0xde, 0x5a, 0xfc, 0x18, 0x46, 0xcb, 0xa2, 0x36, 0xc4, 0x8a, 0xa1, 0x65, 0x22, 0xc1,
+	0x0b, 0xce, 0xab, 0xbc, 0x36, 0xa8, 0x93, 0x70, 0xee, 0x33, 0x59, 0x08, 0xd0, 0x6a, 0x29, 0xaf,
+	0xb0, 0x64, 0x36, 0x8f, 0x85, 0x05, 0x74, 0x27, 0x2d, 0xb3, 0x15, 0x73, 0x79, 0x2c, 0x58, 0x8e,
+	0x3f, 0xa1, 0x97, 0xaa, 0x2f, 0x37, 0x4a, 0xaf, 0x50, 0x3b, 0x3e, 0x8f, 0x1b, 0xd4, 0xdf, 0xf3,
+	0x42, 0xfc, 0x11, 0x8c, 0x5b, 0x59, 0xe1, 0x25, 0xdb, 0x01, 0xb3, 0x34, 0xa2, 0x05, 0x41, 0xb6,
+	0x33, 0x88, 0x8c, 0x5a, 0xa0, 0x59, 0xa2, 0x66, 0x62, 0x47, 0x62, 0x87, 0xe9, 0xb2, 0x99, 0x6a,
+	0x0a, 0x6c, 0x1d, 0xb7, 0x1d, 0xa2, 0x93, 0xb5, 0xf2, 0x06, 0x2d, 0xb9, 0x23, 0x61, 0x41, 0xfa,
+	0x37, 0x1f, 0x4e, 0x5e, 0x95, 0x32, 0x43, 0x81, 0x3f, 0xac, 0xb1, 0x35, 0x77, 0xa4, 0xd0, 0x16,
+	0x8b, 0x41, 0xbf, 0x58, 0xb4, 0x0d, 0x66, 0x5d, 0x61, 0x20, 0x99, 0x28, 0xd6, 0x1a, 0x6c, 0x3a,
+	0xd2, 0x1c, 0x52, 0x8c, 0x32, 0x28, 0xac, 0x0e, 0x6d, 0xf3, 0xc3, 0x1a, 0xd7, 0xc8, 0x41, 0x1d,
+	0x0b, 0x0b, 0xe8, 0x15, 0xb5, 0xa8, 0x6f, 0x8a, 0x0c, 0xb9, 0x4a, 0x8c, 0x45, 0x07, 0xfb, 0x2f,
+	0x79, 0xb4, 0xff, 0x92, 0x67, 0x10, 0x35, 0xba, 0x50, 0xba, 0x30, 0x5b, 0x57, 0x2b, 0x76, 0x98,
+	0xbe, 0x49, 0x63, 0xb0, 0x6a, 0x4c, 0xeb, 0x22, 0xbc, 0xc3, 0xbc, 0x97, 0xd1, 0x68, 0xb2, 0x25,
+	0x87, 0x77, 0x20, 0x3a, 0x18, 0x7f, 0x08, 0x51, 0x5b, 0xca, 0x6c, 0x45, 0x39, 0x9f, 0xd8, 0x17,
+	0xcf, 0xf8, 0xa2, 0xb5, 0xe5, 0x47, 0x55, 0x1c, 0xda, 0xb1, 0x60, 0xf9, 0xae, 0xb2, 0xf1, 0x98,
+	0xca, 0xc6, 0x35, 0x13, 0xc7, 0x96, 0x8d, 0x90, 0xa0, 0x23, 0xce, 0x42, 0x16, 0x75, 0xf2, 0xc0,
+	0x26, 0x82, 0x01, 0x17, 0x24, 0x2a, 0xbf, 0x0f, 0xe7, 0x3e, 0x79, 0x26, 0x39, 0x9d, 0x03, 0xb8,
+	0xdc, 0x34, 0xe5, 0x96, 0x34, 0x96, 0x58, 0xda, 0x92, 0x1d, 0x09, 0x96, 0xd3, 0x2f, 0xe0, 0xe4,
+	0x9b, 0x8d, 0x2c, 0xcc, 0xfd, 0xd9, 0x7b, 0x08, 0x7e, 0x91, 0xdb, 0x02, 0x34, 0x16, 0x24, 0xa6,
+	0x37, 0x30, 0xfa, 0xd3, 0xda, 0x64, 0xaa, 0xc2, 0x83, 0x3e, 0x40, 0x3c, 0x31, 0xd2, 0x74, 0x8d,
+	0xc0, 0x02, 0x62, 0x95, 0x46, 0xd9, 0xaa, 0xba, 0x7b, 0xad, 0x16, 0x51, 0xac, 0x34, 0x1a, 0xbd,
+	0xbd, 0xac, 0xec, 0xf3, 0x99, 0x8a, 0x11, 0x63, 0x1b, 0x2b, 0xbe, 0xd1, 0xb0, 0x77, 0xa3, 0x06,
+	0xc0, 0x9d, 0xf7, 0x8e, 0x1b, 0xc5, 0xbf, 0x82, 0x48, 0xd9, 0x93, 0xd9, 0x03, 0x1f, 0xab, 0x6e,
+	0xee, 0xe8, 0x62, 0xa7, 0x49, 0xc9, 0x5c, 0xd7, 0xab, 0x5a, 0x6d, 0x6a, 0x2e, 0x70, 0x63, 0xd1,
+	0xc1, 0xf4, 0x39, 0x4c, 0x5f, 0xa3, 0x31, 0xe5, 0x8e, 0xe0, 0xfd, 0x0d, 0xbc, 0x1f, 0xbb, 0x41,
+	0x3a, 0x85, 0x49, 0xe7, 0xa6, 0x29, 0xb7, 0xe9, 0xaf, 0xe1, 0xc1, 0xf7, 0x85, 0x59, 0xe6, 0x5a,
+	0x6e, 0xde, 0xe9, 0xe1, 0xa4, 0x0f, 0x60, 0x7a, 0x6b, 0x48, 0x9e, 0xfe, 0x02, 0xc1, 0x1b, 0xd7,
+	0x6a, 0x6b, 0x59, 0xa1, 0xb3, 0x66, 0x99, 0x8c, 0xa5, 0x71, 0x55, 0x73, 0x20, 0x4d, 0xbf, 0xf0,
+	0xfb, 0x3f, 0xb2, 0xf0, 0xa7, 0xff, 0xf5, 0x60, 0xfa, 0x54, 0x69, 0xad, 0x76, 0x07, 0xbd, 0x2d,
+	0xbc, 0xde, 0xdb, 0x85, 0x77, 0x23, 0x6b, 0xbb, 0xdf, 0x54, 0xb0, 0xdc, 0x6f, 0xad, 0xfe, 0x7e,
+	0x6b, 0xed, 0x72, 0x67, 0x93, 0x6e, 0x73, 0x37, 0x63, 0x32, 0xac, 0xb9, 0x55, 0x52, 0xd6, 0x03,
+	0xb1, 0xc3, 0xb6, 0xcd, 0xd7, 0xb8, 0xe1, 0x72, 0x19, 0x08, 0x0b, 0xfa, 0x0f, 0x7e, 0xb4, 0xff,
+	0xe0, 0x1f, 0xc3, 0x88, 0x88, 0x42, 0xbc, 0xea, 0x26, 0x00, 0x59, 0xb8, 0xe7, 0xd3, 0x36, 0x88,
+	0x39, 0x3f, 0xe8, 0x81, 0xb0, 0x80, 0x28, 0x7e, 0x2d, 0xb5, 0x2b, 0x94, 0x24, 0xa6, 0xe7, 0x10,
+	0xbc, 0x54, 0xb2, 0xee, 0xf1, 0x3b, 0x60, 0x7e, 0xcf, 0x20, 0x5a, 0x37, 0xf4, 0xd4, 0x65, 0xe5,
+	0xf2, 0xb2, 0xc3, 0xe9, 0xdf, 0x3d, 0x98, 0x74, 0xc1, 0x22, 0x82, 0x7e, 0x0a, 0xc3, 0x52, 0xc9,
+	0xba, 0x23, 0xca, 0x61, 0x49, 0xa3, 0x1d, 0x84, 0xd5, 0xa1, 0xbb, 0xf0, 0xa5, 0x30, 0x67, 0xe2,
+	0x06, 0xa2, 0x83, 0x36, 0x2e, 0x99, 0x2c, 0x4b, 0xcc, 0x99, 0x9e, 0x1c, 0x17, 0x8b, 0xb9, 0x4c,
+	0x14, 0xd7, 0x78, 0xfb, 0x7e, 0x42, 0x82, 0x5d, 0xa9, 0x41, 0x74, 0x5d, 0xc7, 0x4e, 0x3a, 0xfd,
+	0x00, 0x87, 0xfb, 0x01, 0x4e, 0xbf, 0x85, 0xe0, 0xcf, 0xb2, 0x5d, 0xf1, 0xf4, 0xa5, 0xf2, 0x2d,
+	0xdf, 0xf8, 0x44, 0xb0, 0x4c, 0x6b, 0x66, 0xdb, 0xec, 0x66, 0x3b, 0x92, 0xfb, 0x8d, 0xcd, 0xef,
+	0x37, 0xb6, 0xf4, 0xdf, 0x1e, 0x4c, 0x5f, 0xaf, 0xaf, 0xaa, 0xdb, 0xaa, 0xf2, 0x10, 0xfc, 0x15,
+	0x6e, 0x1d, 0x5d, 0x48, 0x24, 0x0e, 0xd9, 0xf9, 0xc6, 0xb9, 0x74, 0xa8, 0x9f, 0x4f, 0x7f, 0x3f,
+	0x9f, 0x8f, 0x20, 0xcc, 0x8b, 0x05, 0xb6, 0x86, 0xaf, 0x39, 0x16, 0x0e, 0x51, 0x01, 0x29, 0x8b,
+	0xaa, 0xe8, 0x35, 0xd8, 0x11, 0xe3, 0x0b, 0x17, 0x50, 0x3e, 0x41, 0x37, 0x33, 0x3a, 0x48, 0x79,
+	0x31, 0xb2, 0x5d, 0xb5, 0xc9, 0xe8, 0x8e, 0xbc, 0x50, 0x24, 0x84, 0xd5, 0xb9, 0x93, 0x49, 0xe9,
+	0x2b, 0x98, 0xbc, 0x54, 0x6a, 0x75, 0xf7, 0x2d, 0x7b, 0x96, 0x83, 0x3d, 0x0e, 0x52, 0x8f, 0x95,
+	0x75, 0x86, 0x25, 0xdf, 0x92, 0x7a, 0x2c, 0xa3, 0xf4, 0x3b, 0x08, 0xbf, 0xa9, 0xdb, 0x8d, 0xed,
+	0xc2, 0x54, 0x38, 0xd7, 0xad, 0x9b, 0x54, 0x1c, 0x3a, 0x9a, 0x89, 0x2e, 0x63, 0xfe, 0x6d, 0xc6,
+	0xd2, 0xff, 0x79, 0x10, 0xfd, 0x51, 0x5d, 0x59, 0x1a, 0xee, 0x4a, 0xb2, 0xd7, 0x2f, 0xc9, 0x9f,
+	0xc3, 0x48, 0xf2, 0x66, 0x5d, 0xa1, 0x3c, 0x9c, 0x1c, 0xed, 0x61, 0x44, 0xa7, 0xb7, 0x2b, 0xc9,
+	0x36, 0xe1, 0x2c, 0x93, 0x73, 0x1b, 0x4b, 0x4b, 0x3f, 0x17, 0xb4, 0x18, 0x82, 0x55, 0x51, 0xe7,
+	0xae, 0x3d, 0xb3, 0x4c, 0xf9, 0x70, 0xf5, 0xb0, 0xeb, 0xce, 0x0e, 0x72, 0x72, 0xd1, 0xc8, 0xa2,
+	0x1b, 0x7b, 0x1c, 0xda, 0xeb, 0x0e, 0xd1, 0x7e, 0x77, 0x48, 0x60, 0x84, 0x52, 0x97, 0x85, 0x9b,
+	0x7d, 0xc6, 0xa2, 0x83, 0xe9, 0xef, 0xe1, 0xe4, 0x05, 0xf5, 0xe1, 0x2e, 0x2f, 0xbd, 0xd6, 0xef,
+	0xed, 0xb7, 0xfe, 0x47, 0x10, 0x96, 0x34, 0xe2, 0xd5, 0x1c, 0xce, 0x48, 0x38, 0x44, 0x43, 0x0d,
+	0x38, 0x17, 0x2e, 0x7c, 0xd9, 0x92, 0x1a, 0xae, 0x7d, 0x12, 0x16, 0xc4, 0xcf, 0x21, 0x72, 0xdc,
+	0xec, 0xe2, 0xf7, 0xb3, 0x83, 0xf8, 0xdd, 0x3a, 0x39, 0x7b, 0xed, 0x74, 0x9f, 0xd7, 0x46, 0x6f,
+	0xc5, 0xce, 0x34, 0xfe, 0x1a, 0x42, 0xae, 0x40, 0xdd, 0x64, 0xfd, 0xd3, 0x7b, 0x9d, 0xb0, 0xa6,
+	0x75, 0xe1, 0xcc, 0xe2, 0xdf, 0xc1, 0x90, 0x1e, 0x5e, 0x37, 0x36, 0xfd, 0xe4, 0x3e, 0xfb, 0xef,
+	0x48, 0xd1, 0x9a, 0x5b, 0xa3, 0xd9, 0x6f, 0xa9, 0xbd, 0xf5, 0x4e, 0x76, 0x84, 0xc5, 0xef, 0xc3,
+	0xf0, 0x46, 0x96, 0x6b, 0xcb, 0x39, 0x4f, 0x58, 0xf0, 0x9b, 0xc1, 0x97, 0xde, 0xec, 0x2b, 0x98,
+	0xf4, 0x4e, 0xf4, 0x4e, 0xa6, 0x5f, 0x02, 0xdc, 0x1e, 0xe6, 0x5d, 0x2c, 0xcf, 0xff, 0x13, 0x40,
+	0xf0, 0x8a, 0x7e, 0x48, 0x7e, 0x01, 0xe1, 0xb7, 0xaa, 0x6d, 0x8b, 0x26, 0x3e, 0x7c, 0xbf, 0xf4,
+	0xd3, 0x68, 0x76, 0x7c, 0x39, 0x7e, 0x01, 0xa1, 0xad, 0xd1, 0xf1, 0x93, 0x43, 0x85, 0x7e, 0xa7,
+	0x9b, 0x7d, 0x7c, 0xe7, 0x77, 0xa2, 0xc5, 0x33, 0x08, 0x6d, 0x99, 0x3b, 0xe2, 0x67, 0xaf, 0xfe,
+	0xcd, 0x3e, 0x3c, 0xf8, 0xbe, 0x7b, 0x9a, 0x5f, 0x53, 0x97, 0x51, 0xab, 0xf8, 0xe3, 0x23, 0xad,
+	0x61, 0x57, 0x5a, 0xee, 0x73, 0xf0, 0x0c, 0x86, 0x9c, 0xe0, 0xf8, 0x93, 0xbb, 0x12, 0x6f, 0x5d,
+	0x7c, 0x74, 0x0f, 0x2f, 0xc8, 0x09, 0x0f, 0x8a, 0x47, 0x9c, 0xf4, 0x87, 0xfb, 0x23, 0x4e, 0x7a,
+	0xf3, 0xe5, 0x33, 0x18, 0xf2, 0x6c, 0x76, 0xc4, 0x49, 0x7f, 0xc6, 0x3c, 0xe2, 0xa4, 0x37, 0xd2,
+	0xbd, 0x80, 0xd0, 0xce, 0x49, 0xc7, 0x82, 0xda, 0x9f, 0xc3, 0x8e, 0x24, 0xa7, 0x37, 0x60, 0xc5,
+	0x2f, 0x21, 0xea, 0xe6, 0xa4, 0x78, 0x7e, 0xa0, 0xf9, 0xd6, 0xec, 0x35, 0x7b, 0x72, 0x8f, 0x46,
+	0x53, 0x6e, 0x9f, 0xfe, 0xe2, 0xcd, 0xcf, 0x17, 0x85, 0x59, 0xae, 0xaf, 0xce, 0x32, 0x55, 0x7d,
+	0x76, 0xab, 0xdb, 0x17, 0xc9, 0xec, 0xb3, 0x4d, 0xa1, 0xf1, 0x2a, 0xe4, 0x3f, 0x4f, 0x7e, 0xf9,
+	0xff, 0x00, 0x00, 0x00, 0xff, 0xff, 0xfe, 0x19, 0x62, 0x13, 0x4a, 0x11, 0x00, 0x00,
 }
