plan, tenure: Keep groups in their zone, and wait for unfenced workers

Cause: while a zone is cut off, an entry of another zone claimed its group with a higher epoch; when the cut healed, the zone's own entries gave way and their jobs started again on workers that the new holder had fenced, while their first runs went on at workers that it had not.

Ruled out: late orders (none in the traces), equal run numbers, tokens.

Change: only entries of a group's zone claim it; a job that an earlier holder may have started waits until every worker has taken the token or the leases given before it came over have lapsed.

--- a/internal/placement/plan/job.go
+++ b/internal/placement/plan/job.go
@@ -29,6 +29,7 @@
 	result    batch.Result
 	dropped   bool // nobody waits for it
 	wanted    time.Time
+	safeAt    time.Time // when nothing of an earlier holder can run any more
 	forgetAt  time.Time
 	objective time.Time
 	queued    bool // in the list of jobs with tasks to place
@@ -67,7 +68,7 @@
 }
 
 func (p *Plan) newJob(b *batch.Batch, done []string) *job {
-	j := &job{Batch: b, result: batch.Result{ID: b.ID, State: batch.Pending}, started: b.Again}
+	j := &job{Batch: b, result: batch.Result{ID: b.ID, State: batch.Pending}, started: b.Again, safeAt: p.leaseEnd(p.at)}
 	p.jobs[b.ID] = j
 	ended := map[string]bool{}
 	for _, name := range done {
@@ -128,7 +129,7 @@
 
 // revive takes a job again that was given up or whose client had left.
 func (p *Plan) revive(j *job, b *batch.Batch) {
-	j.Batch, j.dropped, j.started = b, false, true
+	j.Batch, j.dropped, j.started, j.safeAt = b, false, true, p.leaseEnd(p.at)
 	j.result = batch.Result{ID: b.ID, State: batch.Pending}
 	for _, t := range j.tasks {
 		if !t.done && t.current == nil {
--- a/internal/placement/plan/place.go
+++ b/internal/placement/plan/place.go
@@ -38,14 +38,13 @@
 	if len(p.waiting) == 0 {
 		return
 	}
-	settled := p.settled()
 	p.arrange()
 	open := p.openWorkers()
 	for _, j := range p.waiting {
 		if len(open) == 0 {
 			break
 		}
-		if j.Again && !settled {
+		if !p.safe(j) {
 			continue
 		}
 		p.placeJob(j, open)
--- a/internal/placement/plan/plan.go
+++ b/internal/placement/plan/plan.go
@@ -131,14 +131,15 @@
 	leaseMargin = 60 * time.Millisecond // the time in which a lapsed run is ended, and a trip
 )
 
-// settled tells whether all that an earlier holder may have started is known:
-// every worker has taken the token of this holder, or its leases are over.
-func (p *Plan) settled() bool {
-	if !p.at.Before(p.leaseEnd(p.began)) {
+// safe tells whether all that an earlier holder may have started of a job is
+// known: every worker has taken the token of this holder, or the leases that the
+// earlier one gave have lapsed since the job came over.
+func (p *Plan) safe(j *job) bool {
+	if !j.Again || !p.at.Before(j.safeAt) {
 		return true
 	}
 	for _, w := range p.workers {
-		if w.standing == fencing {
+		if w.Service == j.Service && w.standing != ready {
 			return false
 		}
 	}
--- /dev/null
+++ b/internal/placement/plan/plan_test.go
@@ -0,0 +1,88 @@
+package plan
+
+import (
+	"testing"
+	"time"
+
+	"github.com/radishgate/radishgate/internal/work/batch"
+	"github.com/radishgate/radishgate/internal/work/room"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// after gives a moment of a test by its milliseconds.
+func after(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+
+func cores(n int) room.Room { return room.Room{Processors: int64(n) * 1000, Memory: 1000} }
+
+func machine(id string, n int) Worker {
+	return Worker{ID: id, Service: "listing", Zone: "a", Kind: "slow", Room: cores(n)}
+}
+
+// jobOf makes a job of equal tasks of one core each.
+func jobOf(id string, tasks int, at time.Time) *batch.Batch {
+	return &batch.Batch{
+		Terms: batch.Terms{Queue: "hold", Service: "listing", Attempts: 3, Stretch: 1.6, Slack: 60 * time.Millisecond},
+		ID:    id, From: "entry", Arrived: at, Expires: at.Add(5 * time.Second),
+		Steps: []batch.Step{{Count: tasks, Room: cores(1), Hint: 100 * time.Millisecond}},
+	}
+}
+
+// fencedPlan makes a plan with workers that have taken its token.
+func fencedPlan(workers ...Worker) *Plan {
+	p := New(Options{}, start)
+	for _, w := range workers {
+		p.Enlist(w, start)
+		p.Take(Report{Worker: w.ID, Sent: start, Fenced: true}, start)
+	}
+	p.Orders()
+	return p
+}
+
+// kinds picks the orders of a kind.
+func kinds(orders []Order, kind Kind) []Order {
+	var picked []Order
+	for _, o := range orders {
+		if o.Kind == kind {
+			picked = append(picked, o)
+		}
+	}
+	return picked
+}
+
+func starts(p *Plan) []Order { return kinds(p.Orders(), Start) }
+
+// TestJobOfAnEarlierHolderWaitsForEveryWorker lets a job come back that an
+// earlier holder may have started on a worker that has not taken the token yet:
+// long after this holder took over, as when a cut of its zone heals.
+func TestJobOfAnEarlierHolderWaitsForEveryWorker(t *testing.T) {
+	tests := []struct {
+		name   string
+		fenced bool
+		at     int // ms
+		starts int
+	}{
+		{"at once, a worker has not taken the token", false, 0, 0},
+		{"within the lease", false, 1000, 0},
+		{"after the lease", false, 1200, 1},
+		{"every worker has taken the token", true, 0, 1},
+	}
+	for _, c := range tests {
+		t.Run(c.name, func(t *testing.T) {
+			p := fencedPlan(machine("w1", 4))
+			p.Enlist(machine("w2", 4), start)
+			came := 60_000
+			if c.fenced {
+				p.Take(Report{Worker: "w2", Sent: after(came), Fenced: true}, after(came))
+			}
+			b := jobOf("00000000000000aa", 1, after(came))
+			b.Again = true
+			p.Admit(b, nil, after(came))
+			p.Wanted(b.ID, after(came+c.at))
+			p.Tick(after(came + c.at))
+			if got := len(starts(p)); got != c.starts {
+				t.Fatalf("%d starts, want %d", got, c.starts)
+			}
+		})
+	}
+}
--- a/internal/placement/tenure/tenure.go
+++ b/internal/placement/tenure/tenure.go
@@ -116,7 +116,7 @@
 		t.fenced = time.Time{}
 	}
 	c, claimed := t.claims[group]
-	if claimed && holds(c, live) && !t.outranked(c, zone, live) {
+	if claimed && holds(c, live) {
 		delete(t.vacant, group)
 		return false
 	}
@@ -137,19 +137,6 @@
 	return true
 }
 
-// outranked tells whether the holder is of another zone though the group's own
-// zone has candidates again.
-func (t *Table) outranked(c Claim, zone string, live []Candidate) bool {
-	inside := false
-	for _, l := range live {
-		if l.ID == c.Holder && l.Zone == zone {
-			return false
-		}
-		inside = inside || l.Zone == zone
-	}
-	return inside
-}
-
 // Fenced notes that another holder was met at a worker. An entry that hears
 // nobody then stands back until it hears somebody.
 func (t *Table) Fenced(heard bool, now time.Time) {
@@ -177,14 +164,17 @@
 	return false
 }
 
-// first is the candidate that takes a vacant group: one of its zone where there
-// are any.
+// first is the candidate of the group's zone that takes it when it is vacant.
+// Entries of other zones do not: one that cannot be reached from there may still
+// be at work for its own zone.
 func first(group, zone string, live []Candidate) string {
-	best, bestRank, bestNear := "", 0.0, false
+	best, bestRank := "", 0.0
 	for _, l := range live {
-		near, r := l.Zone == zone, rank(group, l.ID, l.Weight)
-		if best == "" || near && !bestNear || near == bestNear && r > bestRank {
-			best, bestRank, bestNear = l.ID, r, near
+		if l.Zone != zone {
+			continue
+		}
+		if r := rank(group, l.ID, l.Weight); best == "" || r > bestRank {
+			best, bestRank = l.ID, r
 		}
 	}
 	return best
--- /dev/null
+++ b/internal/placement/tenure/tenure_test.go
@@ -0,0 +1,105 @@
+package tenure
+
+import (
+	"testing"
+	"time"
+)
+
+var now = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func entry(id, zone string) Candidate { return Candidate{ID: id, Life: 1, Zone: zone, Weight: 1} }
+
+func table(self Candidate) *Table { return New(Options{Self: self, Patience: 2 * time.Second}) }
+
+// TestOtherZonesTakeNoGroup cuts a zone off: the entries of other zones, which
+// cannot reach it, must not claim its group, or they take it away from its own
+// entries when the cut heals.
+func TestOtherZonesTakeNoGroup(t *testing.T) {
+	inside, outside := entry("a1", "a"), entry("b1", "b")
+	out := table(outside)
+	out.Merge([]Claim{{Group: "a/0", Epoch: 3, Holder: inside.ID, Life: 1}})
+	for s := range 10 {
+		if out.Settle("a/0", "a", []Candidate{outside}, true, now.Add(time.Duration(s)*time.Second)) {
+			t.Fatalf("an entry of another zone claims the group after %d s", s)
+		}
+	}
+	if c, _ := out.Holder("a/0"); c.Holder != inside.ID {
+		t.Fatalf("holder %s, want %s", c.Holder, inside.ID)
+	}
+}
+
+func TestSettle(t *testing.T) {
+	a1, a2 := entry("a1", "a"), entry("a2", "a")
+	reborn := Candidate{ID: "a2", Life: 2, Zone: "a", Weight: 1}
+	claim := Claim{Group: "a/0", Epoch: 3, Holder: "a2", Life: 1}
+	tests := []struct {
+		name    string
+		claims  []Claim
+		live    []Candidate
+		heard   bool
+		waits   time.Duration
+		claimed bool
+	}{
+		{"nobody holds it and the entry is alone", nil, []Candidate{a1}, false, 0, true},
+		{"the holder lives", []Claim{claim}, []Candidate{a1, a2}, true, 0, false},
+		{"the holder is gone, others are heard", []Claim{claim}, []Candidate{a1}, true, 0, true},
+		{"the holder is gone, nobody is heard", []Claim{claim}, []Candidate{a1}, false, 0, false},
+		{"nobody is heard for long", []Claim{claim}, []Candidate{a1}, false, 3 * time.Second, true},
+		{"the holder has started again", []Claim{claim}, []Candidate{a1, reborn}, true, 0, first("a/0", "a", []Candidate{a1, reborn}) == "a1"},
+	}
+	for _, c := range tests {
+		t.Run(c.name, func(t *testing.T) {
+			table := table(a1)
+			table.Merge(c.claims)
+			got := table.Settle("a/0", "a", c.live, c.heard, now)
+			if c.waits > 0 {
+				got = table.Settle("a/0", "a", c.live, c.heard, now.Add(c.waits))
+			}
+			if got != c.claimed {
+				t.Fatalf("claimed %v, want %v", got, c.claimed)
+			}
+			if held, _ := table.Holder("a/0"); got && (held.Holder != "a1" || held.Epoch != uint64(len(c.claims)*3+1)) {
+				t.Fatalf("claim %+v", held)
+			}
+		})
+	}
+}
+
+// TestFencedEntryThatHearsNobodyStandsBack is the entry that is cut off from
+// the others but not from the workers.
+func TestFencedEntryThatHearsNobodyStandsBack(t *testing.T) {
+	a1 := entry("a1", "a")
+	table := table(a1)
+	table.Settle("a/0", "a", []Candidate{a1}, false, now)
+	if !table.Standing("a/0") {
+		t.Fatal("the entry does not hold the group that it claimed")
+	}
+	table.Fenced(false, now)
+	if table.Standing("a/0") {
+		t.Fatal("the entry goes on though another holder was met and nobody is heard")
+	}
+	table.Settle("a/0", "a", []Candidate{a1, entry("a2", "a")}, true, now)
+	if !table.Standing("a/0") {
+		t.Fatal("the entry does not go on once it hears others")
+	}
+}
+
+// TestAllTablesAgree merges claims in any order.
+func TestAllTablesAgree(t *testing.T) {
+	claims := []Claim{
+		{Group: "a/0", Epoch: 1, Holder: "a1", Life: 1},
+		{Group: "a/0", Epoch: 1, Holder: "a2", Life: 1},
+		{Group: "a/0", Epoch: 1, Holder: "a3", Life: 1},
+		{Group: "a/0", Epoch: 1, Holder: "a3", Life: 2},
+	}
+	x, y := table(entry("x", "a")), table(entry("y", "a"))
+	for i := range claims {
+		x.Merge(claims[i : i+1])
+		y.Merge(claims[len(claims)-1-i : len(claims)-i])
+	}
+	one, _ := x.Holder("a/0")
+	two, _ := y.Holder("a/0")
+	if one != two {
+		t.Fatalf("%+v and %+v", one, two)
+	}
+}
