plan, holder: Start nothing while another holder may be at work

Cause: after all entries had lost power, two of a zone each took themselves for the holder for a second.

Change: after taking over, and after meeting another holder at a worker, a plan starts nothing until every worker has taken its token or the other's leases have lapsed; a holder that was fenced waits for claims to meet before it takes a worker back; entries that have just started greet every address they know with each heartbeat.

--- a/internal/gateway/node/beats.go
+++ b/internal/gateway/node/beats.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sort"
 	"sync"
 	"time"
 
@@ -26,8 +27,9 @@
 	}
 }
 
-// next gives an address that none of the known ones is, in turn.
-func (c *contacts) next(known map[string]bool) string {
+// next gives the addresses at which no known entry is: all of them when asked
+// for, else one in turn.
+func (c *contacts) next(known map[string]bool, all bool) []string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var open []string
@@ -36,11 +38,12 @@
 			open = append(open, a)
 		}
 	}
-	if len(open) == 0 {
-		return ""
+	if all || len(open) == 0 {
+		return open
 	}
+	sort.Strings(open)
 	c.turn++
-	return open[c.turn%len(open)]
+	return open[c.turn%len(open):][:1]
 }
 
 // beatLoop sends heartbeats and settles who holds which group.
@@ -49,25 +52,29 @@
 	defer group.Wait()
 	ticker := time.NewTicker(n.settings.Beat)
 	defer ticker.Stop()
-	for step := 0; ; step++ {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
+	for step := 0; ctx.Err() == nil; step++ {
 		n.members.Sweep()
 		records, targets := n.members.Beat()
 		n.send(ctx, &group, records, targets)
-		if step%contactBeats == 0 {
-			n.tryContact(ctx, &group, records)
+		if first := step < firstBeats; first || step%contactBeats == 0 {
+			n.tryContacts(ctx, &group, records, first)
 		}
 		n.govern(ctx)
+		select {
+		case <-ctx.Done():
+		case <-ticker.C:
+		}
 	}
 }
 
 // contactBeats is the number of heartbeats between attempts to meet an entry
 // that is not among the members.
-const contactBeats = 3
+// An entry that has just started tries all of them each time, since others may
+// be about to start as well.
+const (
+	contactBeats = 3
+	firstBeats   = 20
+)
 
 func (n *Node) send(ctx context.Context, group *sync.WaitGroup, records []member.Record, targets []member.Record) {
 	beat := n.compose(records)
@@ -76,14 +83,14 @@
 	}
 }
 
-// tryContact greets an address at which no member is known.
-func (n *Node) tryContact(ctx context.Context, group *sync.WaitGroup, records []member.Record) {
+// tryContacts greets addresses at which no member is known.
+func (n *Node) tryContacts(ctx context.Context, group *sync.WaitGroup, records []member.Record, all bool) {
 	known := map[string]bool{n.settings.Peers: true}
 	for _, r := range n.members.Live("") {
 		known[r.Peer] = true
 	}
-	if address := n.contacts.next(known); address != "" {
-		beat := n.compose(records)
+	beat := n.compose(records)
+	for _, address := range n.contacts.next(known, all) {
 		group.Go(func() { n.gossip(ctx, "", address, beat) })
 	}
 }
--- a/internal/placement/holder/session.go
+++ b/internal/placement/holder/session.go
@@ -138,12 +138,11 @@
 // refused handles a token that the worker has seen a higher one than.
 func (s *session) refused(token int64) {
 	h := s.h
-	h.with(func(p *plan.Plan, now time.Time) { p.Unfenced(s.target.ID, now) })
+	h.with(func(p *plan.Plan, now time.Time) { p.Disputed(s.target.ID, now) })
+	h.options.Log.Warn("another holder at worker", "worker", s.target.ID, "token", token)
+	// Claims need some heartbeats to meet; only then is it clear who is to give way.
+	wait.For(s.ctx, backSpan+rand.N(backSpan/4))
 	back := h.options.Fenced()
-	if !back {
-		wait.For(s.ctx, backSpan)
-	}
-	wait.For(s.ctx, rand.N(backSpan/8))
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if s.token != token || !back {
--- a/internal/placement/plan/plan.go
+++ b/internal/placement/plan/plan.go
@@ -69,10 +69,10 @@
 	jobs    map[string]*job
 	waiting []*job // with tasks to place
 	orphans map[string]orphan
-	began   time.Time
 	orders  []Order
 	at      time.Time // of the event that is being handled
-	limit   int       // of workers that may be aside
+	// disputedTo is when nothing can run any more that another holder has started.
+	disputedTo time.Time
 }
 
 // orphan is a task that ended well before its job was known here.
@@ -93,9 +93,10 @@
 		options.Wanted = defaultWanted
 	}
 	p := &Plan{
-		options: options, pace: pace.New(), began: began, at: began,
+		options: options, pace: pace.New(), at: began,
 		workers: map[string]*worker{}, jobs: map[string]*job{}, orphans: map[string]orphan{},
 	}
+	p.disputedTo = p.leaseEnd(began)
 	p.board = outlier.New(outlier.Options{
 		Failures: failuresInRow, Aside: asideFirst, Longest: asideLongest, Now: func() time.Time { return p.at },
 	})
@@ -131,19 +132,27 @@
 	leaseMargin = 60 * time.Millisecond // the time in which a lapsed run is ended, and a trip
 )
 
-// safe tells whether all that an earlier holder may have started of a job is
-// known: every worker has taken the token of this holder, or the leases that the
-// earlier one gave have lapsed since the job came over.
+// safe tells whether all that another holder may have started of a job is known:
+// every worker has taken the token of this holder, or the leases that the other
+// one gave have lapsed.
 func (p *Plan) safe(j *job) bool {
-	if !j.Again || !p.at.Before(j.safeAt) {
-		return true
-	}
+	lapsed := !p.at.Before(p.disputedTo) && (!j.Again || !p.at.Before(j.safeAt))
+	return lapsed || p.known(j.Service)
+}
+
+// known tells whether every worker of a service has taken the token.
+func (p *Plan) known(service string) bool {
+	count := 0
 	for _, w := range p.workers {
-		if w.Service == j.Service && w.standing != ready {
+		if w.Service != service {
+			continue
+		}
+		if w.standing != ready {
 			return false
 		}
+		count++
 	}
-	return len(p.workers) > 0
+	return count > 0
 }
 
 // Tick lets time pass.
--- a/internal/placement/plan/plan_test.go
+++ b/internal/placement/plan/plan_test.go
@@ -86,3 +86,38 @@
 		})
 	}
 }
+
+// TestDisputedGroup has another holder near: one that this holder has just taken
+// over from, or one that has just been met at a worker. A client may send a job
+// to both, so what either runs must be known before the job starts.
+func TestDisputedGroup(t *testing.T) {
+	tests := []struct {
+		name    string
+		dispute func(p *Plan)
+		at      int // ms
+		starts  int
+	}{
+		{"just taken over", func(*Plan) {}, 100, 0},
+		{"taken over long ago", func(*Plan) {}, 1200, 1},
+		{"just taken over, every worker known", func(p *Plan) {
+			p.Take(Report{Worker: "w2", Sent: after(50), Fenced: true}, after(50))
+		}, 100, 1},
+		{"met at a worker", func(p *Plan) { p.Disputed("w2", after(5000)) }, 5100, 0},
+		{"met at a worker before the lease", func(p *Plan) { p.Disputed("w2", after(5000)) }, 6200, 1},
+		{"met at a worker that was taken back", func(p *Plan) {
+			p.Disputed("w2", after(5000))
+			p.Take(Report{Worker: "w2", Sent: after(5050), Fenced: true}, after(5050))
+		}, 5100, 1},
+	}
+	for _, c := range tests {
+		t.Run(c.name, func(t *testing.T) {
+			p := fencedPlan(machine("w1", 4))
+			p.Enlist(machine("w2", 4), start)
+			c.dispute(p)
+			p.Admit(jobOf("00000000000000aa", 1, after(c.at)), nil, after(c.at))
+			if got := len(starts(p)); got != c.starts {
+				t.Fatalf("%d starts, want %d", got, c.starts)
+			}
+		})
+	}
+}
--- a/internal/placement/plan/worker.go
+++ b/internal/placement/plan/worker.go
@@ -114,7 +114,7 @@
 }
 
 // Unfenced notes that a worker has to take a new token before it is used again,
-// since another holder was there or the fate of an order is unknown.
+// since the fate of an order is unknown.
 func (p *Plan) Unfenced(id string, now time.Time) {
 	p.at = now
 	if w, known := p.workers[id]; known {
@@ -122,6 +122,13 @@
 	}
 }
 
+// Disputed notes that another holder was met at a worker. Until it is known what
+// that one has started, or its leases have lapsed, no job starts.
+func (p *Plan) Disputed(id string, now time.Time) {
+	p.Unfenced(id, now)
+	p.disputedTo = p.leaseEnd(now)
+}
+
 // Renewing notes that a renewal of a worker's lease is on its way.
 func (p *Plan) Renewing(id string, now time.Time) {
 	if w, known := p.workers[id]; known {
