plan, desk: Tell one request of a client from another

Change: each request has a number; a message of one that was refused or withdrawn starts nothing, also when it arrives before its withdrawal.

TestRequestThatComesTwice failed on two of its cases and passes.

--- a/internal/gateway/desk/desk.go
+++ b/internal/gateway/desk/desk.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"log/slog"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -27,7 +28,7 @@
 	Seat     func(group string) (Seat, bool)
 	Place    func(ctx context.Context, to Seat, b *batch.Batch, done []string) (bool, error)
 	Await    func(ctx context.Context, to Seat, ids []string) (results []batch.Result, unknown []string, held bool, err error)
-	Withdraw func(ctx context.Context, to Seat, id string)
+	Withdraw func(ctx context.Context, to Seat, b *batch.Batch)
 	Ended    func(b *batch.Batch, r batch.Result, tries int)
 	Log      *slog.Logger
 }
@@ -99,7 +100,7 @@
 		w.clients++
 		return w, true
 	}
-	b.From = d.options.Self
+	b.From, b.Attempt = d.options.Self, rand.Uint64()
 	w := &waiting{batch: b, group: d.options.Group(b), clients: 1, done: make(chan struct{}), heardAt: b.Arrived}
 	d.jobs[b.ID] = w
 	return w, false
@@ -123,7 +124,7 @@
 	if last {
 		delete(d.jobs, w.batch.ID)
 	}
-	seat, offered := w.seat, w.offered
+	seat, offered, b := w.seat, w.offered, w.batch
 	d.mu.Unlock()
 	if !last {
 		return
@@ -133,16 +134,16 @@
 		return
 	}
 	if seat.Own {
-		d.options.Withdraw(context.Background(), seat, w.batch.ID)
+		d.options.Withdraw(context.Background(), seat, b)
 		return
 	}
-	go d.withdraw(seat, w.batch.ID)
+	go d.withdraw(seat, b)
 }
 
-func (d *Desk) withdraw(seat Seat, id string) {
+func (d *Desk) withdraw(seat Seat, b *batch.Batch) {
 	ctx, cancel := context.WithTimeout(context.Background(), placeSpan)
 	defer cancel()
-	d.options.Withdraw(ctx, seat, id)
+	d.options.Withdraw(ctx, seat, b)
 }
 
 // place hands a job to the present holder of its group.
--- a/internal/gateway/node/groups.go
+++ b/internal/gateway/node/groups.go
@@ -132,15 +132,15 @@
 	return n.client.Await(ctx, to.Address, to.Group, ids)
 }
 
-func (n *Node) withdrawAt(ctx context.Context, to desk.Seat, id string) {
+func (n *Node) withdrawAt(ctx context.Context, to desk.Seat, b *batch.Batch) {
 	if to.Own {
-		n.onWithdraw(to.Group, id)
+		n.onWithdraw(to.Group, b.ID, b.Attempt)
 		return
 	}
 	n.measures.message("withdraw")
-	if err := n.client.Withdraw(ctx, to.Address, to.Group, id); err != nil {
+	if err := n.client.Withdraw(ctx, to.Address, to.Group, b.ID, b.Attempt); err != nil {
 		// The holder drops a job that is no longer asked for by itself.
-		n.log.Warn("job not withdrawn", "job", id, "from", to.Holder, "error", err)
+		n.log.Warn("job not withdrawn", "job", b.ID, "from", to.Holder, "error", err)
 	}
 }
 
@@ -162,9 +162,9 @@
 	return results, unknown, true
 }
 
-func (n *Node) onWithdraw(group, id string) {
+func (n *Node) onWithdraw(group, id string, attempt uint64) {
 	if h, held := n.holder(group); held {
-		h.Withdraw(id)
+		h.Withdraw(id, attempt)
 	}
 }
 
--- a/internal/placement/holder/holder.go
+++ b/internal/placement/holder/holder.go
@@ -183,8 +183,8 @@
 }
 
 // Withdraw drops a job whose client has left.
-func (h *Holder) Withdraw(id string) {
-	h.with(func(p *plan.Plan, now time.Time) { p.Withdraw(id, now) })
+func (h *Holder) Withdraw(id string, attempt uint64) {
+	h.with(func(p *plan.Plan, now time.Time) { p.Withdraw(id, attempt, now) })
 }
 
 // Wanted notes that jobs are still waited for. It gives the results of those
--- a/internal/placement/plan/job.go
+++ b/internal/placement/plan/job.go
@@ -28,6 +28,7 @@
 	started   bool    // a task may have run
 	result    batch.Result
 	dropped   bool // nobody waits for it
+	withdrawn bool // by its client
 	wanted    time.Time
 	safeAt    time.Time // when nothing of an earlier holder can run any more
 	forgetAt  time.Time
@@ -35,22 +36,22 @@
 	queued    bool // in the list of jobs with tasks to place
 }
 
-// Admit takes a job. One that is known goes on, or has its result told again.
+// Admit takes a job. One that is known goes on, or has its result told again. A
+// message of a request that was refused or withdrawn, and that arrives late, must
+// start nothing; another request of the client may.
 func (p *Plan) Admit(b *batch.Batch, done []string, now time.Time) {
 	p.at = now
 	j, known := p.jobs[b.ID]
 	switch {
-	case !known:
+	case !known || len(j.tasks) == 0 && j.Attempt != b.Attempt:
 		j = p.newJob(b, done)
-	case j.result.State.Ended() && !j.dropped:
-		if j.result.State == batch.Refused || j.result.State == batch.Unknown {
-			p.revive(j, b)
-			break
-		}
+	case j.withdrawn && j.Attempt == b.Attempt:
+		return
+	case j.over(b):
 		j.Batch = b
 		p.order(Order{Kind: Settle, Batch: b, Result: j.result})
 		return
-	case j.dropped:
+	case j.result.State.Ended():
 		p.revive(j, b)
 	default:
 		j.Batch = b
@@ -67,6 +68,15 @@
 	p.place()
 }
 
+// over tells whether the result of the job is also that of a request.
+func (j *job) over(b *batch.Batch) bool {
+	if j.dropped || !j.result.State.Ended() {
+		return false
+	}
+	again := j.result.State == batch.Refused || j.result.State == batch.Unknown
+	return !again || j.Attempt == b.Attempt
+}
+
 func (p *Plan) newJob(b *batch.Batch, done []string) *job {
 	j := &job{Batch: b, result: batch.Result{ID: b.ID, State: batch.Pending}, started: b.Again, safeAt: p.leaseEnd(p.at)}
 	p.jobs[b.ID] = j
@@ -129,7 +139,7 @@
 
 // revive takes a job again that was given up or whose client had left.
 func (p *Plan) revive(j *job, b *batch.Batch) {
-	j.Batch, j.dropped, j.started, j.safeAt = b, false, true, p.leaseEnd(p.at)
+	j.Batch, j.dropped, j.withdrawn, j.started, j.safeAt = b, false, false, true, p.leaseEnd(p.at)
 	j.result = batch.Result{ID: b.ID, State: batch.Pending}
 	for _, t := range j.tasks {
 		if !t.done && t.current == nil {
@@ -156,13 +166,21 @@
 	}
 }
 
-// Withdraw drops a job whose client has left: what runs of it is stopped.
-func (p *Plan) Withdraw(id string, now time.Time) {
+// Withdraw drops a job whose client has left: what runs of it is stopped. It may
+// come before the job.
+func (p *Plan) Withdraw(id string, attempt uint64, now time.Time) {
 	p.at = now
-	if j, known := p.jobs[id]; known && !j.result.State.Ended() {
-		p.abandon(j, batch.Result{State: batch.Cancelled, Reason: "its client has left"})
-		p.place()
+	j, known := p.jobs[id]
+	switch {
+	case !known:
+		j = &job{Batch: &batch.Batch{ID: id, Attempt: attempt}}
+		p.jobs[id] = j
+	case j.Attempt != attempt || j.result.State.Ended():
+		return
 	}
+	j.withdrawn = true
+	p.abandon(j, batch.Result{State: batch.Cancelled, Reason: "its client has left"})
+	p.place()
 }
 
 // Wanted notes that an entry still waits for a job, and gives its result where
--- a/internal/placement/plan/plan_test.go
+++ b/internal/placement/plan/plan_test.go
@@ -121,3 +121,61 @@
 		})
 	}
 }
+
+// TestRequestThatComesTwice has a message about a job overtaken by a later one,
+// as when a VM is slow: what was refused or withdrawn must not start.
+func TestRequestThatComesTwice(t *testing.T) {
+	tests := []struct {
+		name    string
+		first   func(p *Plan, b *batch.Batch)
+		attempt uint64
+		starts  int
+	}{
+		{"refused", func(p *Plan, b *batch.Batch) {
+			busy := jobOf("00000000000000bb", 400, b.Arrived)
+			p.Admit(busy, nil, b.Arrived)
+			p.Admit(b, nil, b.Arrived)
+			p.Withdraw(busy.ID, busy.Attempt, b.Arrived)
+		}, 1, 0},
+		{"refused, and sent again by the client", func(p *Plan, b *batch.Batch) {
+			busy := jobOf("00000000000000bb", 400, b.Arrived)
+			p.Admit(busy, nil, b.Arrived)
+			p.Admit(b, nil, b.Arrived)
+			p.Withdraw(busy.ID, busy.Attempt, b.Arrived)
+		}, 2, 1},
+		{"withdrawn first", func(p *Plan, b *batch.Batch) { p.Withdraw(b.ID, 1, b.Arrived) }, 1, 0},
+		{"withdrawn first, and sent again by the client", func(p *Plan, b *batch.Batch) { p.Withdraw(b.ID, 1, b.Arrived) }, 2, 1},
+		{"withdrawn before, long ago", func(p *Plan, b *batch.Batch) {
+			p.Withdraw(b.ID, 1, b.Arrived.Add(-10*time.Second))
+			p.Tick(b.Arrived)
+		}, 1, 1},
+	}
+	for _, c := range tests {
+		t.Run(c.name, func(t *testing.T) {
+			p := fencedPlan(machine("w1", 4))
+			b := jobOf("00000000000000aa", 1, after(5000))
+			b.Attempt = 1
+			b.Expires = b.Arrived.Add(time.Second)
+			c.first(p, b)
+			p.Orders()
+			for _, key := range keysOf(p.workers["w1"].runs) {
+				p.Take(Report{Worker: "w1", Sent: b.Arrived, Endings: []Ending{{key.task, key.run, Ended}}}, b.Arrived)
+			}
+			p.Orders()
+			again := *b
+			again.Attempt = c.attempt
+			p.Admit(&again, nil, b.Arrived)
+			if got := len(starts(p)); got != c.starts {
+				t.Fatalf("%d starts, want %d", got, c.starts)
+			}
+		})
+	}
+}
+
+func keysOf(runs map[runKey]*run) []runKey {
+	var keys []runKey
+	for key := range runs {
+		keys = append(keys, key)
+	}
+	return keys
+}
--- a/internal/work/batch/batch.go
+++ b/internal/work/batch/batch.go
@@ -47,6 +47,7 @@
 	Kept    bool // must outlive the entries; its end is asked for later
 	Times   int
 	From    string // the entry that waits for the end
+	Attempt uint64 // tells one request of the client from another
 	Arrived time.Time
 	Expires time.Time // when the client leaves
 	Again   bool      // may have been started before under another holder
--- a/peer/pool.go
+++ b/peer/pool.go
@@ -17,7 +17,7 @@
 	OnPlace    func(group string, b *batch.Batch, done []string) bool
 	OnAwait    func(group string, ids []string) (results []batch.Result, unknown []string, held bool)
 	OnSettle   func(results []batch.Result)
-	OnWithdraw func(group, id string)
+	OnWithdraw func(group, id string, attempt uint64)
 }
 
 // Place takes a job.
@@ -39,7 +39,7 @@
 
 // Withdraw drops a job.
 func (p Pool) Withdraw(_ context.Context, r *wire.WithdrawRequest) (*wire.WithdrawReply, error) {
-	p.OnWithdraw(r.Group, r.Id)
+	p.OnWithdraw(r.Group, r.Id, r.Attempt)
 	return &wire.WithdrawReply{}, nil
 }
 
@@ -69,8 +69,8 @@
 }
 
 // Withdraw tells another entry that a job's client has left.
-func (c *Client) Withdraw(ctx context.Context, address, group, id string) error {
-	_, err := c.peer(address).Withdraw(ctx, &wire.WithdrawRequest{Group: group, Id: id})
+func (c *Client) Withdraw(ctx context.Context, address, group, id string, attempt uint64) error {
+	_, err := c.peer(address).Withdraw(ctx, &wire.WithdrawRequest{Group: group, Id: id, Attempt: attempt})
 	return err
 }
 
@@ -79,7 +79,7 @@
 		Group: group, Id: b.ID, Spec: b.Spec, Queue: b.Queue, Service: b.Service, Version: b.Version,
 		Priority: uint32(max(0, b.Priority)), Attempts: uint32(b.Attempts), Stretch: float32(b.Stretch),
 		SlackMs: uint32(b.Slack.Milliseconds()), From: b.From, AgeMs: age(b.Arrived), LeftMs: waitMs(b.Expires),
-		Again: b.Again, Done: done,
+		Again: b.Again, Done: done, Attempt: b.Attempt,
 	}
 	for _, s := range b.Steps {
 		step := &wire.Step{
@@ -102,7 +102,7 @@
 			Queue: r.Queue, Service: r.Service, Version: r.Version, Priority: int(r.Priority), Attempts: int(r.Attempts),
 			Stretch: float64(r.Stretch), Slack: milliseconds(r.SlackMs),
 		},
-		ID: r.Id, Spec: r.Spec, From: r.From, Again: r.Again,
+		ID: r.Id, Spec: r.Spec, From: r.From, Again: r.Again, Attempt: r.Attempt,
 		Arrived: now.Add(-milliseconds(r.AgeMs)), Expires: now.Add(milliseconds(r.LeftMs)),
 	}
 	for _, s := range r.Steps {
