node, platform: Test the whole path against stand-ins

The stand-ins for workers and the store speak the platform's form. A zone of real entries over them is killed at its holder, drained, given orders that are carried out late, workers that fail all, and a store that goes away: every job is answered, no task runs twice at once, no worker is given more than its room.

Found and changed: Run reported the closing of its listeners as a failure when the node was ended from outside; Abort ends it like a kill.

--- /dev/null
+++ b/internal/gateway/node/node_test.go
@@ -0,0 +1,280 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/radishgate/radishgate/internal/gateway/settings"
+	"github.com/radishgate/radishgate/standin/ledger"
+	"github.com/radishgate/radishgate/standin/worker"
+)
+
+// fleet is a zone of entries over workers, with stand-ins for all else.
+type fleet struct {
+	t       *testing.T
+	store   *ledger.Ledger
+	watch   *worker.Watch
+	nodes   []*Node
+	stops   []context.CancelFunc
+	stopped []chan struct{}
+	address string // of the store
+}
+
+const configuration = `{"version":%d,"routes":[{"name":"hold","host":"hold.example","path-prefix":"/hold/","slo-ms":60,"backend":"listing","max-attempts":3,"slack-factor":1.6}],"services":[{"name":"listing"}]}`
+
+func newFleet(t *testing.T, entries, workers int, options worker.Options) *fleet {
+	f := &fleet{t: t, store: ledger.New(), watch: &worker.Watch{}}
+	server := httptest.NewServer(f.store)
+	t.Cleanup(server.Close)
+	f.address = strings.TrimPrefix(server.URL, "http://")
+	f.store.Put("keyed.op", "config", fmt.Appendf(nil, configuration, 1))
+	for i := range workers {
+		f.addWorker(fmt.Sprintf("w%d", i), options)
+	}
+	listeners := make([]net.Listener, entries)
+	var seeds []string
+	for i := range listeners {
+		listeners[i] = listen(t)
+		seeds = append(seeds, listeners[i].Addr().String())
+	}
+	for i := range entries {
+		f.addNode(fmt.Sprintf("e%d", i), listeners[i], seeds)
+	}
+	t.Cleanup(f.close)
+	return f
+}
+
+func listen(t *testing.T) net.Listener {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return l
+}
+
+func (f *fleet) addWorker(id string, options worker.Options) {
+	options.ID, options.Watch, options.Room = id, f.watch, 2
+	server := httptest.NewServer(worker.New(options))
+	f.t.Cleanup(server.Close)
+	f.store.Put("keyed.servers", id, fmt.Appendf(nil,
+		`{"backend":"listing","address":%q,"zone":"a","state":"ready","capacity":{"cpu":2000,"mem-mb":1000},"labels":["k"],"seq":1}`,
+		strings.TrimPrefix(server.URL, "http://")))
+}
+
+func (f *fleet) addNode(id string, peers net.Listener, seeds []string) {
+	clients, ready := listen(f.t), listen(f.t)
+	n, err := New(Options{
+		Settings: &settings.Settings{
+			VM: id, Zone: "a", Zones: []string{"a"}, Processors: 1, Memory: 256, Peers: peers.Addr().String(), Seeds: seeds,
+			Store: f.address, Lease: time.Second, Grace: 4 * time.Second, Groups: 1, Beat: 50 * time.Millisecond,
+		},
+		Log: slog.New(slog.NewTextHandler(io.Discard, nil)), Dropped: func() int64 { return 0 },
+		Clients: clients, Peers: peers, Ready: ready,
+	})
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		if err := n.Run(ctx); err != nil {
+			f.t.Error(err)
+		}
+	}()
+	f.nodes, f.stops, f.stopped = append(f.nodes, n), append(f.stops, stop), append(f.stopped, done)
+}
+
+func (f *fleet) close() {
+	for i := range f.nodes {
+		f.nodes[i].Abort()
+	}
+	for i := range f.stops {
+		f.stops[i]()
+		<-f.stopped[i]
+	}
+}
+
+// ready waits until every node has a configuration and knows a holder.
+func (f *fleet) ready() {
+	for _, n := range f.nodes {
+		f.until("a holder is known", func() bool {
+			_, ok := n.seat(groupName("a", 0))
+			return ok && n.Ready()
+		})
+	}
+}
+
+func (f *fleet) until(what string, done func() bool) {
+	f.t.Helper()
+	for range 2000 {
+		if done() {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	f.t.Fatalf("%s: never", what)
+}
+
+// submit hands a job in at a node and gives status and body, 0 for none.
+func (f *fleet) submit(n *Node, id string, tasks int) (int, string) {
+	body := fmt.Sprintf(`{"spec":"x","steps":[{"count":%d,"cpu":1000,"mem-mb":10,"est-runtime-ms":20}],"best-effort":true}`, tasks)
+	request, err := http.NewRequest(http.MethodPost, "http://"+n.listeners.clients.Addr().String()+"/hold/"+id, strings.NewReader(body))
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	request.Host = "hold.example"
+	request.Header.Set("Deadline-Ms", "15000")
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return 0, ""
+	}
+	defer response.Body.Close()
+	data, err := io.ReadAll(response.Body)
+	if err != nil {
+		return 0, ""
+	}
+	return response.StatusCode, string(data)
+}
+
+func (f *fleet) holder() int {
+	for i, n := range f.nodes {
+		if _, held := n.holder(groupName("a", 0)); held && n.ctx.Err() == nil {
+			return i
+		}
+	}
+	return -1
+}
+
+func (f *fleet) check() {
+	f.t.Helper()
+	twice, over := f.watch.Broken()
+	if len(twice) > 0 || len(over) > 0 {
+		f.t.Fatalf("two runs at once: %v; more than the room: %v", twice, over)
+	}
+}
+
+// load hands jobs in at the nodes in turn, while something happens, and gives
+// the answers that were not a completed job.
+func (f *fleet) load(jobs int, nodes []*Node, meanwhile func()) []string {
+	var group sync.WaitGroup
+	var mu sync.Mutex
+	var bad []string
+	for i := range jobs {
+		group.Go(func() {
+			id := fmt.Sprintf("%016x", i+1)
+			status, body := f.submit(nodes[i%len(nodes)], id, 1+i%3)
+			if status != http.StatusOK || !strings.Contains(body, "completed") {
+				mu.Lock()
+				bad = append(bad, fmt.Sprintf("%s: %d %s", id, status, body))
+				mu.Unlock()
+			}
+		})
+		if i == jobs/2 {
+			meanwhile()
+		}
+		time.Sleep(2 * time.Millisecond)
+	}
+	group.Wait()
+	return bad
+}
+
+func TestJobsAreServedThroughAnyEntry(t *testing.T) {
+	f := newFleet(t, 3, 6, worker.Options{})
+	f.ready()
+	if bad := f.load(90, f.nodes, func() {}); len(bad) > 0 {
+		t.Fatal(bad)
+	}
+	f.check()
+	if status, _ := f.submit(f.nodes[0], "nothexadecimal00", 1); status != http.StatusNotFound {
+		t.Fatalf("status %d for a name that is none", status)
+	}
+}
+
+// TestHolderIsKilled kills the entry that places the tasks while jobs wait at
+// the others: each is answered, and no task runs twice at once.
+func TestHolderIsKilled(t *testing.T) {
+	f := newFleet(t, 3, 6, worker.Options{Fate: func(string) (string, time.Duration) { return "done", 60 * time.Millisecond }})
+	f.ready()
+	var others []*Node
+	victim := f.holder()
+	for i, n := range f.nodes {
+		if i != victim {
+			others = append(others, n)
+		}
+	}
+	if bad := f.load(120, others, f.nodes[victim].Abort); len(bad) > 0 {
+		t.Fatal(bad)
+	}
+	f.check()
+}
+
+// TestHolderStopsGracefully sends jobs to the holder itself while it drains.
+func TestHolderStopsGracefully(t *testing.T) {
+	f := newFleet(t, 3, 6, worker.Options{Fate: func(string) (string, time.Duration) { return "done", 60 * time.Millisecond }})
+	f.ready()
+	holder := f.holder()
+	if bad := f.load(120, f.nodes, f.stops[holder]); len(bad) > 0 {
+		t.Fatal(bad)
+	}
+	<-f.stopped[holder]
+	f.check()
+}
+
+// TestOrdersThatAreCarriedOutLate delays one start in twenty past its answer.
+func TestOrdersThatAreCarriedOutLate(t *testing.T) {
+	var count atomic.Int64
+	f := newFleet(t, 2, 6, worker.Options{Late: func(path string) time.Duration {
+		if path == "/run-start" && count.Add(1)%20 == 0 {
+			return 1200 * time.Millisecond
+		}
+		return 0
+	}})
+	f.ready()
+	if bad := f.load(120, f.nodes, func() {}); len(bad) > 0 {
+		t.Fatal(bad)
+	}
+	f.check()
+}
+
+// TestTasksThatFailGoElsewhere has one worker fail all that it starts.
+func TestTasksThatFailGoElsewhere(t *testing.T) {
+	f := newFleet(t, 2, 5, worker.Options{})
+	f.addWorker("bad", worker.Options{Fate: func(string) (string, time.Duration) { return "failed", time.Millisecond }})
+	f.ready()
+	if bad := f.load(120, f.nodes, func() {}); len(bad) > 0 {
+		t.Fatal(bad)
+	}
+	f.check()
+}
+
+// TestStoreIsDown serves on while the store is away, and takes a configuration
+// and the loss of the history when it is back.
+func TestStoreIsDown(t *testing.T) {
+	f := newFleet(t, 2, 4, worker.Options{})
+	f.ready()
+	var down atomic.Bool
+	f.store.Down = down.Load
+	down.Store(true)
+	if bad := f.load(60, f.nodes, func() {}); len(bad) > 0 {
+		t.Fatal(bad)
+	}
+	f.store.Put("keyed.op", "config", fmt.Appendf(nil, configuration, 5))
+	f.store.Put("keyed.op", "config", fmt.Appendf(nil, configuration, 4))
+	f.store.Forget("keyed.op")
+	down.Store(false)
+	f.until("the newest configuration", func() bool {
+		return f.nodes[0].routes.Version() == 4 || f.nodes[0].routes.Version() == 5
+	})
+	f.check()
+}
--- a/internal/gateway/node/serve.go
+++ b/internal/gateway/node/serve.go
@@ -78,6 +78,7 @@
 	select {
 	case <-ctx.Done():
 		n.drain(clients)
+	case <-n.ctx.Done():
 	case failure = <-failures:
 		n.log.Error("server failed", "error", failure)
 	}
@@ -94,6 +95,10 @@
 	return failure
 }
 
+// Abort ends the node at once, as a kill of the process would: connections are
+// cut and nothing is told to anybody.
+func (n *Node) Abort() { n.cancel() }
+
 func serve(server *http.Server, listener net.Listener, failures chan<- error) {
 	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 		failures <- err
--- a/internal/worker/fence/source.go
+++ b/internal/worker/fence/source.go
@@ -52,10 +52,3 @@
 	s.count = min(s.count+s.jump, 1<<countBits-2)
 	s.jump = min(s.jump*2, stepsPerSecond*3600)
 }
-
-// Above makes later tokens higher than one that was heard of.
-func (s *Source) Above(token int64) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.count = max(s.count, token>>holderBits)
-}
--- /dev/null
+++ b/standin/ledger/ledger.go
@@ -0,0 +1,159 @@
+// Package ledger is a stand-in for the platform's store with topics of keyed records, in the platform's form.
+package ledger
+
+import (
+	"encoding/base64"
+	"encoding/binary"
+	"encoding/json"
+	"io"
+	"net/http"
+	"sort"
+	"strconv"
+	"sync"
+	"time"
+)
+
+type record struct {
+	key   string
+	value []byte
+}
+
+type topic struct {
+	first   int64
+	records []record
+}
+
+// Ledger is safe for concurrent use. Down makes every call fail while it
+// returns true.
+type Ledger struct {
+	Down func() bool
+
+	mu     sync.Mutex
+	topics map[string]*topic
+	change chan struct{}
+}
+
+// New makes an empty store.
+func New() *Ledger {
+	return &Ledger{Down: func() bool { return false }, topics: map[string]*topic{}, change: make(chan struct{})}
+}
+
+func (l *Ledger) topic(name string) *topic {
+	t, known := l.topics[name]
+	if !known {
+		t = &topic{}
+		l.topics[name] = t
+	}
+	return t
+}
+
+// Put writes a record, as an operator or a worker would. No value drops the key.
+func (l *Ledger) Put(name, key string, value []byte) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	t := l.topic(name)
+	t.records = append(t.records, record{key, value})
+	close(l.change)
+	l.change = make(chan struct{})
+}
+
+// Forget drops the history of a topic but for the newest record of each key.
+func (l *Ledger) Forget(name string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	t := l.topic(name)
+	t.first = int64(len(t.records))
+}
+
+// ServeHTTP takes one call.
+func (l *Ledger) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if l.Down() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	name := r.URL.Query().Get("topic")
+	switch r.URL.Path {
+	case "/log-append":
+		l.append(w, r, name)
+	case "/log-newest":
+		l.newest(w, name)
+	case "/log-read":
+		l.read(w, r, name)
+	default:
+		w.WriteHeader(http.StatusNotFound)
+	}
+}
+
+func (l *Ledger) append(w http.ResponseWriter, r *http.Request, name string) {
+	data, err := io.ReadAll(r.Body)
+	if err != nil || len(data) < 5 {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	body := data[4 : 4+binary.BigEndian.Uint32(data)]
+	key := 1 + int(body[0])
+	l.Put(name, string(body[1:key]), body[key:])
+	_, _ = io.WriteString(w, "{}")
+}
+
+func (l *Ledger) newest(w http.ResponseWriter, name string) {
+	type item struct {
+		Key    string `json:"key"`
+		Value  string `json:"value"`
+		Offset int64  `json:"offset"`
+	}
+	l.mu.Lock()
+	t := l.topic(name)
+	last := map[string]item{}
+	for i, rec := range t.records {
+		last[rec.key] = item{rec.key, base64.StdEncoding.EncodeToString(rec.value), int64(i)}
+		if len(rec.value) == 0 {
+			delete(last, rec.key)
+		}
+	}
+	end := len(t.records)
+	l.mu.Unlock()
+	items := []item{}
+	for _, i := range last {
+		items = append(items, i)
+	}
+	sort.Slice(items, func(a, b int) bool { return items[a].Key < items[b].Key })
+	data, _ := json.Marshal(map[string]any{"items": items, "has-more": false, "end": end})
+	_, _ = w.Write(data)
+}
+
+func (l *Ledger) read(w http.ResponseWriter, r *http.Request, name string) {
+	from, _ := strconv.ParseInt(r.URL.Query().Get("from"), 10, 64)
+	wait, _ := strconv.ParseInt(r.URL.Query().Get("wait-ms"), 10, 64)
+	timer := time.NewTimer(time.Duration(wait) * time.Millisecond)
+	defer timer.Stop()
+	for {
+		l.mu.Lock()
+		t, change := l.topic(name), l.change
+		if from < t.first {
+			l.mu.Unlock()
+			w.WriteHeader(http.StatusGone)
+			return
+		}
+		fresh := t.records[min(from, int64(len(t.records))):]
+		data := binary.BigEndian.AppendUint64(nil, uint64(len(t.records)))
+		data = binary.BigEndian.AppendUint64(data, uint64(t.first))
+		for _, rec := range fresh {
+			data = binary.BigEndian.AppendUint32(data, uint32(1+len(rec.key)+len(rec.value)))
+			data = append(append(append(data, byte(len(rec.key))), rec.key...), rec.value...)
+		}
+		l.mu.Unlock()
+		if len(fresh) > 0 {
+			_, _ = w.Write(data)
+			return
+		}
+		select {
+		case <-change:
+		case <-timer.C:
+			_, _ = w.Write(data)
+			return
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
