plan, desk: Send jobs that find no room to a zone that has it

Change: holders count how many tasks of the usual size they could take and tell each other with their heartbeats. A job of which nothing has started and that finds no room goes, whole and once, to the group with the most room. The home zone's holder remembers where, for clients that send again.

--- a/internal/gateway/desk/desk.go
+++ b/internal/gateway/desk/desk.go
@@ -162,10 +162,10 @@
 	finished := w.finished
 	d.mu.Unlock()
 	if seat.Own {
-		d.placed(w, seat, d.offer(ctx, seat, &b, finished))
+		d.placed(ctx, w, seat, d.offer(ctx, seat, &b, finished))
 		return
 	}
-	go func() { d.placed(w, seat, d.offer(ctx, seat, &b, finished)) }()
+	go func() { d.placed(ctx, w, seat, d.offer(ctx, seat, &b, finished)) }()
 }
 
 func (d *Desk) offer(ctx context.Context, seat Seat, b *batch.Batch, finished []string) bool {
@@ -178,21 +178,35 @@
 	return err == nil && held
 }
 
-func (d *Desk) placed(w *waiting, seat Seat, held bool) {
+// placed notes the answer of a holder. A job that was sent to another group
+// meanwhile is handed in there.
+func (d *Desk) placed(ctx context.Context, w *waiting, seat Seat, held bool) {
 	d.mu.Lock()
-	defer d.mu.Unlock()
 	w.busy = false
-	w.seated = held && w.seat == seat
-	w.heardAt = time.Now()
+	turned := w.seat != seat
+	if !turned {
+		w.seated = held
+		w.heardAt = time.Now()
+	}
+	d.mu.Unlock()
+	if turned {
+		d.place(ctx, w)
+	}
 }
 
 // Settle takes results from holders.
 func (d *Desk) Settle(results []batch.Result) {
+	var again []*waiting
 	for _, r := range results {
 		d.mu.Lock()
 		w, known := d.jobs[r.ID]
 		switch {
 		case !known:
+		case r.State == batch.Moved && r.Group != "" && w.batch.Away:
+			// told twice
+		case r.State == batch.Moved && r.Group != "":
+			w.turn(r.Group)
+			again = append(again, w)
 		case r.State == batch.Moved:
 			w.seated = false
 			w.finished = append(w.finished, r.Done...)
@@ -204,6 +218,17 @@
 		}
 		d.mu.Unlock()
 	}
+	for _, w := range again {
+		d.place(context.Background(), w)
+	}
+}
+
+// turn sends a job of which nothing has started to another group.
+func (w *waiting) turn(group string) {
+	b := *w.batch
+	b.Away = true
+	w.batch, w.group = &b, group
+	w.seat, w.seated, w.offered = Seat{}, false, false
 }
 
 // Run hands jobs in again whose holder has changed, and asks holders for those
--- a/internal/gateway/node/beats.go
+++ b/internal/gateway/node/beats.go
@@ -54,7 +54,9 @@
 	defer ticker.Stop()
 	for step := 0; ctx.Err() == nil; step++ {
 		n.members.Sweep()
+		n.countVacancies()
 		records, targets := n.members.Beat()
+		targets = n.addHolders(targets)
 		n.send(ctx, &group, records, targets)
 		if first := step < firstBeats; first || step%contactBeats == 0 {
 			n.tryContacts(ctx, &group, records, first)
@@ -67,6 +69,29 @@
 	}
 }
 
+// addHolders lets an entry that holds a group tell those that hold the others:
+// they pass jobs to each other by the room that each has left.
+func (n *Node) addHolders(targets []member.Record) []member.Record {
+	n.mu.Lock()
+	holds := len(n.holders) > 0
+	n.mu.Unlock()
+	if !holds {
+		return targets
+	}
+	there := map[string]bool{n.settings.VM: true}
+	for _, r := range targets {
+		there[r.ID] = true
+	}
+	for _, c := range n.tenure.Claims() {
+		r, state, known := n.members.Find(c.Holder)
+		if known && state != member.Dead && !there[c.Holder] {
+			there[c.Holder] = true
+			targets = append(targets, r)
+		}
+	}
+	return targets
+}
+
 // contactBeats is the number of heartbeats between attempts to meet an entry
 // that is not among the members.
 // An entry that has just started tries all of them each time, since others may
@@ -96,7 +121,7 @@
 }
 
 func (n *Node) compose(records []member.Record) *wire.Beat {
-	beat := &wire.Beat{Claims: peer.PackClaims(n.tenure.Claims())}
+	beat := &wire.Beat{Claims: peer.PackClaims(n.tenure.Claims()), Vacancies: n.vacancies.pack()}
 	for _, r := range records {
 		beat.Members = append(beat.Members, peer.Pack(r))
 	}
@@ -138,6 +163,7 @@
 		records = append(records, peer.Unpack(m))
 	}
 	n.heardAt.Store(time.Now().UnixMilli())
+	n.vacancies.merge(beat.Vacancies)
 	before := n.members.Generation()
 	n.members.Merge(records)
 	claims := n.tenure.Merge(peer.UnpackClaims(beat.Claims))
--- a/internal/gateway/node/node.go
+++ b/internal/gateway/node/node.go
@@ -59,6 +59,8 @@
 	heardAt  atomic.Int64 // Unix ms of the last heartbeat of another entry
 	contacts contacts
 
+	vacancies vacancies
+
 	mu      sync.Mutex
 	holders map[string]*holder.Holder // by group
 
@@ -75,7 +77,8 @@
 		store: platform.NewStore(s.Store), workers: platform.NewWorkers(),
 		client: peer.NewClient(nil, &counted.Counter{}, nil),
 		routes: routes.New(), registry: registry.New(), holders: map[string]*holder.Holder{},
-		contacts: contacts{addresses: map[string]bool{}},
+		contacts:  contacts{addresses: map[string]bool{}},
+		vacancies: vacancies{groups: map[string]vacancy{}},
 	}
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	if err := n.listen(options); err != nil {
--- a/internal/gateway/node/node_test.go
+++ b/internal/gateway/node/node_test.go
@@ -263,16 +263,14 @@
 func TestStoreIsDown(t *testing.T) {
 	f := newFleet(t, 2, 4, worker.Options{})
 	f.ready()
-	var down atomic.Bool
-	f.store.Down = down.Load
-	down.Store(true)
+	f.store.Down.Store(true)
 	if bad := f.load(60, f.nodes, func() {}); len(bad) > 0 {
 		t.Fatal(bad)
 	}
 	f.store.Put("keyed.op", "config", fmt.Appendf(nil, configuration, 5))
 	f.store.Put("keyed.op", "config", fmt.Appendf(nil, configuration, 4))
 	f.store.Forget("keyed.op")
-	down.Store(false)
+	f.store.Down.Store(false)
 	f.until("the newest configuration", func() bool {
 		return f.nodes[0].routes.Version() == 4 || f.nodes[0].routes.Version() == 5
 	})
--- a/internal/placement/holder/holder.go
+++ b/internal/placement/holder/holder.go
@@ -204,6 +204,20 @@
 	return results, unknown
 }
 
+// Vacancy counts the tasks that the workers could take at once.
+func (h *Holder) Vacancy() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.plan.Vacancy()
+}
+
+// Vacancies takes those of other groups.
+func (h *Holder) Vacancies(tasks map[string]int) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.plan.Vacancies(tasks)
+}
+
 // Load tells of the present work.
 func (h *Holder) Load() plan.Load {
 	h.mu.Lock()
--- a/internal/placement/plan/place.go
+++ b/internal/placement/plan/place.go
@@ -49,6 +49,7 @@
 		}
 		p.placeJob(j, open)
 	}
+	p.spill()
 	p.compact()
 }
 
@@ -194,6 +195,7 @@
 		t.job.result.State = batch.Running
 	}
 	p.add(r)
+	p.resize(float64(r.room.Processors))
 	p.board.Begin(w.ID, p.at.Add(trialSpan))
 	p.order(Order{Kind: Start, Worker: w.ID, Task: t.name, Run: r.runKey.run, Batch: t.job.Batch})
 }
--- a/internal/placement/plan/plan.go
+++ b/internal/placement/plan/plan.go
@@ -73,6 +73,8 @@
 	at      time.Time // of the event that is being handled
 	// disputedTo is when nothing can run any more that another holder has started.
 	disputedTo time.Time
+	vacancies  map[string]int // tasks that other groups could take at once
+	size       float64        // of the tasks of late, in thousandths of a core
 }
 
 // orphan is a task that ended well before its job was known here.
--- a/internal/placement/plan/plan_test.go
+++ b/internal/placement/plan/plan_test.go
@@ -179,3 +179,59 @@
 	}
 	return keys
 }
+
+// TestSpill has a burst in one zone: what finds no room goes to another group
+// that has much of it, once, and whole.
+func TestSpill(t *testing.T) {
+	tests := []struct {
+		name      string
+		tasks     int
+		away      bool
+		again     bool
+		vacancies map[string]int
+		group     string
+	}{
+		{"another group has room", 4, false, false, map[string]int{"b/00": 20, "c/00": 30}, "c/00"},
+		{"no group has enough", 4, false, false, map[string]int{"b/00": 8}, ""},
+		{"it would take most of the room", 12, false, false, map[string]int{"b/00": 20}, ""},
+		{"it has been sent here", 4, true, false, map[string]int{"b/00": 20}, ""},
+		{"it may have been started before", 4, false, true, map[string]int{"b/00": 20}, ""},
+		{"nothing is known of other groups", 4, false, false, nil, ""},
+	}
+	for _, c := range tests {
+		t.Run(c.name, func(t *testing.T) {
+			p := fencedPlan(machine("w1", 4))
+			p.Admit(jobOf("00000000000000bb", 4, start), nil, start)
+			p.Orders()
+			p.Vacancies(c.vacancies)
+			b := jobOf("00000000000000aa", c.tasks, after(10))
+			b.Away, b.Again = c.away, c.again
+			p.Admit(b, nil, after(10))
+			settled := kinds(p.Orders(), Settle)
+			if c.group == "" {
+				if len(settled) > 0 {
+					t.Fatalf("%+v", settled)
+				}
+				return
+			}
+			if len(settled) != 1 || settled[0].Result.State != batch.Moved || settled[0].Result.Group != c.group {
+				t.Fatalf("%+v", settled)
+			}
+			p.Take(Report{Worker: "w1", Sent: after(200), Endings: []Ending{
+				{"00000000000000bb.0.0.0", 1, Done},
+				{"00000000000000bb.0.0.1", 1, Done},
+				{"00000000000000bb.0.0.2", 1, Done},
+				{"00000000000000bb.0.0.3", 1, Done},
+			}}, after(200))
+			if got := starts(p); len(got) > 0 {
+				t.Fatalf("%+v started here as well", got)
+			}
+			again := *b
+			again.Attempt = 2
+			p.Admit(&again, nil, after(300))
+			if settled := kinds(p.Orders(), Settle); len(settled) != 1 || settled[0].Result.Group != c.group {
+				t.Fatalf("a client that sends again is told %+v", settled)
+			}
+		})
+	}
+}
--- a/internal/work/batch/batch.go
+++ b/internal/work/batch/batch.go
@@ -51,6 +51,7 @@
 	Arrived time.Time
 	Expires time.Time // when the client leaves
 	Again   bool      // may have been started before under another holder
+	Away    bool      // comes from another availability zone, where there was no room
 }
 
 // Tasks counts the tasks of all steps.
@@ -107,4 +108,5 @@
 	Reason  string
 	RetryAt time.Time
 	Done    []string // tasks that had ended well when the job moved
+	Group   string   // of workers that has to take the job, when nothing of it has started
 }
--- a/peer/pool.go
+++ b/peer/pool.go
@@ -79,7 +79,7 @@
 		Group: group, Id: b.ID, Spec: b.Spec, Queue: b.Queue, Service: b.Service, Version: b.Version,
 		Priority: uint32(max(0, b.Priority)), Attempts: uint32(b.Attempts), Stretch: float32(b.Stretch),
 		SlackMs: uint32(b.Slack.Milliseconds()), From: b.From, AgeMs: age(b.Arrived), LeftMs: waitMs(b.Expires),
-		Again: b.Again, Done: done, Attempt: b.Attempt,
+		Again: b.Again, Done: done, Attempt: b.Attempt, Away: b.Away,
 	}
 	for _, s := range b.Steps {
 		step := &wire.Step{
@@ -102,7 +102,7 @@
 			Queue: r.Queue, Service: r.Service, Version: r.Version, Priority: int(r.Priority), Attempts: int(r.Attempts),
 			Stretch: float64(r.Stretch), Slack: milliseconds(r.SlackMs),
 		},
-		ID: r.Id, Spec: r.Spec, From: r.From, Again: r.Again, Attempt: r.Attempt,
+		ID: r.Id, Spec: r.Spec, From: r.From, Again: r.Again, Attempt: r.Attempt, Away: r.Away,
 		Arrived: now.Add(-milliseconds(r.AgeMs)), Expires: now.Add(milliseconds(r.LeftMs)),
 	}
 	for _, s := range r.Steps {
@@ -125,7 +125,7 @@
 	var outcomes []*wire.Outcome
 	for _, r := range results {
 		outcomes = append(outcomes, &wire.Outcome{
-			Id: r.ID, State: string(r.State), Reason: r.Reason, RetryMs: waitMs(r.RetryAt), Done: r.Done,
+			Id: r.ID, State: string(r.State), Reason: r.Reason, RetryMs: waitMs(r.RetryAt), Done: r.Done, Group: r.Group,
 		})
 	}
 	return outcomes
@@ -136,7 +136,7 @@
 	var results []batch.Result
 	for _, o := range outcomes {
 		results = append(results, batch.Result{
-			ID: o.Id, State: batch.State(o.State), Reason: o.Reason, RetryAt: now.Add(milliseconds(o.RetryMs)), Done: o.Done,
+			ID: o.Id, State: batch.State(o.State), Reason: o.Reason, RetryAt: now.Add(milliseconds(o.RetryMs)), Done: o.Done, Group: o.Group,
 		})
 	}
 	return results
--- a/standin/ledger/ledger.go
+++ b/standin/ledger/ledger.go
@@ -10,6 +10,7 @@
 	"sort"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -23,10 +24,9 @@
 	records []record
 }
 
-// Ledger is safe for concurrent use. Down makes every call fail while it
-// returns true.
+// Ledger is safe for concurrent use. Every call fails while Down is set.
 type Ledger struct {
-	Down func() bool
+	Down atomic.Bool
 
 	mu     sync.Mutex
 	topics map[string]*topic
@@ -35,7 +35,7 @@
 
 // New makes an empty store.
 func New() *Ledger {
-	return &Ledger{Down: func() bool { return false }, topics: map[string]*topic{}, change: make(chan struct{})}
+	return &Ledger{topics: map[string]*topic{}, change: make(chan struct{})}
 }
 
 func (l *Ledger) topic(name string) *topic {
@@ -67,7 +67,7 @@
 
 // ServeHTTP takes one call.
 func (l *Ledger) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if l.Down() {
+	if l.Down.Load() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
