desk: Ignore a refusal of an earlier holder

Cause: a job that was handed to a second holder took the refusal of the first one, which was slow, for its result, while the second had started it.

Change: once more than one holder may have a job, only an end counts. A job that may have started is given up, not refused, also when it is hopeless.

--- a/internal/gateway/desk/desk.go
+++ b/internal/gateway/desk/desk.go
@@ -54,6 +54,7 @@
 	busy      bool // being handed in
 	tries     int
 	offered   bool // some holder may have taken it
+	several   bool // more than one may have
 	finished  []string
 	heardAt   time.Time
 	askedLast time.Time
@@ -156,6 +157,7 @@
 	}
 	b := *w.batch
 	b.Again = w.offered && (w.seat.Holder != seat.Holder || w.seat.Epoch != seat.Epoch)
+	w.several = w.several || b.Again
 	w.batch = &b // the holder keeps it; it is not changed any more
 	w.seat, w.busy, w.offered, w.askedLast = seat, true, true, time.Now()
 	w.tries++
@@ -204,6 +206,8 @@
 		case !known:
 		case r.State == batch.Moved && r.Group != "" && w.batch.Away:
 			// told twice
+		case r.State == batch.Refused && w.several:
+			// By an earlier holder; a later one may have started it.
 		case r.State == batch.Moved && r.Group != "":
 			w.turn(r.Group)
 			again = append(again, w)
@@ -228,7 +232,7 @@
 	b := *w.batch
 	b.Away = true
 	w.batch, w.group = &b, group
-	w.seat, w.seated, w.offered = Seat{}, false, false
+	w.seat, w.seated, w.offered, w.several = Seat{}, false, false, false
 }
 
 // Run hands jobs in again whose holder has changed, and asks holders for those
--- /dev/null
+++ b/internal/gateway/desk/desk_test.go
@@ -0,0 +1,166 @@
+package desk
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/radishgate/radishgate/internal/work/batch"
+)
+
+// office is a desk with holders that the test answers for.
+type office struct {
+	*Desk
+	mu        sync.Mutex
+	seats     map[string]Seat
+	offers    []offer
+	withdrawn []string
+	held      bool
+}
+
+type offer struct {
+	seat  Seat
+	again bool
+	away  bool
+}
+
+func newOffice(seats ...Seat) *office {
+	o := &office{seats: map[string]Seat{}, held: true}
+	for _, s := range seats {
+		o.seats[s.Group] = s
+	}
+	o.Desk = New(Options{
+		Self: "e1", Log: slog.New(slog.DiscardHandler), Ended: func(*batch.Batch, batch.Result, int) {},
+		Group: func(*batch.Batch) string { return "a" },
+		Seat: func(group string) (Seat, bool) {
+			o.mu.Lock()
+			defer o.mu.Unlock()
+			s, ok := o.seats[group]
+			return s, ok
+		},
+		Place: func(_ context.Context, to Seat, b *batch.Batch, _ []string) (bool, error) {
+			o.mu.Lock()
+			defer o.mu.Unlock()
+			o.offers = append(o.offers, offer{to, b.Again, b.Away})
+			return o.held, nil
+		},
+		Await: func(context.Context, Seat, []string) ([]batch.Result, []string, bool, error) {
+			return nil, nil, true, nil
+		},
+		Withdraw: func(_ context.Context, _ Seat, b *batch.Batch) {
+			o.mu.Lock()
+			defer o.mu.Unlock()
+			o.withdrawn = append(o.withdrawn, b.ID)
+		},
+	})
+	return o
+}
+
+func (o *office) move(s Seat) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.seats[s.Group] = s
+}
+
+func jobOf(span time.Duration) *batch.Batch {
+	now := time.Now()
+	return &batch.Batch{ID: "j", Arrived: now, Expires: now.Add(span), Steps: []batch.Step{{Count: 1}}}
+}
+
+var (
+	first  = Seat{Group: "a", Epoch: 1, Holder: "e1", Own: true}
+	second = Seat{Group: "a", Epoch: 2, Holder: "e2", Own: true}
+	away   = Seat{Group: "b", Epoch: 1, Holder: "f1", Own: true}
+)
+
+func result(state batch.State) batch.Result { return batch.Result{ID: "j", State: state} }
+
+// TestDesk steps through what holders say, with the last result as the client's.
+func TestDesk(t *testing.T) {
+	moved := batch.Result{ID: "j", State: batch.Moved, Group: "b"}
+	tests := []struct {
+		name   string
+		seats  []Seat
+		steps  func(o *office)
+		want   batch.State
+		offers []offer
+	}{
+		{"completed", []Seat{first}, func(o *office) { o.Settle([]batch.Result{result(batch.Completed)}) }, batch.Completed, []offer{{first, false, false}}},
+		{"refused", []Seat{first}, func(o *office) { o.Settle([]batch.Result{result(batch.Refused)}) }, batch.Refused, []offer{{first, false, false}}},
+		{"the holder changes", []Seat{first}, func(o *office) {
+			o.move(second)
+			o.Sweep(context.Background())
+			o.Settle([]batch.Result{result(batch.Completed)})
+		}, batch.Completed, []offer{{first, false, false}, {second, true, false}}},
+		{"an earlier holder refuses what a later one may have started", []Seat{first}, func(o *office) {
+			o.move(second)
+			o.Sweep(context.Background())
+			o.Settle([]batch.Result{result(batch.Refused)})
+			o.Settle([]batch.Result{result(batch.Completed)})
+		}, batch.Completed, []offer{{first, false, false}, {second, true, false}}},
+		{"another zone has room", []Seat{first, away}, func(o *office) {
+			o.Settle([]batch.Result{moved})
+			o.Settle([]batch.Result{moved})
+			o.Settle([]batch.Result{result(batch.Refused)})
+		}, batch.Refused, []offer{{first, false, false}, {away, false, true}}},
+		{"nobody holds the group", nil, func(o *office) {
+			time.Sleep(2 * time.Second)
+			o.Sweep(context.Background())
+		}, batch.Refused, nil},
+		{"no end in the client's time", []Seat{first}, func(*office) {}, batch.Unknown, []offer{{first, false, false}}},
+	}
+	for _, c := range tests {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				o := newOffice(c.seats...)
+				var got batch.Result
+				go func() { got = o.Submit(context.Background(), jobOf(5*time.Second)) }()
+				synctest.Wait()
+				c.steps(o)
+				time.Sleep(6 * time.Second)
+				synctest.Wait()
+				if got.State != c.want {
+					t.Errorf("state %s, want %s", got.State, c.want)
+				}
+				if len(o.offers) != len(c.offers) {
+					t.Fatalf("offers %+v, want %+v", o.offers, c.offers)
+				}
+				for i, want := range c.offers {
+					if o.offers[i] != want {
+						t.Errorf("offer %+v, want %+v", o.offers[i], want)
+					}
+				}
+				if o.Len() != 0 {
+					t.Error("a job is left on the desk")
+				}
+			})
+		})
+	}
+}
+
+// TestClientLeaves withdraws the job once its last client has left.
+func TestClientLeaves(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		o := newOffice(first)
+		ctx, leave := context.WithCancel(context.Background())
+		b := jobOf(5 * time.Second)
+		go o.Submit(ctx, b)
+		synctest.Wait()
+		other, leaveOther := context.WithCancel(context.Background())
+		go o.Submit(other, b)
+		synctest.Wait()
+		leave()
+		synctest.Wait()
+		if len(o.withdrawn) != 0 {
+			t.Fatal("withdrawn while a client waits")
+		}
+		leaveOther()
+		synctest.Wait()
+		if len(o.withdrawn) != 1 || len(o.offers) != 1 {
+			t.Fatalf("withdrawn %v, offers %v", o.withdrawn, o.offers)
+		}
+	})
+}
--- a/internal/placement/plan/job.go
+++ b/internal/placement/plan/job.go
@@ -62,7 +62,7 @@
 		return
 	}
 	if reason := p.hopeless(j); reason != "" {
-		p.refuse(j, reason)
+		p.giveUp(j, reason)
 		return
 	}
 	p.place()
