plan: Bound the work for a task of a busy zone

Change: speeds and run times are kept with workers and jobs, the order of waiting jobs is made anew only when it may have changed, a report tries the one worker whose room changed, and runs of unknown jobs have an index. Only the largest entries of a zone take its group.

--- a/internal/placement/plan/job.go
+++ b/internal/placement/plan/job.go
@@ -33,7 +33,10 @@
 	safeAt    time.Time // when nothing of an earlier holder can run any more
 	forgetAt  time.Time
 	objective time.Time
-	queued    bool // in the list of jobs with tasks to place
+	queued    bool            // in the list of jobs with tasks to place
+	bases     []time.Duration // run time of a task at the speed 1, by step
+	latest    time.Time       // moment to start and still meet the objective
+	late      bool
 }
 
 // Admit takes a job. One that is known goes on, or has its result told again. A
@@ -65,7 +68,7 @@
 		p.giveUp(j, reason)
 		return
 	}
-	p.place()
+	p.placeNew(j)
 }
 
 // over tells whether the result of the job is also that of a request.
@@ -86,7 +89,8 @@
 	}
 	longest := time.Duration(0)
 	for n, s := range b.Steps {
-		longest = max(longest, p.pace.Base(b.Queue, s.Hint))
+		j.bases = append(j.bases, p.pace.Base(b.Queue, s.Hint))
+		longest = max(longest, j.bases[n])
 		for i := range s.Count {
 			t := &task{job: j, step: n, name: batch.TaskName(b.ID, 0, n, i)}
 			if _, there := p.orphans[t.name]; there || ended[t.name] {
@@ -97,6 +101,7 @@
 		}
 	}
 	j.objective = b.Arrived.Add(time.Duration(float64(longest)*b.Stretch) + b.Slack)
+	j.latest = j.objective.Add(-time.Duration(float64(longest) * p.fastest[b.Service]))
 	for _, t := range j.tasks {
 		if t.done {
 			continue
@@ -111,25 +116,22 @@
 
 // adopt finds a run of the task that an earlier holder started.
 func (p *Plan) adopt(t *task) bool {
-	for _, w := range p.workers {
-		for key, r := range w.runs {
-			if key.task != t.name {
-				continue
-			}
-			t.lastRun = max(t.lastRun, key.run)
-			t.job.started = true
-			if r.phase != foreign || w.standing != ready || !r.stopAt.IsZero() {
-				continue
-			}
-			p.own(r, t)
-			return true
-		}
+	r, there := p.strays[t.name]
+	if !there {
+		return false
 	}
-	return false
+	t.lastRun = max(t.lastRun, r.runKey.run)
+	t.job.started = true
+	if r.worker.standing != ready || !r.stopAt.IsZero() {
+		return false
+	}
+	p.own(r, t)
+	return true
 }
 
 // own makes a foreign run one of a task of this holder.
 func (p *Plan) own(r *run, t *task) {
+	delete(p.strays, t.name)
 	r.worker.used = r.worker.used.Minus(r.room)
 	r.task, r.phase, r.room = t, running, t.job.Steps[t.step].Room
 	r.worker.used = r.worker.used.Plus(r.room)
@@ -163,6 +165,7 @@
 	if !j.queued {
 		j.queued = true
 		p.waiting = append(p.waiting, j)
+		p.arranged = false
 	}
 }
 
--- a/internal/placement/plan/place.go
+++ b/internal/placement/plan/place.go
@@ -2,7 +2,7 @@
 
 import (
 	"slices"
-	"sort"
+	"strings"
 	"time"
 
 	"github.com/radishgate/radishgate/internal/work/batch"
@@ -14,43 +14,107 @@
 	if t == nil {
 		return defaultLease
 	}
-	base := p.pace.Base(t.job.Queue, t.job.Steps[t.step].Hint)
-	return time.Duration(float64(base) * p.pace.Factor(w.ID, w.Kind))
+	return time.Duration(float64(t.job.bases[t.step]) * w.factor)
 }
 
 // soonest is the least run time of a task on any worker.
 func (p *Plan) soonest(t *task) time.Duration {
-	least := time.Duration(-1)
-	for _, w := range p.workers {
-		if w.Service != t.job.Service {
-			continue
-		}
-		if d := p.expect(t, w); least < 0 || d < least {
-			least = d
+	return time.Duration(float64(t.job.bases[t.step]) * p.fastest[t.job.Service])
+}
+
+// refresh takes what has been learned of the speed of workers.
+func (p *Plan) refresh() {
+	clear(p.fastest)
+	for _, w := range p.list {
+		w.factor = p.pace.Factor(w.ID, w.Kind)
+		if least, known := p.fastest[w.Service]; !known || w.factor < least {
+			p.fastest[w.Service] = w.factor
 		}
 	}
-	return max(0, least)
 }
 
-// place gives tasks to workers, in the order of what is lost by waiting.
+// relist keeps the workers in a stable order.
+func (p *Plan) relist() {
+	p.list = p.list[:0]
+	for _, w := range p.workers {
+		p.list = append(p.list, w)
+	}
+	slices.SortFunc(p.list, func(a, b *worker) int { return strings.Compare(a.ID, b.ID) })
+	p.refresh()
+}
+
+// place gives tasks to all workers, in the order of what is lost by waiting.
 func (p *Plan) place() {
 	p.compact()
 	if len(p.waiting) == 0 {
 		return
 	}
 	p.arrange()
+	p.placeOn(p.openWorkers())
+	p.spill(p.waiting)
+	p.compact()
+}
+
+// placeAt gives tasks to one worker whose room has changed. Nothing that waits
+// has fitted the others.
+func (p *Plan) placeAt(w *worker) {
+	if len(p.waiting) == 0 || !w.usable() {
+		return
+	}
+	if !p.arranged {
+		p.arrange()
+	}
+	p.placeOn([]*worker{w})
+	p.compact()
+}
+
+// placeNew gives the tasks of a job that has just come to workers. Nothing that
+// waits before it has fitted them.
+func (p *Plan) placeNew(j *job) {
 	open := p.openWorkers()
+	if len(open) > 0 && (!p.doubtful(j) || p.known(j.Service)) {
+		p.placeJob(j, open, roomiest(open))
+	}
+	p.spill([]*job{j})
+	p.compact()
+}
+
+func (p *Plan) placeOn(open []*worker) {
+	if len(open) == 0 {
+		return
+	}
+	most := roomiest(open)
+	unsafe := map[string]bool{} // services of which something is not known
 	for _, j := range p.waiting {
-		if len(open) == 0 {
-			break
+		if most.Processors <= 0 {
+			return
 		}
-		if !p.safe(j) {
-			continue
+		if p.doubtful(j) {
+			bad, asked := unsafe[j.Service]
+			if !asked {
+				bad = !p.known(j.Service)
+				unsafe[j.Service] = bad
+			}
+			if bad {
+				continue
+			}
+		}
+		if p.placeJob(j, open, most) {
+			most = roomiest(open)
 		}
-		p.placeJob(j, open)
 	}
-	p.spill()
-	p.compact()
+}
+
+// roomiest gives the most of each kind of room that any of the workers has left.
+func roomiest(open []*worker) room.Room {
+	var most room.Room
+	for _, w := range open {
+		free := w.free()
+		most.Processors = max(most.Processors, free.Processors)
+		most.Memory = max(most.Memory, free.Memory)
+		most.Accelerators = max(most.Accelerators, free.Accelerators)
+	}
+	return most
 }
 
 // compact drops the jobs that have nothing to place.
@@ -69,50 +133,40 @@
 // clients leave. It answers bursts: a job that has lost its objective must not
 // take the room of one that has not.
 func (p *Plan) arrange() {
-	type rank struct {
-		late bool
-		at   time.Time
-	}
-	ranks := make(map[*job]rank, len(p.waiting))
+	p.arranged = true
 	for _, j := range p.waiting {
-		need := p.soonest(j.pending[0])
-		latest := j.objective.Add(-need)
-		r := rank{latest.Before(p.at), latest}
-		if r.late {
-			r.at = j.Expires
-		}
-		ranks[j] = r
+		j.late = j.latest.Before(p.at)
 	}
-	sort.SliceStable(p.waiting, func(a, b int) bool {
-		x, y := ranks[p.waiting[a]], ranks[p.waiting[b]]
-		if x.late != y.late {
-			return y.late
+	slices.SortStableFunc(p.waiting, func(a, b *job) int {
+		switch {
+		case a.late != b.late && b.late:
+			return -1
+		case a.late != b.late:
+			return 1
+		case a.late:
+			return a.Expires.Compare(b.Expires)
 		}
-		return x.at.Before(y.at)
+		return a.latest.Compare(b.latest)
 	})
 }
 
-// openWorkers lists the workers that can take any task, in a stable order.
+// openWorkers lists the workers that can take tasks.
 func (p *Plan) openWorkers() []*worker {
-	var open []*worker
-	for _, w := range p.workers {
-		if w.usable() && w.free().Processors > 0 {
+	open := p.open[:0]
+	for _, w := range p.list {
+		if w.free().Processors > 0 && w.usable() {
 			open = append(open, w)
 		}
 	}
-	slices.SortFunc(open, func(a, b *worker) int {
-		if a.ID < b.ID {
-			return -1
-		}
-		return 1
-	})
+	p.open = open
 	return open
 }
 
-func (p *Plan) placeJob(j *job, open []*worker) {
+// placeJob starts what it can of a job and tells whether it started anything.
+func (p *Plan) placeJob(j *job, open []*worker, most room.Room) bool {
 	left := j.pending[:0]
 	for _, t := range j.pending {
-		if t.current != nil || !p.turn(t) {
+		if t.current != nil || !j.Steps[t.step].Room.Fits(most) || !p.turn(t) {
 			left = append(left, t)
 			continue
 		}
@@ -123,7 +177,9 @@
 		}
 		p.start(t, w)
 	}
+	started := len(left) < len(j.pending)
 	j.pending = left
+	return started
 }
 
 // turn tells whether the steps before the task's have ended.
@@ -240,7 +296,7 @@
 		}
 		for _, t := range other.pending {
 			s := other.Steps[t.step]
-			ahead += float64(s.Room.Processors) * p.pace.Base(other.Queue, s.Hint).Seconds()
+			ahead += float64(s.Room.Processors) * other.bases[t.step].Seconds()
 		}
 	}
 	for _, w := range p.workers {
--- a/internal/placement/plan/plan.go
+++ b/internal/placement/plan/plan.go
@@ -66,11 +66,17 @@
 	board   *outlier.Board
 
 	workers map[string]*worker
+	list    []*worker          // all, in a stable order
+	open    []*worker          // reused
+	fastest map[string]float64 // least factor of any worker, by service
 	jobs    map[string]*job
 	waiting []*job // with tasks to place
-	orphans map[string]orphan
-	orders  []Order
-	at      time.Time // of the event that is being handled
+	// arranged tells that no job has come to those that wait since their order was made.
+	arranged bool
+	orphans  map[string]orphan
+	strays   map[string]*run // without a task of this holder, by the task's name
+	orders   []Order
+	at       time.Time // of the event that is being handled
 	// disputedTo is when nothing can run any more that another holder has started.
 	disputedTo time.Time
 	vacancies  map[string]int // tasks that other groups could take at once
@@ -96,7 +102,7 @@
 	}
 	p := &Plan{
 		options: options, pace: pace.New(), at: began,
-		workers: map[string]*worker{}, jobs: map[string]*job{}, orphans: map[string]orphan{},
+		workers: map[string]*worker{}, jobs: map[string]*job{}, orphans: map[string]orphan{}, strays: map[string]*run{}, fastest: map[string]float64{},
 	}
 	p.disputedTo = p.leaseEnd(began)
 	p.board = outlier.New(outlier.Options{
@@ -134,12 +140,11 @@
 	leaseMargin = 60 * time.Millisecond // the time in which a lapsed run is ended, and a trip
 )
 
-// safe tells whether all that another holder may have started of a job is known:
-// every worker has taken the token of this holder, or the leases that the other
-// one gave have lapsed.
-func (p *Plan) safe(j *job) bool {
-	lapsed := !p.at.Before(p.disputedTo) && (!j.Again || !p.at.Before(j.safeAt))
-	return lapsed || p.known(j.Service)
+// doubtful tells whether another holder may have started the job. It must not
+// start until every worker has taken the token of this holder, or the leases that
+// the other one gave have lapsed.
+func (p *Plan) doubtful(j *job) bool {
+	return p.at.Before(p.disputedTo) || j.Again && p.at.Before(j.safeAt)
 }
 
 // known tells whether every worker of a service has taken the token.
@@ -160,6 +165,7 @@
 // Tick lets time pass.
 func (p *Plan) Tick(now time.Time) {
 	p.at = now
+	p.refresh()
 	for _, w := range p.workers {
 		p.expireRuns(w)
 	}
--- a/internal/placement/plan/report.go
+++ b/internal/placement/plan/report.go
@@ -72,7 +72,11 @@
 			p.lose(r)
 		}
 	}
-	p.place()
+	if report.Fenced {
+		p.place() // jobs may have waited for this worker to be known
+		return
+	}
+	p.placeAt(w)
 }
 
 // listed takes a row of what runs.
@@ -96,6 +100,7 @@
 func (p *Plan) found(w *worker, key runKey, percent int) {
 	r := &run{runKey: key, worker: w, phase: foreign, room: room.Room{}, sentAt: p.at, beganAt: p.at, percent: percent}
 	p.add(r)
+	p.strays[key.task] = r
 	id, _, _, ok := batch.SplitTask(key.task)
 	j, known := p.jobs[id]
 	if !ok || !known {
@@ -185,8 +190,8 @@
 		return
 	}
 	s := t.job.Steps[t.step]
-	base := p.pace.Base(t.job.Queue, s.Hint)
-	p.pace.Observe(t.job.Queue, r.worker.ID, r.worker.Kind, s.Hint, base, p.at.Sub(r.sentAt))
+	p.pace.Observe(t.job.Queue, r.worker.ID, r.worker.Kind, s.Hint, t.job.bases[t.step], p.at.Sub(r.sentAt))
+	r.worker.factor = p.pace.Factor(r.worker.ID, r.worker.Kind)
 }
 
 // failed counts an attempt of a task. It goes to another worker.
--- a/internal/placement/plan/spill.go
+++ b/internal/placement/plan/spill.go
@@ -45,11 +45,11 @@
 
 // spill sends jobs that found no room, and of which nothing has started, to
 // another group that has much of it. It answers load that differs between zones.
-func (p *Plan) spill() {
+func (p *Plan) spill(jobs []*job) {
 	if len(p.vacancies) == 0 {
 		return
 	}
-	for _, j := range p.waiting {
+	for _, j := range jobs {
 		if j.Away || j.Again || j.started || len(j.pending) != len(j.tasks) || j.result.State.Ended() {
 			continue
 		}
--- a/internal/placement/plan/worker.go
+++ b/internal/placement/plan/worker.go
@@ -50,6 +50,7 @@
 	standing standing
 	gone     bool
 	used     room.Room
+	factor   float64 // run time of a task against that at the speed 1
 	runs     map[runKey]*run
 	renewed  time.Time // when the last renewal that may have reached it was sent
 	quiet    time.Time // since when it has not answered
@@ -79,9 +80,15 @@
 		w = &worker{runs: map[runKey]*run{}, renewed: now}
 		p.workers[registered.ID] = w
 	}
+	changed := w.Worker.Draining != registered.Draining || w.Worker.Room != registered.Room || !known
 	w.Worker = registered
-	p.limitBoard()
-	p.place()
+	if !known {
+		p.limitBoard()
+		p.relist()
+	}
+	if changed {
+		p.place()
+	}
 }
 
 func (p *Plan) limitBoard() {
@@ -101,6 +108,7 @@
 	delete(p.workers, id)
 	p.pace.Forget(id)
 	p.limitBoard()
+	p.relist()
 	p.place()
 }
 
@@ -151,6 +159,9 @@
 		return
 	}
 	delete(r.worker.runs, r.runKey)
+	if p.strays[r.runKey.task] == r {
+		delete(p.strays, r.runKey.task)
+	}
 	r.worker.used = r.worker.used.Minus(r.room)
 }
 
@@ -198,6 +209,7 @@
 func (p *Plan) release(r *run) {
 	t := r.task
 	r.task, r.phase = nil, foreign
+	p.strays[r.runKey.task] = r
 	if t != nil && t.current == r {
 		t.current = nil
 		p.requeue(t)
--- a/internal/placement/tenure/tenure.go
+++ b/internal/placement/tenure/tenure.go
@@ -164,13 +164,22 @@
 	return false
 }
 
+// largeShare is the part of the largest entry's processors that an entry must have
+// to take a group: placing the tasks of a zone is the most work that an entry has.
+const largeShare = 0.75
+
 // first is the candidate of the group's zone that takes it when it is vacant.
 // Entries of other zones do not: one that cannot be reached from there may still
 // be at work for its own zone.
 func first(group, zone string, live []Candidate) string {
-	best, bestRank := "", 0.0
+	best, bestRank, largest := "", 0.0, 0.0
+	for _, l := range live {
+		if l.Zone == zone {
+			largest = max(largest, l.Weight)
+		}
+	}
 	for _, l := range live {
-		if l.Zone != zone {
+		if l.Zone != zone || l.Weight < largest*largeShare {
 			continue
 		}
 		if r := rank(group, l.ID, l.Weight); best == "" || r > bestRank {
