plan, node: Place what comes back at once, and leave out entries that listen

Change: a report that brings tasks back tries all workers; entries are candidates once they have listened, for 0.3 s. Starts, hand-overs and moves of jobs are logged.

--- a/internal/gateway/desk/desk.go
+++ b/internal/gateway/desk/desk.go
@@ -161,8 +161,10 @@
 	w.batch = &b // the holder keeps it; it is not changed any more
 	w.seat, w.busy, w.offered, w.askedLast = seat, true, true, time.Now()
 	w.tries++
-	finished := w.finished
+	finished, tries := w.finished, w.tries
 	d.mu.Unlock()
+	d.options.Log.Info("job handed over", "job", b.ID, "queue", b.Queue, "version", b.Version, "group", seat.Group, "to", seat.Holder,
+		"epoch", seat.Epoch, "again", b.Again, "tries", tries, "left_ms", time.Until(b.Expires).Milliseconds())
 	if seat.Own {
 		d.placed(ctx, w, seat, d.offer(ctx, seat, &b, finished))
 		return
--- a/internal/gateway/node/groups.go
+++ b/internal/gateway/node/groups.go
@@ -15,8 +15,8 @@
 )
 
 // listenSpan is how long an entry that has just started listens for claims
-// before it makes any.
-const listenSpan = 500 * time.Millisecond
+// before it makes any: two heartbeats. Others do not count on it meanwhile.
+const listenSpan = 300 * time.Millisecond
 
 // govern claims the groups that fall to this entry and begins or ends its
 // holders accordingly.
@@ -24,8 +24,12 @@
 	if time.Since(n.began) < listenSpan || ctx.Err() != nil {
 		return
 	}
+	n.members.Update(func(r *member.Record) { r.Ready = !r.Leaving })
 	var live []tenure.Candidate
 	for _, r := range n.members.Live("") {
+		if !r.Ready {
+			continue
+		}
 		live = append(live, tenure.Candidate{ID: r.ID, Life: r.Incarnation, Zone: r.Zone, Weight: r.Weight})
 	}
 	heard, now, claimed := n.hears(), time.Now(), false
--- a/internal/placement/holder/holder.go
+++ b/internal/placement/holder/holder.go
@@ -102,6 +102,9 @@
 	var settled []plan.Order
 	for _, o := range orders {
 		if o.Kind == plan.Settle {
+			if o.Result.State == batch.Moved {
+				h.options.Log.Info("job moved", "job", o.Batch.ID, "from", h.options.Group, "to", o.Result.Group, "reason", o.Result.Reason)
+			}
 			settled = append(settled, o)
 			continue
 		}
@@ -112,6 +115,8 @@
 		switch o.Kind {
 		case plan.Start:
 			start := platform.StartOrder{Task: o.Task, Run: o.Run, Spec: o.Batch.Spec, Lease: s.lease(), Token: s.token}
+			h.options.Log.Info("start ordered", "task", o.Task, "run", o.Run, "worker", o.Worker, "token", s.token,
+				"expected_ms", o.Expected.Milliseconds(), "free", o.Free, "waiting", o.Waiting, "group", h.options.Group)
 			h.group.Go(func() { s.start(start) })
 		case plan.Stop:
 			token := s.token
--- a/internal/placement/plan/job.go
+++ b/internal/placement/plan/job.go
@@ -162,6 +162,7 @@
 		}
 	}
 	j.pending = append(j.pending, t)
+	p.returned = true
 	if !j.queued {
 		j.queued = true
 		p.waiting = append(p.waiting, j)
--- a/internal/placement/plan/place.go
+++ b/internal/placement/plan/place.go
@@ -253,7 +253,10 @@
 	p.add(r)
 	p.resize(float64(r.room.Processors))
 	p.board.Begin(w.ID, p.at.Add(trialSpan))
-	p.order(Order{Kind: Start, Worker: w.ID, Task: t.name, Run: r.runKey.run, Batch: t.job.Batch})
+	p.order(Order{
+		Kind: Start, Worker: w.ID, Task: t.name, Run: r.runKey.run, Batch: t.job.Batch,
+		Expected: p.expect(t, w), Free: w.free().Processors, Waiting: len(p.waiting),
+	})
 }
 
 // trialSpan is the time after which a trial task that has told nothing makes room
--- a/internal/placement/plan/plan.go
+++ b/internal/placement/plan/plan.go
@@ -41,6 +41,11 @@
 	Batch  *batch.Batch
 	Result batch.Result
 	Reason string
+	// Expected, Free and Waiting are what decided a start: the run time expected on
+	// the worker, its thousandths of a core left after it, and the jobs that wait.
+	Expected time.Duration
+	Free     int64
+	Waiting  int
 }
 
 // Options of a plan.
@@ -73,6 +78,7 @@
 	waiting []*job // with tasks to place
 	// arranged tells that no job has come to those that wait since their order was made.
 	arranged bool
+	returned bool // a task has come back to those that wait
 	orphans  map[string]orphan
 	strays   map[string]*run // without a task of this holder, by the task's name
 	orders   []Order
--- a/internal/placement/plan/plan_test.go
+++ b/internal/placement/plan/plan_test.go
@@ -235,3 +235,17 @@
 		})
 	}
 }
+
+// TestTaskThatFailsStartsElsewhereAtOnce has a task fail on one worker while
+// another one is free.
+func TestTaskThatFailsStartsElsewhereAtOnce(t *testing.T) {
+	p := fencedPlan(machine("w1", 1), machine("w2", 1))
+	p.Admit(jobOf("00000000000000aa", 1, after(10)), nil, after(10))
+	begun := starts(p)
+	p.Answered(begun[0].Worker, begun[0].Task, begun[0].Run, Taken, after(11))
+	p.Take(Report{Worker: begun[0].Worker, Sent: after(12), Endings: []Ending{{begun[0].Task, begun[0].Run, Failed}}}, after(20))
+	again := starts(p)
+	if len(again) != 1 || again[0].Worker == begun[0].Worker || again[0].Run <= begun[0].Run {
+		t.Fatalf("first %+v, then %+v", begun, again)
+	}
+}
--- a/internal/placement/plan/report.go
+++ b/internal/placement/plan/report.go
@@ -49,6 +49,7 @@
 	if !known {
 		return
 	}
+	p.returned = false
 	if report.Fenced || w.standing == silent {
 		w.standing = ready
 	}
@@ -72,8 +73,10 @@
 			p.lose(r)
 		}
 	}
-	if report.Fenced {
-		p.place() // jobs may have waited for this worker to be known
+	// Jobs may have waited for this worker to be known, and a task that comes back
+	// may fit another one.
+	if report.Fenced || p.returned {
+		p.place()
 		return
 	}
 	p.placeAt(w)
