plan, node, soak: End jobs of other zones sooner, and bind messages to a claim

Two ways were found by reading: the entry that waited was lost, its client sent again after 1.3 s, and the other zone dropped the job only 1.2 s after it had last been asked for, before stops; and a message under an earlier claim of an entry that had held, lost and taken the group again met an empty plan.

Change: jobs of other zones are dropped after 0.7 s, entries ask each 0.25 s; messages carry the epoch of the claim, and a holder takes only its own; all holders of a process share one source of tokens, so that a later one is above an earlier one. A soak runs entries as processes of their own behind proxies.

Tests: TestJobOfALostEntryEndsBeforeItsClientSendsAgain failed before; TestMessageOfAnEarlierClaimIsNotTaken.

--- a/internal/gateway/desk/desk.go
+++ b/internal/gateway/desk/desk.go
@@ -36,7 +36,7 @@
 // Spans of the desk.
 const (
 	sweepSpan   = 25 * time.Millisecond  // between looks at jobs that have to be handed in again
-	awaitSpan   = 300 * time.Millisecond // without news after which a holder is asked for a job
+	awaitSpan   = 250 * time.Millisecond // without news after which a holder is asked for a job
 	placeSpan   = 400 * time.Millisecond // for the answer to a job that is handed in
 	vacancySpan = 1500 * time.Millisecond
 	returnSpan  = time.Second // after which a client may try again when there was no holder
--- a/internal/gateway/node/beats.go
+++ b/internal/gateway/node/beats.go
@@ -110,7 +110,7 @@
 
 // tryContacts greets addresses at which no member is known.
 func (n *Node) tryContacts(ctx context.Context, group *sync.WaitGroup, records []member.Record, all bool) {
-	known := map[string]bool{n.settings.Peers: true}
+	known := map[string]bool{n.settings.Reach: true}
 	for _, r := range n.members.Live("") {
 		known[r.Peer] = true
 	}
--- a/internal/gateway/node/groups.go
+++ b/internal/gateway/node/groups.go
@@ -57,6 +57,12 @@
 	for _, c := range n.tenure.Claims() {
 		own := c.Holder == n.settings.VM && c.Life == n.life
 		h, held := n.holders[c.Group]
+		if held && own && h.Epoch() != c.Epoch {
+			// Claimed anew: messages under the earlier claim may still be on their way.
+			delete(n.holders, c.Group)
+			ended = append(ended, h)
+			held = false
+		}
 		switch {
 		case own && !held:
 			n.holders[c.Group] = n.newHolder(c)
@@ -77,7 +83,7 @@
 
 func (n *Node) newHolder(c tenure.Claim) *holder.Holder {
 	return holder.New(n.ctx, holder.Options{
-		Group: c.Group, Number: xxhash.Sum64String(n.settings.VM) ^ n.life, Lease: n.settings.Lease,
+		Group: c.Group, Epoch: c.Epoch, Tokens: n.tokens, Lease: n.settings.Lease,
 		Calls: holder.Calls{Start: n.workers.Start, Stop: n.workers.Stop, Hold: n.workers.Hold},
 		Log:   n.log, Settled: n.settled, Counted: n.measures.order,
 		Fenced: func() bool {
@@ -121,19 +127,19 @@
 
 func (n *Node) placeAt(ctx context.Context, to desk.Seat, b *batch.Batch, done []string) (bool, error) {
 	if to.Own {
-		return n.onPlace(to.Group, b, done), nil
+		return n.onPlace(to.Group, to.Epoch, b, done), nil
 	}
 	n.measures.message("place")
-	return n.client.Place(ctx, to.Address, to.Group, b, done)
+	return n.client.Place(ctx, to.Address, to.Group, to.Epoch, b, done)
 }
 
 func (n *Node) awaitAt(ctx context.Context, to desk.Seat, ids []string) ([]batch.Result, []string, bool, error) {
 	if to.Own {
-		results, unknown, held := n.onAwait(to.Group, ids)
+		results, unknown, held := n.onAwait(to.Group, to.Epoch, ids)
 		return results, unknown, held, nil
 	}
 	n.measures.message("await")
-	return n.client.Await(ctx, to.Address, to.Group, ids)
+	return n.client.Await(ctx, to.Address, to.Group, to.Epoch, ids)
 }
 
 func (n *Node) withdrawAt(ctx context.Context, to desk.Seat, b *batch.Batch) {
@@ -149,17 +155,18 @@
 }
 
 // onPlace takes a job for a group that this entry holds.
-func (n *Node) onPlace(group string, b *batch.Batch, done []string) bool {
+func (n *Node) onPlace(group string, epoch uint64, b *batch.Batch, done []string) bool {
 	h, held := n.holder(group)
-	if held {
-		h.Admit(b, done)
+	if !held || h.Epoch() != epoch {
+		return false
 	}
-	return held
+	h.Admit(b, done)
+	return true
 }
 
-func (n *Node) onAwait(group string, ids []string) ([]batch.Result, []string, bool) {
+func (n *Node) onAwait(group string, epoch uint64, ids []string) ([]batch.Result, []string, bool) {
 	h, held := n.holder(group)
-	if !held {
+	if !held || h.Epoch() != epoch {
 		return nil, nil, false
 	}
 	results, unknown := h.Wanted(ids)
@@ -185,7 +192,7 @@
 func (n *Node) leaveAddress(ctx context.Context, put func(ctx context.Context, key string, value []byte) error) bool {
 	ctx, cancel := context.WithTimeout(ctx, storeSpan)
 	defer cancel()
-	if err := put(ctx, n.settings.VM, []byte(n.settings.Peers)); err != nil {
+	if err := put(ctx, n.settings.VM, []byte(n.settings.Reach)); err != nil {
 		n.log.Warn("address not left in the store", "error", err)
 		return false
 	}
--- a/internal/gateway/node/node.go
+++ b/internal/gateway/node/node.go
@@ -19,6 +19,7 @@
 	"github.com/radishgate/radishgate/internal/gateway/settings"
 	"github.com/radishgate/radishgate/internal/placement/holder"
 	"github.com/radishgate/radishgate/internal/placement/tenure"
+	"github.com/radishgate/radishgate/internal/worker/fence"
 	"github.com/radishgate/radishgate/internal/worker/registry"
 	"github.com/radishgate/radishgate/member"
 	"github.com/radishgate/radishgate/peer"
@@ -60,6 +61,7 @@
 	contacts contacts
 
 	vacancies vacancies
+	tokens    *fence.Source
 
 	mu      sync.Mutex
 	holders map[string]*holder.Holder // by group
@@ -80,12 +82,13 @@
 		contacts:  contacts{addresses: map[string]bool{}},
 		vacancies: vacancies{groups: map[string]vacancy{}},
 	}
+	n.tokens = fence.New(xxhash.Sum64String(s.VM)^n.life, n.began)
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	if err := n.listen(options); err != nil {
 		return nil, err
 	}
 	n.members = member.New(member.Options{
-		Self: member.Record{ID: s.VM, Zone: s.Zone, Peer: s.Peers, Incarnation: n.life, Weight: s.Processors},
+		Self: member.Record{ID: s.VM, Zone: s.Zone, Peer: s.Reach, Incarnation: n.life, Weight: s.Processors},
 		// Work moves to another entry once one is dead. A false death costs a
 		// change of holder, a late one a second of service.
 		Suspect: suspectBeats * s.Beat, Dead: deadBeats * s.Beat, Fanout: beatFanout, Relay: beatRelay,
--- a/internal/gateway/node/node_test.go
+++ b/internal/gateway/node/node_test.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/radishgate/radishgate/internal/gateway/settings"
+	"github.com/radishgate/radishgate/internal/work/batch"
 	"github.com/radishgate/radishgate/standin/ledger"
 	"github.com/radishgate/radishgate/standin/worker"
 )
@@ -75,7 +76,7 @@
 	clients, ready := listen(f.t), listen(f.t)
 	n, err := New(Options{
 		Settings: &settings.Settings{
-			VM: id, Zone: "a", Zones: []string{"a"}, Processors: 1, Memory: 256, Peers: peers.Addr().String(), Seeds: seeds,
+			VM: id, Zone: "a", Zones: []string{"a"}, Processors: 1, Memory: 256, Peers: peers.Addr().String(), Reach: peers.Addr().String(), Seeds: seeds,
 			Store: f.address, Lease: time.Second, Grace: 4 * time.Second, Groups: 1, Beat: 50 * time.Millisecond,
 		},
 		Log: slog.New(slog.NewTextHandler(io.Discard, nil)), Dropped: func() int64 { return 0 },
@@ -276,3 +277,22 @@
 	})
 	f.check()
 }
+
+// TestMessageOfAnEarlierClaimIsNotTaken sends a holder a job under a claim that
+// is not the one it goes by.
+func TestMessageOfAnEarlierClaimIsNotTaken(t *testing.T) {
+	f := newFleet(t, 1, 2, worker.Options{})
+	f.ready()
+	n := f.nodes[0]
+	seat, _ := n.seat(groupName("a", 0))
+	b := &batch.Batch{ID: "00000000000000aa", From: "e0", Steps: []batch.Step{{Count: 1}}, Expires: time.Now().Add(time.Minute)}
+	if n.onPlace(seat.Group, seat.Epoch-1, b, nil) || n.onPlace(seat.Group, seat.Epoch+1, b, nil) {
+		t.Fatal("a job of another claim is taken")
+	}
+	if _, _, held := n.onAwait(seat.Group, seat.Epoch+1, []string{b.ID}); held {
+		t.Fatal("a question of another claim is answered")
+	}
+	if !n.onPlace(seat.Group, seat.Epoch, b, nil) {
+		t.Fatal("a job of the holder's own claim is not taken")
+	}
+}
--- a/internal/gateway/settings/settings.go
+++ b/internal/gateway/settings/settings.go
@@ -20,6 +20,7 @@
 	Listen     string   // clients
 	Ready      string   // the platform's check
 	Peers      string   // other entries
+	Reach      string   // where other entries reach it, as through a translation of addresses
 	Metrics    string   // empty for none
 	Seeds      []string // peers' addresses of some entries
 
@@ -72,7 +73,8 @@
 		Beat:   f.Span("entry", "beat", 150*time.Millisecond, 10*time.Millisecond, 10*time.Second),
 		Level:  f.String("logs", "level", "info"),
 	}
-	for key, text := range map[string]string{"listen": s.Listen, "ready": s.Ready, "peers": s.Peers, "metrics": s.Metrics} {
+	s.Reach = f.String("entry", "reach", s.Peers)
+	for key, text := range map[string]string{"listen": s.Listen, "ready": s.Ready, "peers": s.Peers, "metrics": s.Metrics, "reach": s.Reach} {
 		checkAddress(f, "entry", key, text)
 	}
 	for _, seed := range s.Seeds {
--- a/internal/placement/holder/holder.go
+++ b/internal/placement/holder/holder.go
@@ -23,8 +23,11 @@
 
 // Options of a holder. The functions are called without any lock held.
 type Options struct {
-	Group  string
-	Number uint64 // that no other holder has, for tokens
+	Group string
+	Epoch uint64 // of the claim
+	// Tokens is shared by all holders of a process, so that a later one of the same
+	// group is above an earlier one.
+	Tokens *fence.Source
 	Lease  time.Duration
 	Calls  Calls
 	Log    *slog.Logger
@@ -39,9 +42,7 @@
 
 // Holder is safe for concurrent use.
 type Holder struct {
-	options Options
-	tokens  *fence.Source
-
+	options  Options
 	mu       sync.Mutex
 	plan     *plan.Plan
 	sessions map[string]*session
@@ -56,7 +57,7 @@
 func New(ctx context.Context, options Options) *Holder {
 	now := time.Now()
 	h := &Holder{
-		options: options, tokens: fence.New(options.Number, now), sessions: map[string]*session{},
+		options: options, sessions: map[string]*session{},
 		plan: plan.New(plan.Options{Lease: options.Lease}, now),
 	}
 	h.ctx, h.cancel = context.WithCancel(ctx)
@@ -174,6 +175,9 @@
 	h.options.Log.Info("worker dropped", "worker", s.target.ID, "reason", reason)
 }
 
+// Epoch is that of the claim by which the holder places.
+func (h *Holder) Epoch() uint64 { return h.options.Epoch }
+
 // Answering tells whether a worker has answered lately.
 func (h *Holder) Answering(id string) bool {
 	h.mu.Lock()
--- a/internal/placement/holder/session.go
+++ b/internal/placement/holder/session.go
@@ -44,7 +44,7 @@
 }
 
 func newSession(h *Holder, r platform.Registration) *session {
-	s := &session{h: h, target: platform.Target{ID: r.ID, Address: r.Address}, registered: r, token: h.tokens.Next()}
+	s := &session{h: h, target: platform.Target{ID: r.ID, Address: r.Address}, registered: r, token: h.options.Tokens.Next()}
 	s.ctx, s.cancel = context.WithCancel(h.ctx)
 	return s
 }
@@ -61,7 +61,7 @@
 // refence makes the worker take a higher token before it is used again. The lock
 // is held.
 func (s *session) refence(reason string) {
-	s.token, s.fenced = s.h.tokens.Next(), false
+	s.token, s.fenced = s.h.options.Tokens.Next(), false
 	if s.interrupt != nil {
 		s.interrupt()
 	}
@@ -148,7 +148,7 @@
 	if s.token != token || !back {
 		return
 	}
-	h.tokens.Raise()
+	h.options.Tokens.Raise()
 	s.refence("another holder was there")
 }
 
--- a/internal/placement/plan/job.go
+++ b/internal/placement/plan/job.go
@@ -59,7 +59,7 @@
 	default:
 		j.Batch = b
 	}
-	j.wanted = now.Add(p.options.Wanted)
+	p.want(j)
 	if j.left == 0 {
 		p.settle(j, batch.Result{State: batch.Completed})
 		return
@@ -195,10 +195,19 @@
 	if !known || j.dropped {
 		return batch.Result{}, false
 	}
-	j.wanted = now.Add(p.options.Wanted)
+	p.want(j)
 	return j.result, true
 }
 
+// want puts off the moment at which a job that is not asked for is dropped.
+func (p *Plan) want(j *job) {
+	span := p.options.Wanted
+	if j.Away {
+		span = p.options.Away
+	}
+	j.wanted = p.at.Add(span)
+}
+
 // abandon ends a job that nobody waits for, without telling anybody.
 func (p *Plan) abandon(j *job, result batch.Result) {
 	j.dropped = true
@@ -230,6 +239,9 @@
 	p.settle(j, batch.Result{State: batch.Refused, Reason: reason, RetryAt: p.at.Add(p.drained(j))})
 }
 
+// unwanted is why a job is dropped whose entry is lost or has given it up.
+const unwanted = "its entry no longer asks for it"
+
 // giveUp ends a job that can no longer be served in its client's time.
 func (p *Plan) giveUp(j *job, reason string) {
 	if j.started {
@@ -247,7 +259,7 @@
 			delete(p.jobs, j.ID)
 		}
 	case j.wanted.Before(p.at):
-		p.abandon(j, batch.Result{State: batch.Cancelled, Reason: "its entry no longer asks for it"})
+		p.abandon(j, batch.Result{State: batch.Cancelled, Reason: unwanted})
 	case j.Expires.Before(p.at):
 		p.giveUp(j, "its client's time is over")
 	case len(j.pending) > 0:
--- a/internal/placement/plan/plan.go
+++ b/internal/placement/plan/plan.go
@@ -54,6 +54,7 @@
 	Orphan time.Duration // for which runs of unknown jobs are kept for their entry to ask again
 	Keep   time.Duration // for which the result of an ended job is remembered
 	Wanted time.Duration // after which a job that its entry no longer asks for is dropped
+	Away   time.Duration // the same for a job of another zone, where its client may send it again
 }
 
 // Defaults of the options that a caller leaves at zero.
@@ -62,6 +63,7 @@
 	defaultOrphan = 400 * time.Millisecond // some heartbeats between entries
 	defaultKeep   = 5 * time.Second        // a client sends again after a second or two
 	defaultWanted = 1200 * time.Millisecond
+	defaultAway   = 700 * time.Millisecond // a client sends again after 1.3 s; entries ask each 0.25 s
 )
 
 // Plan is the state of one holder. It is not safe for concurrent use.
@@ -106,6 +108,9 @@
 	if options.Wanted == 0 {
 		options.Wanted = defaultWanted
 	}
+	if options.Away == 0 {
+		options.Away = defaultAway
+	}
 	p := &Plan{
 		options: options, pace: pace.New(), at: began,
 		workers: map[string]*worker{}, jobs: map[string]*job{}, orphans: map[string]orphan{}, strays: map[string]*run{}, fastest: map[string]float64{},
--- a/internal/placement/plan/plan_test.go
+++ b/internal/placement/plan/plan_test.go
@@ -249,3 +249,41 @@
 		t.Fatalf("first %+v, then %+v", begun, again)
 	}
 }
+
+// TestJobOfALostEntryEndsBeforeItsClientSendsAgain loses the entry that waits for
+// a job. A client sends again after 1.3 s, to its own zone: what another zone
+// runs for it must have ended by then, with half a second to spare for slow VMs.
+func TestJobOfALostEntryEndsBeforeItsClientSendsAgain(t *testing.T) {
+	tests := []struct {
+		name  string
+		away  bool
+		at    int // ms after the last sign of the entry
+		stops int
+	}{
+		{"from another zone", true, 800, 1},
+		{"from another zone, its entry asks each 0.25 s", true, 600, 0},
+		{"of the own zone, which knows the job", false, 1100, 0},
+		{"of the own zone, nobody asks", false, 1300, 1},
+	}
+	for _, c := range tests {
+		t.Run(c.name, func(t *testing.T) {
+			p := fencedPlan(machine("w1", 4))
+			b := jobOf("00000000000000aa", 1, after(2000))
+			b.Away = c.away
+			b.Steps[0].Hint = 4 * time.Second
+			p.Admit(b, nil, after(2000))
+			begun := starts(p)[0]
+			p.Answered("w1", begun.Task, begun.Run, Taken, after(2010))
+			p.Tick(after(2000 + c.at))
+			stops := 0
+			for _, o := range kinds(p.Orders(), Stop) {
+				if o.Reason == unwanted {
+					stops++
+				}
+			}
+			if stops != c.stops {
+				t.Fatalf("%d stops, want %d", stops, c.stops)
+			}
+		})
+	}
+}
--- a/peer/pool.go
+++ b/peer/pool.go
@@ -12,22 +12,23 @@
 
 // Pool are the seams for messages about jobs whose tasks run on workers with
 // room. The functions tell with their last result whether the receiver places
-// the tasks of the group.
-type Pool struct {
-	OnPlace    func(group string, b *batch.Batch, done []string) bool
-	OnAwait    func(group string, ids []string) (results []batch.Result, unknown []string, held bool)
+// the tasks of the group under the claim of that epoch: a message of an earlier
+// claim may be about a job that has gone elsewhere since.
+type Pool struct { //nolint
+	OnPlace    func(group string, epoch uint64, b *batch.Batch, done []string) bool
+	OnAwait    func(group string, epoch uint64, ids []string) (results []batch.Result, unknown []string, held bool)
 	OnSettle   func(results []batch.Result)
 	OnWithdraw func(group, id string, attempt uint64)
 }
 
 // Place takes a job.
 func (p Pool) Place(_ context.Context, r *wire.PlaceRequest) (*wire.PlaceReply, error) {
-	return &wire.PlaceReply{Held: p.OnPlace(r.Group, unpackBatch(r), r.Done)}, nil
+	return &wire.PlaceReply{Held: p.OnPlace(r.Group, r.Epoch, unpackBatch(r), r.Done)}, nil
 }
 
 // Await renews the interest in jobs.
 func (p Pool) Await(_ context.Context, r *wire.AwaitRequest) (*wire.AwaitReply, error) {
-	results, unknown, held := p.OnAwait(r.Group, r.Ids)
+	results, unknown, held := p.OnAwait(r.Group, r.Epoch, r.Ids)
 	return &wire.AwaitReply{Held: held, Outcomes: packOutcomes(results), Unknown: unknown}, nil
 }
 
@@ -45,8 +46,10 @@
 
 // Place hands a job to another entry and tells whether that entry places the
 // tasks of the group. After an error it may have taken the job.
-func (c *Client) Place(ctx context.Context, address, group string, b *batch.Batch, done []string) (bool, error) {
-	reply, err := c.peer(address).Place(ctx, packBatch(group, b, done))
+func (c *Client) Place(ctx context.Context, address, group string, epoch uint64, b *batch.Batch, done []string) (bool, error) {
+	request := packBatch(group, b, done)
+	request.Epoch = epoch
+	reply, err := c.peer(address).Place(ctx, request)
 	if err != nil {
 		return false, err
 	}
@@ -54,8 +57,8 @@
 }
 
 // Await asks another entry for the results of jobs.
-func (c *Client) Await(ctx context.Context, address, group string, ids []string) ([]batch.Result, []string, bool, error) {
-	reply, err := c.peer(address).Await(ctx, &wire.AwaitRequest{Group: group, Ids: ids})
+func (c *Client) Await(ctx context.Context, address, group string, epoch uint64, ids []string) ([]batch.Result, []string, bool, error) {
+	reply, err := c.peer(address).Await(ctx, &wire.AwaitRequest{Group: group, Epoch: epoch, Ids: ids})
 	if err != nil {
 		return nil, nil, false, err
 	}
--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -18,30 +18,41 @@
 	running map[string]string // worker by task
 	Twice   []string          // tasks of which two runs overlapped
 	Over    []string          // workers that were given more than their room
-	Starts  int
+	Starts  map[string]int    // by task
+	Done    map[string]bool   // tasks of which a run has ended well
 }
 
 func (w *Watch) begin(task, worker string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.running == nil {
-		w.running = map[string]string{}
+		w.running, w.Starts, w.Done = map[string]string{}, map[string]int{}, map[string]bool{}
 	}
-	w.Starts++
+	w.Starts[task]++
 	if _, there := w.running[task]; there {
 		w.Twice = append(w.Twice, task)
 	}
 	w.running[task] = worker
 }
 
-func (w *Watch) end(task, worker string) {
+func (w *Watch) end(task, worker, how string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if how == "done" {
+		w.Done[task] = true
+	}
 	if w.running[task] == worker {
 		delete(w.running, task)
 	}
 }
 
+// Seen gives the number of starts of a task and whether a run of it ended well.
+func (w *Watch) Seen(task string) (starts int, done bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.Starts[task], w.Done[task]
+}
+
 // Broken gives what was seen that must not be.
 func (w *Watch) Broken() (twice, over []string) {
 	w.mu.Lock()
@@ -237,7 +248,7 @@
 
 func (w *Worker) finish(r *run, how string) {
 	delete(w.runs, r.task)
-	w.options.Watch.end(r.task, w.options.ID)
+	w.options.Watch.end(r.task, w.options.ID, how)
 	w.highest[r.task] = max(w.highest[r.task], r.number)
 	w.sequence++
 	w.endings = append(w.endings, ending{w.sequence, r.task, r.number, how})
