platform: Speak to the store in one form

Cause: the client of serve spoke a form invented before the platform's was known, beside the store of dispatch: two clients, two stand-ins' dialects.

Change: Client is the Store with the list of VMs; plain and keyed topics use the same calls, frames and errors, and the stand-in for the first interface serves them. A read below the first kept offset names that offset.

Ruled out for now: the list of VMs as a keyed topic; its changes and lag are what tests of serve lean on.

--- a/standin/ledger/ledger.go
+++ b/standin/ledger/ledger.go
@@ -133,6 +133,7 @@
 		if from < t.first {
 			l.mu.Unlock()
 			w.WriteHeader(http.StatusGone)
+			_, _ = io.WriteString(w, `{"first-offset":`+strconv.FormatInt(t.first, 10)+`}`)
 			return
 		}
 		fresh := t.records[min(from, int64(len(t.records))):]
--- a/standin/store/http.go
+++ b/standin/store/http.go
@@ -1,6 +1,7 @@
 package store
 
 import (
+	"encoding/binary"
 	"encoding/json"
 	"io"
 	"net/http"
@@ -19,8 +20,8 @@
 // Handler serves the store over HTTP, in the form that platform.Client speaks.
 func (s *Store) Handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST /v1/streams/{stream}", s.serveAppend)
-	mux.HandleFunc("GET /v1/streams/{stream}", s.serveRead)
+	mux.HandleFunc("POST /log-append", s.serveAppend)
+	mux.HandleFunc("GET /log-read", s.serveRead)
 	mux.HandleFunc("GET /v1/vms", s.serveVMs)
 	mux.HandleFunc("PUT /v1/vms/{id}", s.serveAnnounce)
 	mux.HandleFunc("DELETE /v1/vms/{id}", s.serveRemove)
@@ -34,7 +35,11 @@
 		http.Error(w, err.Error(), http.StatusRequestEntityTooLarge)
 		return
 	}
-	offset, err := s.Append(r.Context(), r.PathValue("stream"), data)
+	if len(data) < recordHead || int(binary.BigEndian.Uint32(data)) != len(data)-recordHead {
+		http.Error(w, "not one record behind its length", http.StatusBadRequest)
+		return
+	}
+	offset, err := s.Append(r.Context(), r.URL.Query().Get("topic"), data[recordHead:])
 	if err != nil {
 		fail(w, err)
 		return
@@ -48,15 +53,28 @@
 		http.Error(w, "from is not a number", http.StatusBadRequest)
 		return
 	}
-	wait, _ := time.ParseDuration(r.URL.Query().Get("wait"))
-	page, err := s.Read(r.Context(), r.PathValue("stream"), from, min(wait, maxWait))
+	wait, _ := strconv.ParseInt(r.URL.Query().Get("wait-ms"), 10, 64)
+	page, err := s.Read(r.Context(), r.URL.Query().Get("topic"), from, min(time.Duration(wait)*time.Millisecond, maxWait))
 	if err != nil {
 		fail(w, err)
 		return
 	}
-	reply(w, page)
+	if from < page.Floor {
+		w.WriteHeader(http.StatusGone)
+		reply(w, map[string]int64{"first-offset": page.Floor})
+		return
+	}
+	data := binary.BigEndian.AppendUint64(nil, uint64(page.End))
+	data = binary.BigEndian.AppendUint64(data, uint64(page.Floor))
+	for _, record := range page.Records {
+		data = append(binary.BigEndian.AppendUint32(data, uint32(len(record.Data))), record.Data...)
+	}
+	_, _ = w.Write(data) // a reader that has gone reads again
 }
 
+// recordHead is the length of a record's length, in bytes.
+const recordHead = 4
+
 func (s *Store) serveVMs(w http.ResponseWriter, r *http.Request) {
 	since, _ := strconv.ParseInt(r.URL.Query().Get("since"), 10, 64)
 	list, err := s.VMs(r.URL.Query().Get("zone"), since)
