desk: Take only what answers the present request

Cause: results carried no mark of the request that they answer. Words of an earlier holder, or about an earlier request of the same client, could turn a job to another zone or refuse it after a later holder had started it.

Change: results carry the number of the request; a job that several holders may have is neither refused nor sent away by one of them.

--- a/internal/gateway/desk/desk.go
+++ b/internal/gateway/desk/desk.go
@@ -24,6 +24,7 @@
 // as a call to another entry.
 type Options struct {
 	Self     string
+	Number   func() uint64 // of a request; random without it
 	Group    func(b *batch.Batch) string
 	Seat     func(group string) (Seat, bool)
 	Place    func(ctx context.Context, to Seat, b *batch.Batch, done []string) (bool, error)
@@ -70,6 +71,9 @@
 
 // New makes an empty desk.
 func New(options Options) *Desk {
+	if options.Number == nil {
+		options.Number = rand.Uint64
+	}
 	return &Desk{options: options, jobs: map[string]*waiting{}}
 }
 
@@ -101,7 +105,7 @@
 		w.clients++
 		return w, true
 	}
-	b.From, b.Attempt = d.options.Self, rand.Uint64()
+	b.From, b.Attempt = d.options.Self, d.options.Number()
 	w := &waiting{batch: b, group: d.options.Group(b), clients: 1, done: make(chan struct{}), heardAt: b.Arrived}
 	d.jobs[b.ID] = w
 	return w, false
@@ -206,11 +210,13 @@
 		w, known := d.jobs[r.ID]
 		switch {
 		case !known:
-		case r.State == batch.Moved && r.Group != "" && w.batch.Away:
-			// told twice
-		case r.State == batch.Refused && w.several:
+		case r.Attempt != w.batch.Attempt && r.State != batch.Completed:
+			// Of an earlier request, which has had its answer.
+		case w.several && (r.State == batch.Refused || r.Group != ""):
 			// By an earlier holder; a later one may have started it.
-		case r.State == batch.Moved && r.Group != "":
+		case r.Group != "" && w.batch.Away:
+			// Told twice.
+		case r.Group != "":
 			w.turn(r.Group)
 			again = append(again, w)
 		case r.State == batch.Moved:
@@ -267,7 +273,7 @@
 		switch {
 		case !ok && !w.offered && now.Sub(w.batch.Arrived) > vacancySpan:
 			vacant = append(vacant, batch.Result{
-				ID: id, State: batch.Refused, Reason: "no entry places its tasks", RetryAt: now.Add(returnSpan),
+				ID: id, Attempt: w.batch.Attempt, State: batch.Refused, Reason: "no entry places its tasks", RetryAt: now.Add(returnSpan),
 			})
 		case !ok:
 		case !w.seated || w.seat.Holder != seat.Holder || w.seat.Epoch != seat.Epoch:
--- a/internal/gateway/desk/desk_test.go
+++ b/internal/gateway/desk/desk_test.go
@@ -33,7 +33,7 @@
 		o.seats[s.Group] = s
 	}
 	o.Desk = New(Options{
-		Self: "e1", Log: slog.New(slog.DiscardHandler), Ended: func(*batch.Batch, batch.Result, int) {},
+		Self: "e1", Number: func() uint64 { return current }, Log: slog.New(slog.DiscardHandler), Ended: func(*batch.Batch, batch.Result, int) {},
 		Group: func(*batch.Batch) string { return "a" },
 		Seat: func(group string) (Seat, bool) {
 			o.mu.Lock()
@@ -76,11 +76,22 @@
 	away   = Seat{Group: "b", Epoch: 1, Holder: "f1", Own: true}
 )
 
-func result(state batch.State) batch.Result { return batch.Result{ID: "j", State: state} }
+// result is what a holder says of the one request that the test's client sends.
+func result(state batch.State) batch.Result {
+	return batch.Result{ID: "j", State: state, Attempt: current}
+}
+
+// earlier is what a holder says of a request that the client sent before.
+func earlier(state batch.State) batch.Result {
+	return batch.Result{ID: "j", State: state, Attempt: current + 1}
+}
+
+// current is the number of the request in these tests.
+const current = 7
 
 // TestDesk steps through what holders say, with the last result as the client's.
 func TestDesk(t *testing.T) {
-	moved := batch.Result{ID: "j", State: batch.Moved, Group: "b"}
+	moved := batch.Result{ID: "j", State: batch.Moved, Group: "b", Attempt: current}
 	tests := []struct {
 		name   string
 		seats  []Seat
@@ -106,6 +117,19 @@
 			o.Settle([]batch.Result{moved})
 			o.Settle([]batch.Result{result(batch.Refused)})
 		}, batch.Refused, []offer{{first, false, false}, {away, false, true}}},
+		{"an earlier holder sends away what a later one may have started", []Seat{first, away}, func(o *office) {
+			o.move(second)
+			o.Sweep(context.Background())
+			o.Settle([]batch.Result{moved})
+			o.Settle([]batch.Result{result(batch.Completed)})
+		}, batch.Completed, []offer{{first, false, false}, {second, true, false}}},
+		{"a refusal of an earlier request comes late", []Seat{first}, func(o *office) {
+			o.Settle([]batch.Result{earlier(batch.Refused)})
+			o.Settle([]batch.Result{result(batch.Completed)})
+		}, batch.Completed, []offer{{first, false, false}}},
+		{"a good end of an earlier request comes late", []Seat{first}, func(o *office) {
+			o.Settle([]batch.Result{earlier(batch.Completed)})
+		}, batch.Completed, []offer{{first, false, false}}},
 		{"nobody holds the group", nil, func(o *office) {
 			time.Sleep(2 * time.Second)
 			o.Sweep(context.Background())
--- a/internal/placement/plan/job.go
+++ b/internal/placement/plan/job.go
@@ -51,7 +51,7 @@
 	case j.withdrawn && j.Attempt == b.Attempt:
 		return
 	case j.over(b):
-		j.Batch = b
+		j.Batch, j.result.Attempt = b, b.Attempt
 		p.order(Order{Kind: Settle, Batch: b, Result: j.result})
 		return
 	case j.result.State.Ended():
@@ -221,7 +221,7 @@
 }
 
 func (p *Plan) end(j *job, result batch.Result) {
-	result.ID = j.ID
+	result.ID, result.Attempt = j.ID, j.Attempt
 	j.result, j.pending = result, nil
 	j.forgetAt = p.at.Add(p.options.Keep)
 	if result.State == batch.Moved {
--- a/internal/work/batch/batch.go
+++ b/internal/work/batch/batch.go
@@ -109,4 +109,5 @@
 	RetryAt time.Time
 	Done    []string // tasks that had ended well when the job moved
 	Group   string   // of workers that has to take the job, when nothing of it has started
+	Attempt uint64   // the request of the client that it answers
 }
--- a/peer/pool.go
+++ b/peer/pool.go
@@ -128,7 +128,7 @@
 	var outcomes []*wire.Outcome
 	for _, r := range results {
 		outcomes = append(outcomes, &wire.Outcome{
-			Id: r.ID, State: string(r.State), Reason: r.Reason, RetryMs: waitMs(r.RetryAt), Done: r.Done, Group: r.Group,
+			Id: r.ID, State: string(r.State), Reason: r.Reason, RetryMs: waitMs(r.RetryAt), Done: r.Done, Group: r.Group, Attempt: r.Attempt,
 		})
 	}
 	return outcomes
@@ -139,7 +139,7 @@
 	var results []batch.Result
 	for _, o := range outcomes {
 		results = append(results, batch.Result{
-			ID: o.Id, State: batch.State(o.State), Reason: o.Reason, RetryAt: now.Add(milliseconds(o.RetryMs)), Done: o.Done, Group: o.Group,
+			ID: o.Id, State: batch.State(o.State), Reason: o.Reason, RetryAt: now.Add(milliseconds(o.RetryMs)), Done: o.Done, Group: o.Group, Attempt: o.Attempt,
 		})
 	}
 	return results
