plan: Count the lease that a start carries

The lapse was counted from the last hold, though a start renews the lease as well.

Change: a start counts as a renewal. TestStartRenewsTheLease failed before.

--- a/internal/placement/plan/place.go
+++ b/internal/placement/plan/place.go
@@ -250,6 +250,7 @@
 	if t.job.result.State == batch.Pending {
 		t.job.result.State = batch.Running
 	}
+	w.renewed = p.at // a start carries a lease
 	p.add(r)
 	p.resize(float64(r.room.Processors))
 	p.board.Begin(w.ID, p.at.Add(trialSpan))
--- a/internal/placement/plan/plan_test.go
+++ b/internal/placement/plan/plan_test.go
@@ -287,3 +287,25 @@
 		})
 	}
 }
+
+// TestStartRenewsTheLease has a worker fall silent right after a start, which
+// gave it a lease of its own: the task starts elsewhere only after that one.
+func TestStartRenewsTheLease(t *testing.T) {
+	tests := []struct {
+		at     int // ms; the start is sent at 5000, the last hold at 4600
+		starts int
+	}{{5700, 0}, {6030, 0}, {6090, 1}}
+	for _, c := range tests {
+		p := fencedPlan(machine("w1", 1), machine("w2", 1))
+		p.Renewing("w1", after(4600))
+		p.Admit(jobOf("00000000000000aa", 1, after(5000)), nil, after(5000))
+		begun := starts(p)[0]
+		p.Answered(begun.Worker, begun.Task, begun.Run, Taken, after(5002))
+		p.Silent(begun.Worker, after(5100))
+		p.Wanted("00000000000000aa", after(c.at))
+		p.Tick(after(c.at))
+		if got := len(starts(p)); got != c.starts {
+			t.Errorf("%d starts after %d ms, want %d", got, c.at-5000, c.starts)
+		}
+	}
+}
