--- a/commands/commands.go
+++ b/commands/commands.go
@@ -16,7 +16,6 @@
 	"github.com/radishgate/radishgate/client"
 	"github.com/radishgate/radishgate/common/inifile"
 	"github.com/radishgate/radishgate/demo"
-	pool "github.com/radishgate/radishgate/internal/gateway/settings"
 	"github.com/radishgate/radishgate/refusal"
 	"github.com/radishgate/radishgate/settings"
 )
@@ -103,13 +102,12 @@
 func code(err error) int {
 	var place *inifile.Error
 	var file *settings.Error
-	var poolFile *pool.Error
 	var usage *UsageError
 	var refused *client.Refused
 	var lost *client.LostError
 	var broken *demo.BrokenError
 	switch {
-	case errors.As(err, &place), errors.As(err, &file), errors.As(err, &poolFile), errors.As(err, &usage):
+	case errors.As(err, &place), errors.As(err, &file), errors.As(err, &usage):
 		return exitUsage
 	case errors.As(err, &broken):
 		return exitBroken
--- a/internal/gateway/settings/settings.go
+++ b/internal/gateway/settings/settings.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/radishgate/radishgate/common/inifile"
+	"github.com/radishgate/radishgate/settings"
 )
 
 // Settings of one entry. Spans are turned into deadlines where they are used.
@@ -33,23 +34,11 @@
 	Level  string
 }
 
-// Error is a settings file that cannot be read.
-type Error struct {
-	File  string
-	Cause error
-}
-
-// Error names the file.
-func (e *Error) Error() string { return fmt.Sprintf("%s: %v", e.File, e.Cause) }
-
-// Unwrap gives the cause.
-func (e *Error) Unwrap() error { return e.Cause }
-
-// Load reads and checks a file. Errors are *Error or *inifile.Error.
+// Load reads and checks a file. Errors are *settings.Error or *inifile.Error.
 func Load(name string) (*Settings, error) {
 	data, err := os.ReadFile(name)
 	if err != nil {
-		return nil, &Error{File: name, Cause: err}
+		return nil, &settings.Error{File: name, Cause: err}
 	}
 	return Parse(name, data)
 }
