--- a/internal/placement/plan/plan_test.go
+++ b/internal/placement/plan/plan_test.go
@@ -1,6 +1,7 @@
 package plan
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -309,3 +310,67 @@
 		}
 	}
 }
+
+// TestBacklog has more work than room. Load pattern: a burst whose jobs wait for
+// seconds. Refused at once is what cannot be served in its client's time, by the
+// work that goes before it; an urgent job goes before those that are late.
+func TestBacklog(t *testing.T) {
+	busy := func(p *Plan, jobs int) {
+		for i := range jobs {
+			b := jobOf(fmt.Sprintf("%016x", i+1), 4, start)
+			b.Steps[0].Hint = 400 * time.Millisecond
+			p.Admit(b, nil, start)
+		}
+		p.Orders()
+	}
+	tests := []struct {
+		name    string
+		jobs    int // of 0.4 s each on the only worker, that came at 0
+		at      int // ms
+		patient int // ms that the client waits
+		refused bool
+	}{
+		{"little waits", 2, 0, 3000, false},
+		{"more waits than the client does", 10, 0, 1500, true},
+		{"more waits, all of it late", 10, 2000, 1500, false},
+		{"the client is more patient", 10, 0, 60_000, false},
+	}
+	for _, c := range tests {
+		t.Run(c.name, func(t *testing.T) {
+			p := fencedPlan(machine("w1", 4))
+			busy(p, c.jobs)
+			b := jobOf("00000000000000aa", 4, after(c.at))
+			b.Steps[0].Hint = 400 * time.Millisecond
+			b.Expires = b.Arrived.Add(time.Duration(c.patient) * time.Millisecond)
+			p.Admit(b, nil, after(c.at))
+			settled := kinds(p.Orders(), Settle)
+			if got := len(settled) == 1 && settled[0].Result.State == batch.Refused; got != c.refused {
+				t.Fatalf("%+v", settled)
+			}
+		})
+	}
+}
+
+// TestJobsThatWaitInVainAreRefusedEarly lets work pile up before a job that has
+// been taken: it is refused when that is known, not when its client's time ends.
+func TestJobsThatWaitInVainAreRefusedEarly(t *testing.T) {
+	p := fencedPlan(machine("w1", 4))
+	first := jobOf("0000000000000001", 4, start)
+	first.Steps[0].Hint = 400 * time.Millisecond
+	p.Admit(first, nil, start)
+	waits := jobOf("00000000000000aa", 4, start)
+	waits.Steps[0].Hint = 200 * time.Millisecond
+	waits.Expires = after(1400)
+	p.Admit(waits, nil, start)
+	for i := range 20 {
+		p.Admit(jobOf(fmt.Sprintf("%016x", 100+i), 4, start), nil, start)
+	}
+	p.Orders()
+	p.Tick(after(50))
+	for _, o := range kinds(p.Orders(), Settle) {
+		if o.Batch.ID == waits.ID && o.Result.State == batch.Refused {
+			return
+		}
+	}
+	t.Fatal("the job still waits")
+}
