plan, node: Drop what nothing uses, and learn no speed from adopted runs

Cause: read as a newcomer: fields that were never read, a holder's load that nobody showed, groups numbered by runes, run times learned from runs whose start nobody knows here, and a SIGHUP in the first moments that ended the process.

--- a/commands/dispatch.go
+++ b/commands/dispatch.go
@@ -24,6 +24,10 @@
 const heapShare = 0.6
 
 func (c *dispatchCommand) run(ctx context.Context, out, _ io.Writer) error {
+	// From the first moment on: without it a SIGHUP ends the process.
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
 	if c.Settings == "" {
 		c.Settings = os.Getenv(platform.SettingsVariable)
 	}
@@ -51,7 +55,7 @@
 		stop()
 		<-done
 	}()
-	go reloads(ctx, c.Settings, log)
+	go reloads(ctx, hangups, c.Settings, log)
 	n, err := node.New(node.Options{Settings: s, Log: log, Dropped: j.Dropped})
 	if err != nil {
 		return err
@@ -62,10 +66,7 @@
 // reloads checks the settings again when the platform says that they have
 // changed. All that they hold is bound to a start; what has changed is taken
 // with the next one.
-func reloads(ctx context.Context, name string, log *slog.Logger) {
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
-	defer signal.Stop(hangups)
+func reloads(ctx context.Context, hangups <-chan os.Signal, name string, log *slog.Logger) {
 	for {
 		select {
 		case <-ctx.Done():
--- a/internal/gateway/node/beats.go
+++ b/internal/gateway/node/beats.go
@@ -162,7 +162,6 @@
 	for _, m := range beat.Members {
 		records = append(records, peer.Unpack(m))
 	}
-	n.heardAt.Store(time.Now().UnixMilli())
 	n.vacancies.merge(beat.Vacancies)
 	before := n.members.Generation()
 	n.members.Merge(records)
--- a/internal/gateway/node/groups.go
+++ b/internal/gateway/node/groups.go
@@ -8,6 +8,7 @@
 
 	"github.com/radishgate/radishgate/internal/gateway/desk"
 	"github.com/radishgate/radishgate/internal/placement/holder"
+	"github.com/radishgate/radishgate/internal/placement/plan"
 	"github.com/radishgate/radishgate/internal/placement/tenure"
 	"github.com/radishgate/radishgate/internal/work/batch"
 	"github.com/radishgate/radishgate/member"
@@ -115,6 +116,20 @@
 	return desk.Seat{Group: group, Epoch: c.Epoch, Holder: c.Holder, Address: r.Peer}, true
 }
 
+// load sums the work of the groups that this entry holds.
+func (n *Node) load() plan.Load {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	var sum plan.Load
+	for _, h := range n.holders {
+		l := h.Load()
+		sum.Waiting += l.Waiting
+		sum.Running += l.Running
+		sum.Aside += l.Aside
+	}
+	return sum
+}
+
 func (n *Node) holder(group string) (*holder.Holder, bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/internal/gateway/node/node.go
+++ b/internal/gateway/node/node.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"net"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -57,7 +58,6 @@
 	outbox   *outbox
 
 	draining atomic.Bool
-	heardAt  atomic.Int64 // Unix ms of the last heartbeat of another entry
 	contacts contacts
 
 	vacancies vacancies
@@ -118,7 +118,7 @@
 
 // groupName names a group of workers.
 func groupName(zone string, index int) string {
-	return zone + "/" + string(rune('0'+index%10)) + string(rune('0'+index/10%10))
+	return zone + "/" + strconv.Itoa(index)
 }
 
 // groupOfWorker gives the group of a worker.
--- a/internal/placement/plan/job.go
+++ b/internal/placement/plan/job.go
@@ -135,7 +135,7 @@
 	r.worker.used = r.worker.used.Minus(r.room)
 	r.task, r.phase, r.room = t, running, t.job.Steps[t.step].Room
 	r.worker.used = r.worker.used.Plus(r.room)
-	r.expected = r.beganAt.Add(p.expect(t, r.worker))
+	r.sentAt, r.expected = time.Time{}, r.beganAt.Add(p.expect(t, r.worker))
 	t.current = r
 }
 
--- a/internal/placement/plan/plan.go
+++ b/internal/placement/plan/plan.go
@@ -196,8 +196,6 @@
 	Waiting int // tasks without a worker
 	Running int // tasks
 	Aside   int // workers that get no ordinary work
-	Workers int
-	Unused  int64 // thousandths of a core of workers that can be used
 }
 
 // Load counts the present work.
@@ -207,11 +205,7 @@
 		l.Waiting += len(j.pending)
 	}
 	for _, w := range p.workers {
-		l.Workers++
 		l.Running += len(w.runs)
-		if w.usable() {
-			l.Unused += max(0, w.Room.Processors-w.used.Processors)
-		}
 	}
 	l.Aside = len(p.board.Names())
 	return l
--- a/internal/placement/plan/report.go
+++ b/internal/placement/plan/report.go
@@ -189,8 +189,8 @@
 func (p *Plan) learn(r *run) {
 	t := r.task
 	p.board.Observe(r.worker.ID, true)
-	if r.beganAt.IsZero() || t.job.started && r.sentAt.IsZero() {
-		return
+	if r.sentAt.IsZero() {
+		return // begun by another holder, nobody knows here when
 	}
 	s := t.job.Steps[t.step]
 	p.pace.Observe(t.job.Queue, r.worker.ID, r.worker.Kind, s.Hint, t.job.bases[t.step], p.at.Sub(r.sentAt))
--- a/internal/placement/plan/worker.go
+++ b/internal/placement/plan/worker.go
@@ -48,17 +48,15 @@
 type worker struct {
 	Worker
 	standing standing
-	gone     bool
 	used     room.Room
 	factor   float64 // run time of a task against that at the speed 1
 	runs     map[runKey]*run
 	renewed  time.Time // when the last renewal that may have reached it was sent
-	quiet    time.Time // since when it has not answered
 }
 
 // usable tells whether new work may go to the worker.
 func (w *worker) usable() bool {
-	if w.standing != ready || w.Draining || w.gone {
+	if w.standing != ready || w.Draining {
 		return false
 	}
 	for _, r := range w.runs {
@@ -117,7 +115,7 @@
 func (p *Plan) Silent(id string, now time.Time) {
 	p.at = now
 	if w, known := p.workers[id]; known && w.standing == ready {
-		w.standing, w.quiet = silent, now
+		w.standing = silent
 	}
 }
 
