node, desk: Wait for holders at the end, and read jobs under the lock

Cause: read as a newcomer: goroutines of a holder could outlive the node, and a job's end was logged from fields that another goroutine may change.

Measured: the race detector is silent on the gateway's tests, as before.

--- a/internal/gateway/desk/desk.go
+++ b/internal/gateway/desk/desk.go
@@ -129,12 +129,12 @@
 	if last {
 		delete(d.jobs, w.batch.ID)
 	}
-	seat, offered, b := w.seat, w.offered, w.batch
+	seat, offered, b, tries := w.seat, w.offered, w.batch, w.tries
 	d.mu.Unlock()
 	if !last {
 		return
 	}
-	d.options.Ended(w.batch, batch.Result{ID: w.batch.ID, State: batch.Cancelled, Reason: reason}, w.tries)
+	d.options.Ended(b, batch.Result{ID: b.ID, State: batch.Cancelled, Reason: reason}, tries)
 	if !offered || seat.Holder == "" {
 		return
 	}
--- a/internal/gateway/node/groups.go
+++ b/internal/gateway/node/groups.go
@@ -78,6 +78,7 @@
 	n.mu.Unlock()
 	for _, h := range ended {
 		h.Yield()
+		n.loops.Go(h.Wait)
 	}
 	return changed
 }
@@ -116,6 +117,15 @@
 	return desk.Seat{Group: group, Epoch: c.Epoch, Holder: c.Holder, Address: r.Peer}, true
 }
 
+// waitHolders returns when the present holders have ended with the node's context.
+func (n *Node) waitHolders() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, h := range n.holders {
+		h.Wait()
+	}
+}
+
 // load sums the work of the groups that this entry holds.
 func (n *Node) load() plan.Load {
 	n.mu.Lock()
--- a/internal/gateway/node/serve.go
+++ b/internal/gateway/node/serve.go
@@ -87,6 +87,7 @@
 		_ = s.Close() // nothing is left to lose
 	}
 	servers.Wait()
+	n.waitHolders()
 	n.loops.Wait()
 	n.workers.Close()
 	n.store.Close()
