rollout: Write a due checkpoint for certain at twice its age

Cause: an entry drew at every read whether it writes the checkpoint that is due, with the same chance of 0.3 each time. Change: at twice the age no draw is made. The new test draws what never chooses the entry and fails without the change.

--- a/rollout/rollout.go
+++ b/rollout/rollout.go
@@ -64,6 +64,7 @@
 	Pause   time.Duration // wait after a failed read
 	Change  func(*bundle.Bundle)
 	Now     func() time.Time
+	Draw    func() float64 // a random number in [0, 1)
 }
 
 // Rollout follows the stream. All methods are safe for concurrent use.
@@ -85,6 +86,9 @@
 	if options.Now == nil {
 		options.Now = time.Now
 	}
+	if options.Draw == nil {
+		options.Draw = rand.Float64
+	}
 	if options.Poll == 0 {
 		options.Poll = 5 * time.Second
 	}
@@ -198,20 +202,27 @@
 	return r.folded
 }
 
+// refreshChance is the share of the entries that write a checkpoint at one read
+// once it is due, so that of some tens only a few write.
+const refreshChance = 0.3
+
 // refresh writes a checkpoint when the last whole state in the stream is old.
-// The random part keeps the entries from writing all at once.
+// The random part keeps the entries from writing all at once. At twice the age it
+// is left out: a lone entry may otherwise pass over every read until the stream
+// has dropped the last checkpoint.
 func (r *Rollout) refresh(ctx context.Context) {
 	r.mu.Lock()
 	age := r.options.Now().Sub(r.whole)
 	due := r.options.Refresh > 0 && r.folded.bundle != nil && age > r.options.Refresh
 	envelope := Envelope{Kind: kindCheckpoint, Through: r.next - 1, Chain: r.folded.chain}
 	r.mu.Unlock()
-	if !due || rand.Float64() > 0.3 {
+	if !due || age <= 2*r.options.Refresh && r.options.Draw() >= refreshChance {
 		return
 	}
 	data, err := json.Marshal(envelope)
 	if err != nil {
 		return
 	}
+	// A checkpoint that is not written is due again after the next read.
 	_, _ = r.options.Log.Append(ctx, data)
 }
--- a/rollout/rollout_test.go
+++ b/rollout/rollout_test.go
@@ -142,6 +142,35 @@
 	})
 }
 
+// TestCheckpointIsNotLeftToChance gives the only entry draws that never choose
+// it. The stream must not drop the last checkpoint all the same.
+func TestCheckpointIsNotLeftToChance(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := store.New(store.Options{Retention: time.Minute})
+		ctx, cancel := context.WithCancel(t.Context())
+		must(t, operator{reader(s), private}.publish(ctx, 1))
+		keeper := New(Options{
+			Log: s.Log(Stream), Signers: signers, Refresh: 10 * time.Second,
+			Draw: func() float64 { return 0.999 },
+		})
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			keeper.Run(ctx)
+		}()
+		for range 10 {
+			time.Sleep(time.Minute)
+			fresh := reader(s)
+			must(t, fresh.Step(ctx, 0))
+			if fresh.Bundle() == nil {
+				t.Fatal("the stream has lost the version in force")
+			}
+		}
+		cancel()
+		<-done
+	})
+}
+
 func must(t *testing.T, err error) {
 	t.Helper()
 	if err != nil {
