tenure: Keep a group with a holder of which news is partial

Entries that started later knew the claim but not yet its holder, or not yet as ready, took the group for vacant and claimed it; and small entries, ready first, took groups while the large ones of their zone were still listening. Ruled out: early refusals (plan.foresee), to which the loss was put before. Change: a holder counts while it is alive, ready or not; a claim of whose holder nothing is known counts for two heartbeats; large entries that are about to be ready are waited for.

--- a/internal/gateway/node/groups.go
+++ b/internal/gateway/node/groups.go
@@ -28,10 +28,7 @@
 	n.members.Update(func(r *member.Record) { r.Ready = !r.Leaving })
 	var live []tenure.Candidate
 	for _, r := range n.members.Live("") {
-		if !r.Ready {
-			continue
-		}
-		live = append(live, tenure.Candidate{ID: r.ID, Life: r.Incarnation, Zone: r.Zone, Weight: r.Weight})
+		live = append(live, tenure.Candidate{ID: r.ID, Life: r.Incarnation, Zone: r.Zone, Weight: r.Weight, Ready: r.Ready})
 	}
 	heard, now, claimed := n.hears(), time.Now(), false
 	for _, zone := range n.settings.Zones {
--- a/internal/gateway/node/node.go
+++ b/internal/gateway/node/node.go
@@ -96,6 +96,7 @@
 	n.tenure = tenure.New(tenure.Options{
 		Self:     tenure.Candidate{ID: s.VM, Life: n.life, Zone: s.Zone, Weight: s.Processors},
 		Patience: alonePatience,
+		Known:    func(id string) bool { _, _, known := n.members.Find(id); return known },
 	})
 	n.measures = newMeasures(n, options.Dropped)
 	n.outbox = newOutbox(n)
--- a/internal/placement/tenure/tenure.go
+++ b/internal/placement/tenure/tenure.go
@@ -22,19 +22,22 @@
 	Life   uint64 // its incarnation
 }
 
-// Candidate is an entry that could hold a group.
+// Candidate is a live entry that could hold a group once it is ready.
 type Candidate struct {
 	ID     string
 	Life   uint64
 	Zone   string
 	Weight float64
+	Ready  bool
 }
 
 // Options of a table. Patience is how long an entry that hears nobody waits
-// before it takes a group over: it may be the one that is cut off.
+// before it takes a group over: it may be the one that is cut off. Known tells
+// whether anything has been heard of an entry, be it alive or gone.
 type Options struct {
 	Self     Candidate
 	Patience time.Duration
+	Known    func(id string) bool
 }
 
 // Table is safe for concurrent use.
@@ -106,6 +109,10 @@
 	return c, ok
 }
 
+// newsSpan is how long a claim counts of whose holder nothing is known: news of
+// an entry follows its claim within two heartbeats.
+const newsSpan = 300 * time.Millisecond
+
 // Settle claims the group for the own entry where it falls to it: the holder is
 // gone and of the live candidates the own entry ranks first. Heard tells whether
 // any other entry is heard of. It tells whether a claim was made.
@@ -128,6 +135,9 @@
 	if !heard && (claimed && now.Sub(since) < t.options.Patience || !t.fenced.IsZero()) {
 		return false
 	}
+	if claimed && !t.options.Known(c.Holder) && now.Sub(since) < newsSpan {
+		return false
+	}
 	if first(group, zone, live) != t.options.Self.ID {
 		return false
 	}
@@ -155,6 +165,8 @@
 	return c.Holder == t.options.Self.ID && c.Life == t.options.Self.Life && t.fenced.IsZero()
 }
 
+// holds tells whether the holder of a claim lives. It need not be known as ready:
+// it was when it made the claim.
 func holds(c Claim, live []Candidate) bool {
 	for _, l := range live {
 		if l.ID == c.Holder && l.Life == c.Life {
@@ -170,7 +182,8 @@
 
 // first is the candidate of the group's zone that takes it when it is vacant.
 // Entries of other zones do not: one that cannot be reached from there may still
-// be at work for its own zone.
+// be at work for its own zone. Small entries leave a group to a large one that is
+// about to be ready.
 func first(group, zone string, live []Candidate) string {
 	best, bestRank, largest := "", 0.0, 0.0
 	for _, l := range live {
@@ -179,7 +192,7 @@
 		}
 	}
 	for _, l := range live {
-		if l.Zone != zone || l.Weight < largest*largeShare {
+		if l.Zone != zone || !l.Ready || l.Weight < largest*largeShare {
 			continue
 		}
 		if r := rank(group, l.ID, l.Weight); best == "" || r > bestRank {
--- a/internal/placement/tenure/tenure_test.go
+++ b/internal/placement/tenure/tenure_test.go
@@ -7,9 +7,14 @@
 
 var now = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
-func entry(id, zone string) Candidate { return Candidate{ID: id, Life: 1, Zone: zone, Weight: 1} }
+func entry(id, zone string) Candidate {
+	return Candidate{ID: id, Life: 1, Zone: zone, Weight: 1, Ready: true}
+}
 
-func table(self Candidate) *Table { return New(Options{Self: self, Patience: 2 * time.Second}) }
+// table makes one of an entry that has heard of all others.
+func table(self Candidate) *Table {
+	return New(Options{Self: self, Patience: 2 * time.Second, Known: func(string) bool { return true }})
+}
 
 // TestOtherZonesTakeNoGroup cuts a zone off: the entries of other zones, which
 // cannot reach it, must not claim its group, or they take it away from its own
@@ -30,7 +35,7 @@
 
 func TestSettle(t *testing.T) {
 	a1, a2 := entry("a1", "a"), entry("a2", "a")
-	reborn := Candidate{ID: "a2", Life: 2, Zone: "a", Weight: 1}
+	reborn := Candidate{ID: "a2", Life: 2, Zone: "a", Weight: 1, Ready: true}
 	claim := Claim{Group: "a/0", Epoch: 3, Holder: "a2", Life: 1}
 	tests := []struct {
 		name    string
@@ -65,6 +70,44 @@
 	}
 }
 
+// TestStartOfAllEntries has entries that start one after the other, as when all
+// have lost power. News of them comes piecemeal: a claim may be heard of before
+// its holder, and its holder before it is ready. A group that changes hands then
+// serves nothing for a second.
+func TestStartOfAllEntries(t *testing.T) {
+	self := Candidate{ID: "a1", Life: 1, Zone: "a", Weight: 0.2, Ready: true}
+	claim := Claim{Group: "a/0", Epoch: 1, Holder: "a2", Life: 1}
+	tests := []struct {
+		name    string
+		claims  []Claim
+		other   Candidate
+		known   bool
+		waits   time.Duration
+		claimed bool
+	}{
+		{"the holder is not known to be ready yet", []Claim{claim}, Candidate{ID: "a2", Life: 1, Zone: "a", Weight: 0.2}, true, time.Second, false},
+		{"nothing is known of the holder", []Claim{claim}, Candidate{ID: "b1", Life: 1, Zone: "b", Weight: 1}, false, 0, false},
+		{"nothing has come of the holder", []Claim{claim}, Candidate{ID: "b1", Life: 1, Zone: "b", Weight: 1}, false, newsSpan, true},
+		{"the holder is known to be gone", []Claim{claim}, Candidate{ID: "b1", Life: 1, Zone: "b", Weight: 1}, true, 0, true},
+		{"a larger entry of the zone is about to be ready", nil, Candidate{ID: "a2", Life: 1, Zone: "a", Weight: 0.8}, true, 0, false},
+		{"a larger entry of another zone is about to be ready", nil, Candidate{ID: "b1", Life: 1, Zone: "b", Weight: 0.8}, true, 0, true},
+	}
+	for _, c := range tests {
+		t.Run(c.name, func(t *testing.T) {
+			table := New(Options{Self: self, Patience: 2 * time.Second, Known: func(string) bool { return c.known }})
+			table.Merge(c.claims)
+			live := []Candidate{self, c.other}
+			claimed := table.Settle("a/0", "a", live, true, now)
+			if c.waits > 0 {
+				claimed = claimed || table.Settle("a/0", "a", live, true, now.Add(c.waits))
+			}
+			if claimed != c.claimed {
+				t.Fatalf("claimed %v, want %v", claimed, c.claimed)
+			}
+		})
+	}
+}
+
 // TestFencedEntryThatHearsNobodyStandsBack is the entry that is cut off from
 // the others but not from the workers.
 func TestFencedEntryThatHearsNobodyStandsBack(t *testing.T) {
