tenure, fence, plan: Begin the tokens of a claim above those of the last one

Cause: tokens began with the start of the process and rose with every worker, so a holder that followed one with more workers or a later start was refused by them, waited 0.25 s and tried again: 39 workers of one zone three times after a restart of all entries. And after such a restart, jobs waited 1.1 s for the workers that did not answer, though nothing of before could still run. Change: a claim carries the base of its tokens, above that of the claim before it or taken from the time of day; claims of the same epoch are ordered as the workers order their tokens. A holder without an earlier claim starts jobs on each worker that has answered, where clients send again later than leases lapse; that span is a setting now (platform, resend).

--- a/internal/gateway/node/groups.go
+++ b/internal/gateway/node/groups.go
@@ -11,6 +11,7 @@
 	"github.com/radishgate/radishgate/internal/placement/plan"
 	"github.com/radishgate/radishgate/internal/placement/tenure"
 	"github.com/radishgate/radishgate/internal/work/batch"
+	"github.com/radishgate/radishgate/internal/worker/fence"
 	"github.com/radishgate/radishgate/member"
 	"github.com/radishgate/radishgate/platform"
 )
@@ -82,7 +83,8 @@
 
 func (n *Node) newHolder(c tenure.Claim) *holder.Holder {
 	return holder.New(n.ctx, holder.Options{
-		Group: c.Group, Epoch: c.Epoch, Tokens: n.tokens, Lease: n.settings.Lease,
+		Group: c.Group, Epoch: c.Epoch, First: n.tenure.First(c.Group), Tokens: fence.New(fence.Number(c.Holder, c.Life), c.Base),
+		Lease: n.settings.Lease, Resend: n.settings.Resend,
 		Calls: holder.Calls{Start: n.workers.Start, Stop: n.workers.Stop, Hold: n.workers.Hold},
 		Log:   n.log, Settled: n.settled, Counted: n.measures.order,
 		Fenced: func() bool {
--- a/internal/gateway/node/node.go
+++ b/internal/gateway/node/node.go
@@ -20,7 +20,6 @@
 	"github.com/radishgate/radishgate/internal/gateway/settings"
 	"github.com/radishgate/radishgate/internal/placement/holder"
 	"github.com/radishgate/radishgate/internal/placement/tenure"
-	"github.com/radishgate/radishgate/internal/worker/fence"
 	"github.com/radishgate/radishgate/internal/worker/registry"
 	"github.com/radishgate/radishgate/member"
 	"github.com/radishgate/radishgate/peer"
@@ -61,7 +60,6 @@
 	contacts contacts
 
 	vacancies vacancies
-	tokens    *fence.Source
 
 	mu      sync.Mutex
 	holders map[string]*holder.Holder // by group
@@ -82,7 +80,6 @@
 		contacts:  contacts{addresses: map[string]bool{}},
 		vacancies: vacancies{groups: map[string]vacancy{}},
 	}
-	n.tokens = fence.New(xxhash.Sum64String(s.VM)^n.life, n.began)
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	if err := n.listen(options); err != nil {
 		return nil, err
--- a/internal/gateway/settings/settings.go
+++ b/internal/gateway/settings/settings.go
@@ -25,9 +25,10 @@
 	Metrics    string   // empty for none
 	Seeds      []string // peers' addresses of some entries
 
-	Store string
-	Lease time.Duration // of what runs on a worker, at most
-	Grace time.Duration // from SIGTERM until the process is killed
+	Store  string
+	Lease  time.Duration // of what runs on a worker, at most
+	Grace  time.Duration // from SIGTERM until the process is killed
+	Resend time.Duration // after which a client that has no answer sends its job again
 
 	Groups int // of workers in each zone, each placed by one entry
 	Beat   time.Duration
@@ -58,6 +59,7 @@
 		Store:  f.Must("platform", "store"),
 		Lease:  f.Span("platform", "lease", time.Second, 100*time.Millisecond, time.Minute),
 		Grace:  f.Span("platform", "grace", 6*time.Second, 500*time.Millisecond, time.Hour),
+		Resend: f.Span("platform", "resend", 1300*time.Millisecond, 100*time.Millisecond, time.Minute),
 		Groups: int(f.Int("workers", "groups", 1, 1, 64)),
 		Beat:   f.Span("entry", "beat", 150*time.Millisecond, 10*time.Millisecond, 10*time.Second),
 		Level:  f.String("logs", "level", "info"),
--- a/internal/gateway/settings/settings_test.go
+++ b/internal/gateway/settings/settings_test.go
@@ -25,6 +25,7 @@
 store = 127.0.0.1:8169
 lease = 1000ms
 grace = 6s
+resend = 1300ms
 [logs]
 level = info
 `
@@ -43,6 +44,7 @@
 		{"no address of the store", "store = 127.0.0.1:8169\n", "", "store"},
 		{"an address with a name", "127.0.0.1:8169", "store:8169", "store"},
 		{"a seed that is no address", "127.0.0.2:8166", "127.0.0.2", "seeds"},
+		{"a resend without a unit", "1300ms", "1300", "resend"},
 		{"a lease without a unit", "1000ms", "1000", "lease"},
 		{"an unknown key", "[logs]", "[logs]\nshape = x", "shape"},
 		{"a share above one", "share = 0.4", "share = 4", "share"},
--- a/internal/placement/holder/holder.go
+++ b/internal/placement/holder/holder.go
@@ -23,12 +23,12 @@
 
 // Options of a holder. The functions are called without any lock held.
 type Options struct {
-	Group string
-	Epoch uint64 // of the claim
-	// Tokens is shared by all holders of a process, so that a later one of the same
-	// group is above an earlier one.
+	Group  string
+	Epoch  uint64 // of the claim
+	First  bool   // the claim followed no other
 	Tokens *fence.Source
 	Lease  time.Duration
+	Resend time.Duration // after which a client that has no answer sends its job again
 	Calls  Calls
 	Log    *slog.Logger
 	// Settled is told what became of each job.
@@ -58,7 +58,7 @@
 	now := time.Now()
 	h := &Holder{
 		options: options, sessions: map[string]*session{},
-		plan: plan.New(plan.Options{Lease: options.Lease}, now),
+		plan: plan.New(plan.Options{Lease: options.Lease, Resend: options.Resend, First: options.First}, now),
 	}
 	h.ctx, h.cancel = context.WithCancel(ctx)
 	h.group.Go(h.ticks)
--- a/internal/placement/holder/session.go
+++ b/internal/placement/holder/session.go
@@ -44,7 +44,7 @@
 }
 
 func newSession(h *Holder, r platform.Registration) *session {
-	s := &session{h: h, target: platform.Target{ID: r.ID, Address: r.Address}, registered: r, token: h.options.Tokens.Next()}
+	s := &session{h: h, target: platform.Target{ID: r.ID, Address: r.Address}, registered: r, token: h.options.Tokens.Next(r.ID)}
 	s.ctx, s.cancel = context.WithCancel(h.ctx)
 	return s
 }
@@ -61,7 +61,7 @@
 // refence makes the worker take a higher token before it is used again. The lock
 // is held.
 func (s *session) refence(reason string) {
-	s.token, s.fenced = s.h.options.Tokens.Next(), false
+	s.token, s.fenced = s.h.options.Tokens.Next(s.target.ID), false
 	if s.interrupt != nil {
 		s.interrupt()
 	}
--- a/internal/placement/plan/job.go
+++ b/internal/placement/plan/job.go
@@ -200,11 +200,11 @@
 
 // want puts off the moment at which a job that is not asked for is dropped.
 func (p *Plan) want(j *job) {
-	span := p.options.Wanted
+	margin := wantedMargin
 	if j.Away {
-		span = p.options.Away
+		margin = awayMargin
 	}
-	j.wanted = p.at.Add(span)
+	j.wanted = p.at.Add(max(p.options.Resend-margin, wantedLeast))
 }
 
 // abandon ends a job that nobody waits for, without telling anybody.
--- a/internal/placement/plan/plan.go
+++ b/internal/placement/plan/plan.go
@@ -53,8 +53,10 @@
 	Lease  time.Duration // of what runs on a worker, at most
 	Orphan time.Duration // for which runs of unknown jobs are kept for their entry to ask again
 	Keep   time.Duration // for which the result of an ended job is remembered
-	Wanted time.Duration // after which a job that its entry no longer asks for is dropped
-	Away   time.Duration // the same for a job of another zone, where its client may send it again
+	Resend time.Duration // after which a client that has no answer sends its job again
+	// First tells that no other holder is known to have placed before: all entries
+	// have lost power or start for the first time.
+	First bool
 }
 
 // Defaults of the options that a caller leaves at zero.
@@ -62,8 +64,15 @@
 	defaultLease  = time.Second
 	defaultOrphan = 400 * time.Millisecond // some heartbeats between entries
 	defaultKeep   = 5 * time.Second        // a client sends again after a second or two
-	defaultWanted = 1200 * time.Millisecond
-	defaultAway   = 700 * time.Millisecond // a client sends again after 1.3 s; entries ask each 0.25 s
+	defaultResend = 1300 * time.Millisecond
+)
+
+// Margins by which a job that its entry no longer asks for is dropped before its
+// client sends it again. Entries ask every 0.25 s.
+const (
+	wantedMargin = 100 * time.Millisecond // for a tick and the time in which a run is stopped
+	awayMargin   = 600 * time.Millisecond // the job of another zone comes back to another holder
+	wantedLeast  = 300 * time.Millisecond
 )
 
 // Plan is the state of one holder. It is not safe for concurrent use.
@@ -105,17 +114,18 @@
 	if options.Keep == 0 {
 		options.Keep = defaultKeep
 	}
-	if options.Wanted == 0 {
-		options.Wanted = defaultWanted
-	}
-	if options.Away == 0 {
-		options.Away = defaultAway
+	if options.Resend == 0 {
+		options.Resend = defaultResend
 	}
 	p := &Plan{
 		options: options, pace: pace.New(), at: began,
 		workers: map[string]*worker{}, jobs: map[string]*job{}, orphans: map[string]orphan{}, strays: map[string]*run{}, fastest: map[string]float64{},
 	}
-	p.disputedTo = p.leaseEnd(began)
+	// Where all entries are lost at once and the leases of what ran lapse before
+	// clients send their jobs again, no job can still run anywhere.
+	if !options.First || !p.leaseEnd(began).Before(began.Add(options.Resend)) {
+		p.disputedTo = p.leaseEnd(began)
+	}
 	p.board = outlier.New(outlier.Options{
 		Failures: failuresInRow, Aside: asideFirst, Longest: asideLongest, Now: func() time.Time { return p.at },
 	})
--- a/internal/placement/plan/plan_test.go
+++ b/internal/placement/plan/plan_test.go
@@ -123,6 +123,42 @@
 	}
 }
 
+// TestFirstHolder starts after all entries have lost power, with a worker that
+// does not answer. Jobs must not wait for it, unless an entry brings one back that
+// it has handed to another holder, or such a holder is met.
+func TestFirstHolder(t *testing.T) {
+	tests := []struct {
+		name   string
+		resend time.Duration
+		again  bool
+		met    bool
+		starts int
+	}{
+		{"a new job", 1300 * time.Millisecond, false, false, 1},
+		{"clients send again before leases lapse", time.Second, false, false, 0},
+		{"a job that was with another holder", 1300 * time.Millisecond, true, false, 0},
+		{"another holder is met", 1300 * time.Millisecond, false, true, 0},
+	}
+	for _, c := range tests {
+		t.Run(c.name, func(t *testing.T) {
+			p := New(Options{First: true, Resend: c.resend}, start)
+			p.Enlist(machine("w1", 4), start)
+			p.Enlist(machine("w2", 4), start)
+			p.Take(Report{Worker: "w1", Sent: start, Fenced: true}, after(5))
+			p.Silent("w2", after(300))
+			if c.met {
+				p.Disputed("w2", after(300))
+			}
+			b := jobOf("00000000000000aa", 1, after(310))
+			b.Again = c.again
+			p.Admit(b, nil, after(310))
+			if got := len(starts(p)); got != c.starts {
+				t.Fatalf("%d starts, want %d", got, c.starts)
+			}
+		})
+	}
+}
+
 // TestRequestThatComesTwice has a message about a job overtaken by a later one,
 // as when a VM is slow: what was refused or withdrawn must not start.
 func TestRequestThatComesTwice(t *testing.T) {
--- a/internal/placement/tenure/tenure.go
+++ b/internal/placement/tenure/tenure.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/radishgate/radishgate/internal/worker/fence"
 )
 
 // Claim says that an entry places the tasks of a group. Of two claims the one
@@ -20,6 +22,7 @@
 	Epoch  uint64
 	Holder string // ID of the entry
 	Life   uint64 // its incarnation
+	Base   uint64 // of its fencing tokens
 }
 
 // Candidate is a live entry that could hold a group once it is ready.
@@ -47,13 +50,14 @@
 	mu      sync.Mutex
 	claims  map[string]Claim
 	vacant  map[string]time.Time // since when a group has no live holder
+	first   map[string]bool      // groups of which no claim was known when the own entry made its one
 	fenced  time.Time            // when another holder was met while nobody was heard
 	changed uint64
 }
 
 // New makes a table without claims.
 func New(options Options) *Table {
-	return &Table{options: options, claims: map[string]Claim{}, vacant: map[string]time.Time{}}
+	return &Table{options: options, claims: map[string]Claim{}, vacant: map[string]time.Time{}, first: map[string]bool{}}
 }
 
 // Merge takes claims that were heard of and tells whether one of them is news.
@@ -71,15 +75,20 @@
 	return news
 }
 
-// beats orders claims, those of the same epoch by a hash that all entries share.
+// beats orders claims, those of the same epoch as workers order the tokens of
+// their holders: the one that loses is the one that workers refuse.
 func beats(c, known Claim) bool {
 	if c.Epoch != known.Epoch {
 		return c.Epoch > known.Epoch
 	}
-	if c.Holder == known.Holder {
-		return c.Life != known.Life && c.Life > known.Life
+	if c.Base != known.Base {
+		return c.Base > known.Base
+	}
+	one, two := fence.Number(c.Holder, c.Life), fence.Number(known.Holder, known.Life)
+	if one != two {
+		return one > two
 	}
-	return rank(c.Group, c.Holder, 1) > rank(c.Group, known.Holder, 1)
+	return c.Holder > known.Holder || c.Holder == known.Holder && c.Life > known.Life
 }
 
 // Claims gives all claims, for heartbeats.
@@ -141,12 +150,24 @@
 	if first(group, zone, live) != t.options.Self.ID {
 		return false
 	}
-	t.claims[group] = Claim{Group: group, Epoch: c.Epoch + 1, Holder: t.options.Self.ID, Life: t.options.Self.Life}
+	t.claims[group] = Claim{
+		Group: group, Epoch: c.Epoch + 1, Holder: t.options.Self.ID, Life: t.options.Self.Life,
+		Base: fence.Base(c.Base, now),
+	}
 	t.changed++
+	t.first[group] = !claimed
 	delete(t.vacant, group)
 	return true
 }
 
+// First tells whether the own entry's claim of a group followed no other: all
+// entries have just started.
+func (t *Table) First(group string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.first[group]
+}
+
 // Fenced notes that another holder was met at a worker. An entry that hears
 // nobody then stands back until it hears somebody.
 func (t *Table) Fenced(heard bool, now time.Time) {
--- a/internal/placement/tenure/tenure_test.go
+++ b/internal/placement/tenure/tenure_test.go
@@ -104,6 +104,9 @@
 			if claimed != c.claimed {
 				t.Fatalf("claimed %v, want %v", claimed, c.claimed)
 			}
+			if first := claimed && len(c.claims) == 0; table.First("a/0") != first {
+				t.Fatalf("first %v, want %v", !first, first)
+			}
 		})
 	}
 }
--- a/internal/worker/fence/source.go
+++ b/internal/worker/fence/source.go
@@ -4,6 +4,8 @@
 import (
 	"sync"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // A token is a count above the bits that tell its holder. Both together stay
@@ -13,42 +15,65 @@
 	countBits  = 33
 )
 
-// stepsPerSecond is how fast the count of fresh holders rises with the time of
-// day: 33 bits last for 34 years.
-const stepsPerSecond = 8
+// stepsPerSecond is how fast the base of fresh claims rises with the time of
+// day: 33 bits last for 17 years.
+const stepsPerSecond = 16
+
+// claimStep is the least distance between the bases of two claims. A holder
+// raises the token of one worker a few times at most while it holds a group.
+const claimStep = 16
 
 // epoch is the Unix second at which the count begins, 2026-01-01.
 const epoch = 1767225600
 
-// Source gives the tokens of one holder. It is safe for concurrent use.
+// Number tells one life of an entry from others, in the bits of a token.
+func Number(id string, life uint64) uint64 {
+	return (xxhash.Sum64String(id) ^ life) % (1 << holderBits)
+}
+
+// Base is the count at which the tokens of a claim begin, above those of the
+// claim before it, where one is known. The time of day alone puts it above claims
+// that are not known any more.
+func Base(before uint64, now time.Time) uint64 {
+	count := uint64(max(1, (now.UnixMilli()-epoch*1000)*stepsPerSecond/1000))
+	if before > 0 {
+		count = max(count, before+claimStep)
+	}
+	return min(count, 1<<countBits-claimStep)
+}
+
+// Source gives the tokens of one claim. It is safe for concurrent use.
 type Source struct {
 	mu     sync.Mutex
 	holder int64
-	count  int64
+	base   int64
 	jump   int64
+	given  map[string]int64 // the last count, by worker
 }
 
-// New makes a source; holder is any number that other holders do not have. The
-// time of day only helps a fresh holder to begin above earlier ones: a token
-// that a worker refuses is raised until it does not.
-func New(holder uint64, now time.Time) *Source {
-	count := max(1, (now.Unix()-epoch)*stepsPerSecond)
-	return &Source{holder: int64(holder % (1 << holderBits)), count: count, jump: 1}
+// New makes a source; holder is a number that other holders do not have.
+func New(holder, base uint64) *Source {
+	return &Source{holder: int64(holder % (1 << holderBits)), base: int64(base), jump: 1, given: map[string]int64{}}
 }
 
-// Next gives a token above all before it.
-func (s *Source) Next() int64 {
+// Next gives a token for a worker above all that it was given before.
+func (s *Source) Next(worker string) int64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.count = min(s.count+1, 1<<countBits-1)
-	return s.count<<holderBits | s.holder
+	count := s.base
+	if last, before := s.given[worker]; before {
+		count = max(count, last+1)
+	}
+	count = min(count, 1<<countBits-1)
+	s.given[worker] = count
+	return count<<holderBits | s.holder
 }
 
-// Raise takes longer strides each time that a worker has refused a token, so that a
-// holder whose clock is behind soon passes the others.
+// Raise lifts the base each time that a worker has refused a token, by longer and
+// longer strides, so that a holder whose clock is behind soon passes the others.
 func (s *Source) Raise() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.count = min(s.count+s.jump, 1<<countBits-2)
+	s.base = min(s.base+s.jump, 1<<countBits-2)
 	s.jump = min(s.jump*2, stepsPerSecond*3600)
 }
