--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -101,6 +101,7 @@
 	endings  []ending
 	sequence int64
 	change   chan struct{}
+	crashed  bool
 }
 
 // New makes a worker that runs nothing.
@@ -160,6 +161,9 @@
 func (w *Worker) carryOut(r *http.Request, o order) (int, answer) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if w.crashed {
+		panic(http.ErrAbortHandler)
+	}
 	w.settle()
 	if o.Token < w.token {
 		return http.StatusConflict, answer{Clock: w.clock(), Born: w.began.UnixMilli(), Reason: "fence"}
@@ -256,6 +260,16 @@
 	w.change = make(chan struct{})
 }
 
+// Crash ends the worker and all that runs on it. It lists and takes nothing more.
+func (w *Worker) Crash() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, r := range w.runs {
+		w.finish(r, "lost")
+	}
+	w.crashed = true
+}
+
 func (w *Worker) forget(seen int64) {
 	for len(w.endings) > 0 && w.endings[0].sequence <= seen {
 		w.endings = w.endings[1:]
@@ -277,6 +291,9 @@
 	}
 	timer.Stop()
 	w.mu.Lock()
+	if w.crashed {
+		panic(http.ErrAbortHandler)
+	}
 }
 
 func (w *Worker) lists() answer {
