--- a/internal/placement/plan/place.go
+++ b/internal/placement/plan/place.go
@@ -313,10 +313,12 @@
 }
 
 // occupied gives the thousandths of a core that tasks of a service can fill, and
-// the work, in thousandths of a core times seconds, that runs on them.
+// the work, in thousandths of a core times seconds, that runs on them. Workers
+// that have yet to take the token count: they do within a trip, and a holder that
+// has just begun would refuse all that comes before.
 func (p *Plan) occupied(service string) (whole, work float64) {
 	for _, w := range p.list {
-		if w.Service != service || w.standing != ready || w.Draining {
+		if w.Service != service || w.mute || w.Draining {
 			continue
 		}
 		whole += float64(w.Room.Processors) * packing
--- a/internal/placement/plan/plan_test.go
+++ b/internal/placement/plan/plan_test.go
@@ -159,6 +159,51 @@
 	}
 }
 
+// TestNewHolderForeseesWithAllItsWorkers has a holder that has just taken over:
+// one worker has taken its token, and the others are about to. A job must not be
+// refused as if that one were all that there is.
+func TestNewHolderForeseesWithAllItsWorkers(t *testing.T) {
+	tests := []struct {
+		name    string
+		silent  bool // the other workers do not answer
+		refused int
+	}{
+		{"the others have been asked", false, 0},
+		{"the others do not answer", true, 1},
+	}
+	for _, c := range tests {
+		t.Run(c.name, func(t *testing.T) {
+			p := New(Options{}, start)
+			for i := range 8 {
+				w := machine(fmt.Sprintf("w%d", i), 4)
+				p.Enlist(w, start)
+				if i > 0 && !c.silent {
+					continue
+				}
+				p.Take(Report{Worker: w.ID, Sent: start, Fenced: true}, start)
+				if i > 0 {
+					p.Silent(w.ID, start)
+				}
+			}
+			at := after(10)
+			for i := range 3 {
+				b := jobOf(fmt.Sprintf("00000000000000a%d", i), 12, at)
+				b.Expires = at.Add(600 * time.Millisecond)
+				p.Admit(b, nil, at)
+			}
+			refused := 0
+			for _, o := range kinds(p.Orders(), Settle) {
+				if o.Result.State == batch.Refused {
+					refused++
+				}
+			}
+			if refused != c.refused {
+				t.Fatalf("%d refused, want %d", refused, c.refused)
+			}
+		})
+	}
+}
+
 // TestRequestThatComesTwice has a message about a job overtaken by a later one,
 // as when a VM is slow: what was refused or withdrawn must not start.
 func TestRequestThatComesTwice(t *testing.T) {
--- a/internal/placement/plan/worker.go
+++ b/internal/placement/plan/worker.go
@@ -52,6 +52,7 @@
 	factor   float64 // run time of a task against that at the speed 1
 	runs     map[runKey]*run
 	renewed  time.Time // when the last renewal that may have reached it was sent
+	mute     bool      // brought no answer the last time it was asked
 }
 
 // usable tells whether new work may go to the worker.
@@ -114,7 +115,12 @@
 // lease is over.
 func (p *Plan) Silent(id string, now time.Time) {
 	p.at = now
-	if w, known := p.workers[id]; known && w.standing == ready {
+	w, known := p.workers[id]
+	if !known {
+		return
+	}
+	w.mute = true
+	if w.standing == ready {
 		w.standing = silent
 	}
 }
