tenure: Pass a group from a small entry to a large one that has come later

Cause: an entry that takes a group while the large ones of its zone are down kept it for good. Change: a holder too small for its zone hands the group to the entry that ranks first once that has been ready for two seconds, while every worker answers.

--- a/internal/gateway/node/groups.go
+++ b/internal/gateway/node/groups.go
@@ -34,7 +34,8 @@
 	heard, now, claimed := n.hears(), time.Now(), false
 	for _, zone := range n.settings.Zones {
 		for i := range n.settings.Groups {
-			if n.tenure.Settle(groupName(zone, i), zone, live, heard, now) {
+			group := groupName(zone, i)
+			if n.tenure.Settle(group, zone, live, heard, now) || n.calm(group) && n.tenure.Cede(group, zone, live, now) {
 				claimed = true
 			}
 		}
@@ -48,6 +49,13 @@
 	}
 }
 
+// calm tells whether this entry holds a group all of whose workers answer it. Only
+// then does a change of holder cost next to nothing.
+func (n *Node) calm(group string) bool {
+	h, held := n.holder(group)
+	return held && h.Calm()
+}
+
 // matchHolders begins a holder for each claim of this entry and ends the others.
 func (n *Node) matchHolders() bool {
 	n.mu.Lock()
@@ -83,7 +91,7 @@
 
 func (n *Node) newHolder(c tenure.Claim) *holder.Holder {
 	return holder.New(n.ctx, holder.Options{
-		Group: c.Group, Epoch: c.Epoch, First: n.tenure.First(c.Group), Tokens: fence.New(fence.Number(c.Holder, c.Life), c.Base),
+		Group: c.Group, Epoch: c.Epoch, First: n.tenure.First(c), Tokens: fence.New(fence.Number(c.Holder, c.Life), c.Base),
 		Lease: n.settings.Lease, Resend: n.settings.Resend,
 		Calls: holder.Calls{Start: n.workers.Start, Stop: n.workers.Stop, Hold: n.workers.Hold},
 		Log:   n.log, Settled: n.settled, Counted: n.measures.order,
--- a/internal/gateway/node/node_test.go
+++ b/internal/gateway/node/node_test.go
@@ -29,6 +29,7 @@
 	stops   []context.CancelFunc
 	stopped []chan struct{}
 	address string // of the store
+	loaded  int    // jobs that load has handed in
 }
 
 const configuration = `{"version":%d,"routes":[{"name":"hold","host":"hold.example","path-prefix":"/hold/","slo-ms":60,"backend":"listing","max-attempts":3,"slack-factor":1.6}],"services":[{"name":"listing"}]}`
@@ -49,7 +50,7 @@
 		seeds = append(seeds, listeners[i].Addr().String())
 	}
 	for i := range entries {
-		f.addNode(fmt.Sprintf("e%d", i), listeners[i], seeds)
+		f.addNode(fmt.Sprintf("e%d", i), 1, listeners[i], seeds)
 	}
 	t.Cleanup(f.close)
 	return f
@@ -72,11 +73,11 @@
 		strings.TrimPrefix(server.URL, "http://")))
 }
 
-func (f *fleet) addNode(id string, peers net.Listener, seeds []string) {
+func (f *fleet) addNode(id string, processors float64, peers net.Listener, seeds []string) {
 	clients, ready := listen(f.t), listen(f.t)
 	n, err := New(Options{
 		Settings: &settings.Settings{
-			VM: id, Zone: "a", Zones: []string{"a"}, Processors: 1, Memory: 256, Peers: peers.Addr().String(), Reach: peers.Addr().String(), Seeds: seeds,
+			VM: id, Zone: "a", Zones: []string{"a"}, Processors: processors, Memory: 256, Peers: peers.Addr().String(), Reach: peers.Addr().String(), Seeds: seeds,
 			Store: f.address, Lease: time.Second, Grace: 4 * time.Second, Groups: 1, Beat: 50 * time.Millisecond,
 		},
 		Log: slog.New(slog.NewTextHandler(io.Discard, nil)), Dropped: func() int64 { return 0 },
@@ -171,9 +172,11 @@
 	var group sync.WaitGroup
 	var mu sync.Mutex
 	var bad []string
+	first := f.loaded + 1
+	f.loaded += jobs
 	for i := range jobs {
 		group.Go(func() {
-			id := fmt.Sprintf("%016x", i+1)
+			id := fmt.Sprintf("%016x", first+i)
 			status, body := f.submit(nodes[i%len(nodes)], id, 1+i%3)
 			if status != http.StatusOK || !strings.Contains(body, "completed") {
 				mu.Lock()
@@ -220,6 +223,41 @@
 	f.check()
 }
 
+// TestGroupGoesToALargerEntry starts a large entry after a small one has taken the
+// group: it gets the group, under load, and every job is answered.
+func TestGroupGoesToALargerEntry(t *testing.T) {
+	f := newFleet(t, 2, 6, worker.Options{Fate: func(string) (string, time.Duration) { return "done", 60 * time.Millisecond }})
+	f.ready()
+	small := append([]*Node(nil), f.nodes...)
+	f.addNode("large", 4, listen(t), []string{f.nodes[0].settings.Peers, f.nodes[1].settings.Peers})
+	stop := make(chan struct{})
+	bad := make(chan []string)
+	go func() {
+		var all []string
+		for {
+			select {
+			case <-stop:
+				bad <- all
+				return
+			default:
+				all = append(all, f.load(60, small, func() {})...)
+			}
+		}
+	}()
+	f.until("the large entry holds the group", func() bool {
+		_, held := f.nodes[2].holder(groupName("a", 0))
+		return held
+	})
+	close(stop)
+	if all := <-bad; len(all) > 0 {
+		t.Fatal(all)
+	}
+	f.check()
+	if h := f.holder(); h != 2 {
+		t.Fatalf("entry %d still holds the group", h)
+	}
+}
+
 // TestHolderStopsGracefully sends jobs to the holder itself while it drains.
 func TestHolderStopsGracefully(t *testing.T) {
 	f := newFleet(t, 3, 6, worker.Options{Fate: func(string) (string, time.Duration) { return "done", 60 * time.Millisecond }})
--- a/internal/placement/holder/holder.go
+++ b/internal/placement/holder/holder.go
@@ -175,6 +175,13 @@
 	h.options.Log.Info("worker dropped", "worker", s.target.ID, "reason", reason)
 }
 
+// Calm tells whether all workers answer and have taken the token.
+func (h *Holder) Calm() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.plan.Calm()
+}
+
 // Epoch is that of the claim by which the holder places.
 func (h *Holder) Epoch() uint64 { return h.options.Epoch }
 
--- a/internal/placement/plan/plan.go
+++ b/internal/placement/plan/plan.go
@@ -183,6 +183,16 @@
 	return count > 0
 }
 
+// Calm tells whether every worker is known.
+func (p *Plan) Calm() bool {
+	for _, w := range p.workers {
+		if w.standing != ready {
+			return false
+		}
+	}
+	return true
+}
+
 // Tick lets time pass.
 func (p *Plan) Tick(now time.Time) {
 	p.at = now
--- a/internal/placement/tenure/tenure.go
+++ b/internal/placement/tenure/tenure.go
@@ -50,14 +50,15 @@
 	mu      sync.Mutex
 	claims  map[string]Claim
 	vacant  map[string]time.Time // since when a group has no live holder
-	first   map[string]bool      // groups of which no claim was known when the own entry made its one
+	first   map[string]uint64    // epoch of the own entry's claim that followed no other, by group
+	small   map[string]time.Time // since when a larger entry could hold a group of the own entry
 	fenced  time.Time            // when another holder was met while nobody was heard
 	changed uint64
 }
 
 // New makes a table without claims.
 func New(options Options) *Table {
-	return &Table{options: options, claims: map[string]Claim{}, vacant: map[string]time.Time{}, first: map[string]bool{}}
+	return &Table{options: options, claims: map[string]Claim{}, vacant: map[string]time.Time{}, first: map[string]uint64{}, small: map[string]time.Time{}}
 }
 
 // Merge takes claims that were heard of and tells whether one of them is news.
@@ -147,7 +148,7 @@
 	if claimed && !t.options.Known(c.Holder) && now.Sub(since) < newsSpan {
 		return false
 	}
-	if first(group, zone, live) != t.options.Self.ID {
+	if first(group, zone, live).ID != t.options.Self.ID {
 		return false
 	}
 	t.claims[group] = Claim{
@@ -155,17 +156,49 @@
 		Base: fence.Base(c.Base, now),
 	}
 	t.changed++
-	t.first[group] = !claimed
+	if !claimed {
+		t.first[group] = c.Epoch + 1
+	}
 	delete(t.vacant, group)
 	return true
 }
 
-// First tells whether the own entry's claim of a group followed no other: all
-// entries have just started.
-func (t *Table) First(group string) bool {
+// cedeSpan is how long a larger entry must be ready before it gets a group: as
+// long as a rolling restart takes between two entries.
+const cedeSpan = 2 * time.Second
+
+// Cede passes a group of the own entry to a larger one that has come later, where
+// the own one is too small for it. It tells whether it did. Small entries take a
+// group when the large ones of its zone are down; without this they would keep it.
+func (t *Table) Cede(group, zone string, live []Candidate, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	c := t.claims[group]
+	next := first(group, zone, live)
+	if c.Holder != t.options.Self.ID || c.Life != t.options.Self.Life || next.ID == "" || t.options.Self.Weight >= next.Weight*largeShare {
+		delete(t.small, group)
+		return false
+	}
+	since, waiting := t.small[group]
+	if !waiting {
+		t.small[group] = now
+		return false
+	}
+	if now.Sub(since) < cedeSpan {
+		return false
+	}
+	t.claims[group] = Claim{Group: group, Epoch: c.Epoch + 1, Holder: next.ID, Life: next.Life, Base: fence.Base(c.Base, now)}
+	t.changed++
+	delete(t.small, group)
+	return true
+}
+
+// First tells whether a claim of the own entry followed no other: all entries have
+// just started.
+func (t *Table) First(c Claim) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.first[group]
+	return t.first[c.Group] == c.Epoch
 }
 
 // Fenced notes that another holder was met at a worker. An entry that hears
@@ -205,8 +238,8 @@
 // Entries of other zones do not: one that cannot be reached from there may still
 // be at work for its own zone. Small entries leave a group to a large one that is
 // about to be ready.
-func first(group, zone string, live []Candidate) string {
-	best, bestRank, largest := "", 0.0, 0.0
+func first(group, zone string, live []Candidate) Candidate {
+	best, bestRank, largest := Candidate{}, 0.0, 0.0
 	for _, l := range live {
 		if l.Zone == zone {
 			largest = max(largest, l.Weight)
@@ -216,8 +249,8 @@
 		if l.Zone != zone || !l.Ready || l.Weight < largest*largeShare {
 			continue
 		}
-		if r := rank(group, l.ID, l.Weight); best == "" || r > bestRank {
-			best, bestRank = l.ID, r
+		if r := rank(group, l.ID, l.Weight); best.ID == "" || r > bestRank {
+			best, bestRank = l, r
 		}
 	}
 	return best
--- a/internal/placement/tenure/tenure_test.go
+++ b/internal/placement/tenure/tenure_test.go
@@ -50,7 +50,7 @@
 		{"the holder is gone, others are heard", []Claim{claim}, []Candidate{a1}, true, 0, true},
 		{"the holder is gone, nobody is heard", []Claim{claim}, []Candidate{a1}, false, 0, false},
 		{"nobody is heard for long", []Claim{claim}, []Candidate{a1}, false, 3 * time.Second, true},
-		{"the holder has started again", []Claim{claim}, []Candidate{a1, reborn}, true, 0, first("a/0", "a", []Candidate{a1, reborn}) == "a1"},
+		{"the holder has started again", []Claim{claim}, []Candidate{a1, reborn}, true, 0, first("a/0", "a", []Candidate{a1, reborn}).ID == "a1"},
 	}
 	for _, c := range tests {
 		t.Run(c.name, func(t *testing.T) {
@@ -104,13 +104,52 @@
 			if claimed != c.claimed {
 				t.Fatalf("claimed %v, want %v", claimed, c.claimed)
 			}
-			if first := claimed && len(c.claims) == 0; table.First("a/0") != first {
+			held, _ := table.Holder("a/0")
+			if first := claimed && len(c.claims) == 0; table.First(held) != first {
 				t.Fatalf("first %v, want %v", !first, first)
 			}
 		})
 	}
 }
 
+// TestSmallHolderCedes starts the large entries of a zone after a small one has
+// taken its group.
+func TestSmallHolderCedes(t *testing.T) {
+	small := Candidate{ID: "a1", Life: 1, Zone: "a", Weight: 0.2, Ready: true}
+	tests := []struct {
+		name  string
+		later []Candidate
+		after time.Duration // from when they are seen
+		to    string
+	}{
+		{"a large one is ready", []Candidate{{ID: "a2", Life: 7, Zone: "a", Weight: 0.8, Ready: true}}, cedeSpan, "a2"},
+		{"a large one has just come", []Candidate{{ID: "a2", Life: 7, Zone: "a", Weight: 0.8, Ready: true}}, cedeSpan / 2, "a1"},
+		{"a large one is not ready", []Candidate{{ID: "a2", Life: 7, Zone: "a", Weight: 0.8}}, cedeSpan, "a1"},
+		{"a large one of another zone", []Candidate{{ID: "b1", Life: 7, Zone: "b", Weight: 0.8, Ready: true}}, cedeSpan, "a1"},
+		{"one of the same size", []Candidate{{ID: "a2", Life: 7, Zone: "a", Weight: 0.21, Ready: true}}, cedeSpan, "a1"},
+	}
+	for _, c := range tests {
+		t.Run(c.name, func(t *testing.T) {
+			table := table(small)
+			table.Settle("a/0", "a", []Candidate{small}, false, now)
+			before, _ := table.Holder("a/0")
+			live := append([]Candidate{small}, c.later...)
+			table.Cede("a/0", "a", live, now)
+			ceded := table.Cede("a/0", "a", live, now.Add(c.after))
+			held, _ := table.Holder("a/0")
+			if held.Holder != c.to || ceded != (c.to != "a1") {
+				t.Fatalf("ceded %v, held by %s, want %s", ceded, held.Holder, c.to)
+			}
+			if !table.First(before) || ceded && table.First(held) {
+				t.Fatal("only the claim that followed no other is the first")
+			}
+			if ceded && (!beats(held, before) || held.Base <= before.Base || held.Life != 7) {
+				t.Fatalf("claim %+v after %+v", held, before)
+			}
+		})
+	}
+}
+
 // TestFencedEntryThatHearsNobodyStandsBack is the entry that is cut off from
 // the others but not from the workers.
 func TestFencedEntryThatHearsNobodyStandsBack(t *testing.T) {
