feed: Tell that a topic can be read the first time as well

Cause: the metric of a dependency was set after a first loss only, so a fresh entry showed none. The follower had no test; it has one now over outages and a dropped history, which fails without the change. The log line about results for an entry that is gone said that they were kept; they are dropped.

--- a/internal/gateway/feed/follower.go
+++ b/internal/gateway/feed/follower.go
@@ -27,13 +27,15 @@
 	Pause time.Duration // between reads, for topics that change all the time
 	Reset func(records []platform.Keyed)
 	Apply func(records []platform.Keyed)
-	// Lost and Back are told when the topic can no longer be read and when it can again.
+	// Lost and Back are told when the topic can no longer be read, and when it can
+	// for the first time or again.
 	Lost func()
 	Back func()
 	Log  *slog.Logger
 
 	from   int64 // offset at which reading goes on, negative before the first
 	failed int
+	read   bool // it has been read
 }
 
 // Run follows the topic until the context ends.
@@ -44,15 +46,23 @@
 			f.miss(ctx, err)
 			continue
 		}
-		if f.failed > 0 {
-			f.Log.Info("topic can be read again", "topic", f.Name, "missed", f.failed)
-			f.failed = 0
-			f.Back()
-		}
+		f.reached()
 		wait.For(ctx, f.Pause)
 	}
 }
 
+// reached notes that a read has worked.
+func (f *Follower) reached() {
+	if f.read && f.failed == 0 {
+		return
+	}
+	if f.failed > 0 {
+		f.Log.Info("topic can be read again", "topic", f.Name, "missed", f.failed)
+	}
+	f.read, f.failed = true, 0
+	f.Back()
+}
+
 func (f *Follower) step(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, f.Wait+answerSpan*time.Duration(1+min(f.failed, 4)))
 	defer cancel()
--- /dev/null
+++ b/internal/gateway/feed/follower_test.go
@@ -0,0 +1,95 @@
+package feed
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/radishgate/radishgate/platform"
+	"github.com/radishgate/radishgate/standin/ledger"
+)
+
+// TestFollower writes to a topic while its store goes away, comes back and drops
+// its history. The follower gives every value, and tells each time that the store
+// is lost or there, the first time as well.
+func TestFollower(t *testing.T) {
+	tests := []struct {
+		name   string
+		during func(store *ledger.Ledger, seen func(what string))
+		told   []string
+	}{
+		{"the store answers", func(*ledger.Ledger, func(string)) {}, []string{"back"}},
+		{"the store goes away", func(store *ledger.Ledger, seen func(string)) {
+			store.Down.Store(true)
+			seen("lost")
+			store.Down.Store(false)
+		}, []string{"back", "lost", "back"}},
+		{"the history is dropped", func(store *ledger.Ledger, _ func(string)) {
+			store.Forget("keyed.op")
+		}, []string{"back"}},
+	}
+	for _, c := range tests {
+		t.Run(c.name, func(t *testing.T) {
+			store := ledger.New()
+			server := httptest.NewServer(store)
+			defer server.Close()
+			client := platform.NewStore(strings.TrimPrefix(server.URL, "http://"))
+			defer client.Close()
+			var mu sync.Mutex
+			var told, values []string
+			note := func(list *[]string, text string) {
+				mu.Lock()
+				defer mu.Unlock()
+				*list = append(*list, text)
+			}
+			take := func(records []platform.Keyed) {
+				for _, k := range records {
+					note(&values, string(k.Value))
+				}
+			}
+			f := &Follower{
+				Name: "configuration", Feed: client.Operator(), Wait: 50 * time.Millisecond, Reset: take, Apply: take,
+				Lost: func() { note(&told, "lost") }, Back: func() { note(&told, "back") },
+				Log: slog.New(slog.NewTextHandler(io.Discard, nil)),
+			}
+			ctx, cancel := context.WithCancel(t.Context())
+			done := make(chan struct{})
+			go func() {
+				defer close(done)
+				f.Run(ctx)
+			}()
+			until := func(list *[]string, text string) {
+				t.Helper()
+				for range 2000 {
+					mu.Lock()
+					there := slices.Contains(*list, text)
+					mu.Unlock()
+					if there {
+						return
+					}
+					time.Sleep(5 * time.Millisecond)
+				}
+				t.Fatalf("%s: never", text)
+			}
+			for i := range 2 {
+				store.Put("keyed.op", "config", fmt.Appendf(nil, "value %d", i))
+				until(&values, fmt.Sprintf("value %d", i))
+			}
+			c.during(store, func(what string) { until(&told, what) })
+			store.Put("keyed.op", "config", []byte("last"))
+			until(&values, "last")
+			cancel()
+			<-done
+			if !slices.Equal(told, c.told) {
+				t.Fatalf("told %v, want %v", told, c.told)
+			}
+		})
+	}
+}
--- a/internal/gateway/node/outbox.go
+++ b/internal/gateway/node/outbox.go
@@ -60,7 +60,7 @@
 func (o *outbox) deliver(entry string, results []batch.Result) bool {
 	r, state, known := o.n.members.Find(entry)
 	if !known || state == member.Dead {
-		o.n.log.Warn("results kept, their entry is not reached", "entry", entry, "results", len(results))
+		o.n.log.Warn("results dropped, their entry is gone", "entry", entry, "results", len(results))
 		return true
 	}
 	ctx, cancel := context.WithTimeout(o.n.ctx, answerSpan)
