plan: Judge the progress of a run by reports alone

A run counted as standing still when twice its time had passed, reported or not: 636 sound runs were stopped from 3 to 8 s, and their workers put aside while load was at its highest. Ruled out: the workers that fail all they start (40 of 350) and those that leave (42): the waiting jobs rise from 3 s on, before either. Change: a run is judged as of its worker's last report.

--- a/internal/placement/plan/report.go
+++ b/internal/placement/plan/report.go
@@ -49,7 +49,7 @@
 	if !known {
 		return
 	}
-	p.returned, w.mute = false, false
+	p.returned, w.mute, w.heard = false, false, now
 	if report.Fenced || w.standing == silent {
 		w.standing = ready
 	}
--- a/internal/placement/plan/worker.go
+++ b/internal/placement/plan/worker.go
@@ -53,6 +53,7 @@
 	runs     map[runKey]*run
 	renewed  time.Time // when the last renewal that may have reached it was sent
 	mute     bool      // brought no answer the last time it was asked
+	heard    time.Time // when the last report came
 }
 
 // usable tells whether new work may go to the worker.
@@ -221,13 +222,15 @@
 }
 
 // watch stops a run that stands still or is far slower than it would be elsewhere.
-// It answers workers that hang or have become slow without a sign.
+// It answers workers that hang or have become slow without a sign. What a worker
+// has not reported yet is no sign: reports that are lost or late, as under load,
+// would put sound workers aside and stop what is about to end.
 func (p *Plan) watch(r *run) {
 	t := r.task
 	if t == nil || t.job.result.State.Ended() || t.moves >= movesMost || r.worker.Draining && r.percent > 0 {
 		return
 	}
-	spent := p.at.Sub(r.beganAt)
+	spent := r.worker.heard.Sub(r.beganAt)
 	whole := r.expected.Sub(r.beganAt)
 	if spent < whole*2+stallSlack {
 		return
