plan: Adopt runs that are listed again, and wait for those being stopped

Ruled out: tokens and leases, all orders were in force. Change: a listed run without a task is given to its job whenever it is listed; a task waits for a run that does not count until it has ended or lapsed. Also here: a holder asks a worker for its lists outside its turn when a run should have ended 80 ms ago and nothing has come (measured next); the first claim is told from none; the schedules delay reports as well and keep logs.

--- a/internal/placement/holder/holder.go
+++ b/internal/placement/holder/holder.go
@@ -124,6 +124,8 @@
 			h.group.Go(func() { s.stop(o, token) })
 		case plan.Fence:
 			s.refence(o.Reason)
+		case plan.Look:
+			h.group.Go(s.look)
 		}
 	}
 	return settled
--- a/internal/placement/holder/session.go
+++ b/internal/placement/holder/session.go
@@ -39,8 +39,8 @@
 	answeredBy time.Time
 	interrupt  context.CancelFunc // of the hold under way
 
-	seen     int64 // ends up to this one are in the plan; run alone uses it
-	failures int
+	seen     int64 // ends up to this one are in the plan
+	failures int   // holds in a row without an answer; run alone uses it
 }
 
 func newSession(h *Holder, r platform.Registration) *session {
@@ -108,10 +108,31 @@
 	case report.Verdict != platform.Accepted:
 		s.missed(&verdictError{report.Verdict})
 	default:
+		s.back()
 		s.take(report, fencing, order.Token, sent)
 	}
 }
 
+// look asks for the worker's lists beside the hold under way, on another
+// connection. Only the hold judges the worker.
+func (s *session) look() {
+	h := s.h
+	h.mu.Lock()
+	order, fenced := platform.HoldOrder{Token: s.token, Seen: s.seen}, s.fenced
+	h.mu.Unlock()
+	if !fenced {
+		return
+	}
+	ctx, cancel := context.WithTimeout(s.ctx, holdSpan)
+	defer cancel()
+	sent := time.Now()
+	report, err := h.options.Calls.Hold(ctx, s.target, order)
+	h.options.Counted("look")
+	if err == nil && report.Verdict == platform.Accepted {
+		s.take(report, false, order.Token, sent)
+	}
+}
+
 // verdictError is a hold that a worker did not take.
 type verdictError struct{ verdict platform.Verdict }
 
@@ -155,15 +176,17 @@
 // take passes a report to the plan.
 func (s *session) take(report platform.Report, fencing bool, token int64, sent time.Time) {
 	h := s.h
-	s.back()
 	h.with(func(p *plan.Plan, now time.Time) {
-		s.clock, s.clockAt = report.Clock, now
 		s.answeredBy = now.Add(freshSpan)
 		if s.born != 0 && report.Born != 0 && report.Born != s.born {
+			s.clock, s.clockAt = report.Clock, now
 			s.reborn(p, now, report.Born)
 			return
 		}
-		s.born = report.Born
+		if report.Clock < s.clock {
+			return // answers on two connections overtake each other
+		}
+		s.born, s.clock, s.clockAt = report.Born, report.Clock, now
 		if s.token != token {
 			return // a higher one is due; only its report is final
 		}
--- a/internal/placement/plan/place.go
+++ b/internal/placement/plan/place.go
@@ -168,7 +168,7 @@
 func (p *Plan) placeJob(j *job, open []*worker, most room.Room) bool {
 	left := j.pending[:0]
 	for _, t := range j.pending {
-		if t.current != nil || !j.Steps[t.step].Room.Fits(most) || !p.turn(t) {
+		if t.current != nil || !j.Steps[t.step].Room.Fits(most) || !p.turn(t) || p.astray(t) {
 			left = append(left, t)
 			continue
 		}
@@ -184,6 +184,12 @@
 	return started
 }
 
+// astray tells whether a run of the task that does not count may still go on.
+func (p *Plan) astray(t *task) bool {
+	r, there := p.strays[t.name]
+	return there && !p.lapsed(r.worker)
+}
+
 // turn tells whether the steps before the task's have ended.
 func (p *Plan) turn(t *task) bool {
 	for _, before := range t.job.Steps[t.step].After {
--- a/internal/placement/plan/plan.go
+++ b/internal/placement/plan/plan.go
@@ -29,6 +29,7 @@
 	Start  Kind = iota // a run of a task
 	Stop               // a run of a task
 	Fence              // raise the token of a worker, since the fate of an order is unknown
+	Look               // ask a worker for its lists, since a report seems to be lost
 	Settle             // tell the waiting entry what became of a job
 )
 
--- a/internal/placement/plan/plan_test.go
+++ b/internal/placement/plan/plan_test.go
@@ -241,6 +241,82 @@
 	}
 }
 
+// TestLostReportIsAskedFor lets a task run past its time on a worker that has said
+// nothing since: it is asked outside its turn, and not again once it has answered.
+func TestLostReportIsAskedFor(t *testing.T) {
+	p := fencedPlan(machine("w1", 4))
+	p.Tick(after(1200))
+	b := jobOf("00000000000000aa", 1, after(1200)) // of 100 ms
+	p.Admit(b, nil, after(1200))
+	began := starts(p)[0]
+	p.Answered(began.Worker, began.Task, began.Run, Taken, after(1200))
+	steps := []struct {
+		at     int // ms since the start
+		report bool
+		looks  int
+	}{
+		{50, true, 0}, {150, false, 0}, {185, false, 1}, {210, false, 0}, {290, false, 1}, {300, true, 0}, {450, false, 0},
+	}
+	for _, s := range steps {
+		at := after(1200 + s.at)
+		if s.report {
+			p.Take(Report{Worker: "w1", Sent: at, Running: []Running{{Task: began.Task, Run: began.Run, Percent: 60}}}, at)
+		}
+		p.Wanted(b.ID, at)
+		p.Tick(at)
+		if got := len(kinds(p.Orders(), Look)); got != s.looks {
+			t.Fatalf("after %d ms: %d looks, want %d", s.at, got, s.looks)
+		}
+	}
+}
+
+// TestRunOfAnEarlierHolderIsAdoptedLate lists a run of an earlier holder before its
+// job comes back, and loses its worker to that holder meanwhile. Once the worker
+// has taken the token again, the run is the job's and no other one is started.
+func TestRunOfAnEarlierHolderIsAdoptedLate(t *testing.T) {
+	p := fencedPlan(machine("w1", 4), machine("w2", 4))
+	b := jobOf("00000000000000aa", 1, after(2000))
+	b.Again = true
+	name := batch.TaskName(b.ID, 0, 0, 0)
+	listed := Report{Worker: "w2", Sent: after(1990), Fenced: true, Running: []Running{{Task: name, Run: 3, Percent: 10}}}
+	p.Take(listed, after(1990))
+	p.Disputed("w2", after(1995))
+	p.Admit(b, nil, after(2000))
+	listed.Sent = after(2010)
+	p.Take(listed, after(2010))
+	if got := starts(p); len(got) > 0 {
+		t.Fatalf("started beside the run that is listed: %+v", got)
+	}
+	p.Take(Report{Worker: "w2", Sent: after(2050), Endings: []Ending{{Task: name, Run: 3, How: Done}}}, after(2050))
+	if result, known := p.Wanted(b.ID, after(2051)); !known || result.State != batch.Completed {
+		t.Fatalf("result %+v", result)
+	}
+}
+
+// TestRunThatIsStoppedBlocksItsTask has a run of an earlier holder stopped, since its
+// job was not known, just before the job comes back.
+func TestRunThatIsStoppedBlocksItsTask(t *testing.T) {
+	p := fencedPlan(machine("w1", 4), machine("w2", 4))
+	b := jobOf("00000000000000aa", 1, after(2500))
+	b.Again = true
+	name := batch.TaskName(b.ID, 0, 0, 0)
+	p.Take(Report{Worker: "w2", Sent: after(2000), Running: []Running{{Task: name, Run: 3, Percent: 10}}}, after(2000))
+	p.Tick(after(2450))
+	if got := len(kinds(p.Orders(), Stop)); got != 1 {
+		t.Fatalf("%d stops of a run whose job is not known, want 1", got)
+	}
+	p.Admit(b, nil, after(2500))
+	p.Tick(after(2525))
+	if got := starts(p); len(got) > 0 {
+		t.Fatalf("started while a run is being stopped: %+v", got)
+	}
+	p.Take(Report{Worker: "w2", Sent: after(2530), Endings: []Ending{{Task: name, Run: 3, How: Ended}}}, after(2530))
+	p.Tick(after(2550))
+	if got := starts(p); len(got) != 1 || got[0].Run <= 3 {
+		t.Fatalf("starts %+v, want one with a higher number", got)
+	}
+}
+
 // TestRequestThatComesTwice has a message about a job overtaken by a later one,
 // as when a VM is slow: what was refused or withdrawn must not start.
 func TestRequestThatComesTwice(t *testing.T) {
--- a/internal/placement/plan/report.go
+++ b/internal/placement/plan/report.go
@@ -90,6 +90,10 @@
 		return
 	}
 	r.percent = percent
+	if r.phase == foreign {
+		p.claim(r)
+		return
+	}
 	if r.phase == ordered || r.phase == uncertain {
 		r.phase, r.beganAt = running, p.at
 		r.expected = p.at.Add(p.expect(r.task, w))
@@ -104,16 +108,21 @@
 	r := &run{runKey: key, worker: w, phase: foreign, room: room.Room{}, sentAt: p.at, beganAt: p.at, percent: percent}
 	p.add(r)
 	p.strays[key.task] = r
-	id, _, _, ok := batch.SplitTask(key.task)
+	p.claim(r)
+}
+
+// claim gives a run without a task here to the job that it belongs to, or stops it.
+func (p *Plan) claim(r *run) {
+	id, _, _, ok := batch.SplitTask(r.runKey.task)
 	j, known := p.jobs[id]
-	if !ok || !known {
+	if !ok || !known || !r.stopAt.IsZero() {
 		return // its entry may ask for it yet
 	}
 	for _, t := range j.tasks {
-		if t.name != key.task {
+		if t.name != r.runKey.task {
 			continue
 		}
-		t.lastRun = max(t.lastRun, key.run)
+		t.lastRun = max(t.lastRun, r.runKey.run)
 		if t.done || t.current != nil || j.result.State.Ended() {
 			p.stop(r, "another run counts")
 			return
--- a/internal/placement/plan/worker.go
+++ b/internal/placement/plan/worker.go
@@ -54,6 +54,7 @@
 	renewed  time.Time // when the last renewal that may have reached it was sent
 	mute     bool      // brought no answer the last time it was asked
 	heard    time.Time // when the last report came
+	looked   time.Time // when it was last asked outside its turn
 }
 
 // usable tells whether new work may go to the worker.
@@ -193,7 +194,7 @@
 
 // expireRuns takes the passing of time into a worker's account.
 func (p *Plan) expireRuns(w *worker) {
-	lapsed := w.standing != ready && !p.at.Before(p.leaseEnd(w.renewed))
+	lapsed := p.lapsed(w)
 	for _, r := range w.runs {
 		switch {
 		case lapsed && r.phase == foreign:
@@ -207,6 +208,43 @@
 			p.watch(r)
 		}
 	}
+	p.look(w)
+}
+
+// Spans of asking outside a worker's turn.
+const (
+	lookSlack = 80 * time.Millisecond // for the spread of run times and a trip
+	lookAgain = 100 * time.Millisecond
+)
+
+// look asks a worker for its lists when a run should have ended and no report has
+// come since. It answers reports that are lost or late: the room of what has ended
+// would stay empty until the call under way is given up.
+func (p *Plan) look(w *worker) {
+	if w.standing != ready || p.at.Before(w.looked.Add(lookAgain)) {
+		return
+	}
+	for _, r := range w.runs {
+		var due time.Time
+		switch r.phase {
+		case running:
+			due = r.expected.Add(lookSlack)
+		case stopping:
+			due = r.stopAt.Add(lookSlack)
+		default:
+			continue
+		}
+		if !p.at.Before(due) && w.heard.Before(due) {
+			w.looked = p.at
+			p.order(Order{Kind: Look, Worker: w.ID})
+			return
+		}
+	}
+}
+
+// lapsed tells whether a worker that is not heard of can run nothing any more.
+func (p *Plan) lapsed(w *worker) bool {
+	return w.standing != ready && !p.at.Before(p.leaseEnd(w.renewed))
 }
 
 // release lets the task of a run that has lapsed start elsewhere, while the room
--- a/internal/placement/tenure/tenure.go
+++ b/internal/placement/tenure/tenure.go
@@ -198,7 +198,7 @@
 func (t *Table) First(c Claim) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.first[c.Group] == c.Epoch
+	return c.Epoch > 0 && t.first[c.Group] == c.Epoch
 }
 
 // Fenced notes that another holder was met at a worker. An entry that hears
--- a/internal/trial/history/entry_test.go
+++ b/internal/trial/history/entry_test.go
@@ -53,7 +53,7 @@
 	e.desk = desk.New(desk.Options{
 		Self: e.id, Number: func() uint64 { return uint64(w.draw(1 << 30)) }, Group: func(*batch.Batch) string { return group },
 		Seat: e.seat, Place: e.placeAt, Await: e.awaitAt, Withdraw: e.withdrawAt,
-		Ended: func(*batch.Batch, batch.Result, int) {}, Log: silentLog(),
+		Ended: func(*batch.Batch, batch.Result, int) {}, Log: w.log(e.id),
 	})
 	w.mu.Lock()
 	w.entries[place] = e
@@ -146,15 +146,17 @@
 			Group: group, Epoch: c.Epoch, First: e.table.First(c), Tokens: fence.New(fence.Number(c.Holder, c.Life), c.Base),
 			Lease: lease, Resend: resend,
 			Calls: holder.Calls{Start: e.orders.Start, Stop: e.orders.Stop, Hold: e.orders.Hold},
-			Log:   silentLog(), Settled: e.settled, Counted: func(string) {},
+			Log:   e.log(e.id), Settled: e.settled, Counted: func(string) {},
 			Fenced: func() bool { return e.table.Standing(group) },
 		})
 	}
 	e.lock.Unlock()
 	if before != nil {
+		e.log(e.id).Info("group given up", "epoch", before.Epoch(), "to", c.Holder)
 		before.Yield()
 	}
 	if begun {
+		e.log(e.id).Info("group taken", "epoch", c.Epoch, "first", e.table.First(c))
 		e.enlist()
 	}
 }
--- a/internal/trial/history/history_test.go
+++ b/internal/trial/history/history_test.go
@@ -141,7 +141,7 @@
 	w.entry(place).kill()
 	w.tasks.Go(func() {
 		time.Sleep(200*time.Millisecond + w.span(most))
-		if w.entry(place).ctx.Err() != nil {
+		if w.entry(place).ctx.Err() != nil && !w.over.Load() {
 			w.startEntry(place)
 		}
 	})
@@ -182,19 +182,25 @@
 	}
 	group.Wait()
 	troubles.Wait()
-	fail := func(text string, places ...any) {
+	fail := func(task, text string, places ...any) {
 		t.Errorf(text, places...)
 		t.Logf("the schedule: %q", script)
+		t.Log(w.story(task, "group taken", "group given up", "another holder"))
 	}
-	if twice, over := w.watch.Broken(); len(twice) > 0 || len(over) > 0 {
-		fail("two runs at once: %v; more than the room: %v", twice, over)
+	twice, over := w.watch.Broken()
+	switch {
+	case len(twice) > 0:
+		fail(twice[0], "two runs at once: %v; more than the room: %v", twice, over)
+	case len(over) > 0:
+		fail("started again", "more than the room: %v", over)
 	}
 	for _, c := range clients {
 		if reason := c.wrong(w, quiet.Add(calmSpan/2)); reason != "" {
-			fail("job %s, sent after %d ms: %s, %+v", c.id, c.sentAt.Sub(began).Milliseconds(), reason, c.results)
+			fail(c.id, "job %s, sent after %d ms: %s, %+v", c.id, c.sentAt.Sub(began).Milliseconds(), reason, c.results)
 			break
 		}
 	}
+	w.over.Store(true)
 	for _, e := range w.alive() {
 		e.kill()
 	}
--- a/internal/trial/history/world_test.go
+++ b/internal/trial/history/world_test.go
@@ -11,7 +11,10 @@
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
+	"slices"
+	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/radishgate/radishgate/internal/work/batch"
@@ -45,10 +48,11 @@
 	lives   []int // of workers, by place
 	cuts    map[[2]string]time.Time
 	mute    map[string]time.Time
-	late    float64 // share of starts that are carried out late
+	late    float64 // share of orders that are carried out late
 	watch   *worker.Watch
 	tasks   sync.WaitGroup
-	lost    chan struct{}
+	over    atomic.Bool // nothing starts again
+	lines   bytes.Buffer // of all logs
 }
 
 func newWorld(seed uint64, entries, workers int) *world {
@@ -95,11 +99,11 @@
 			}
 			return how, time.Duration(20+w.draw(400)) * time.Millisecond
 		},
-		Late: func(path string) time.Duration {
+		Late: func(string) time.Duration {
 			w.mu.Lock()
 			share := w.late
 			w.mu.Unlock()
-			if path != "/hold" && w.chance(share) {
+			if w.chance(share) {
 				return time.Duration(300+w.draw(4000)) * time.Millisecond
 			}
 			return 0
@@ -194,11 +198,17 @@
 	w.mu.Unlock()
 	answer := make(chan *httptest.ResponseRecorder, 1)
 	w.tasks.Go(func() {
-		defer func() { _ = recover() }() // http.ErrAbortHandler: no answer
+		log := w.log(host).With("order", r.URL.Path, "from", w.from, "body", string(data))
+		defer func() {
+			if recover() != nil { // http.ErrAbortHandler: no answer
+				log.Info("order without an answer")
+			}
+		}()
 		recorder := httptest.NewRecorder()
 		order := httptest.NewRequest(r.Method, r.URL.Path, bytes.NewReader(data)).WithContext(ctx)
 		order.Header = r.Header.Clone()
 		target.ServeHTTP(recorder, order)
+		log.Info("order", "status", recorder.Code, "lists", recorder.Body.String())
 		answer <- recorder
 	})
 	select {
@@ -216,7 +226,27 @@
 	}
 }
 
-func silentLog() *slog.Logger { return slog.New(slog.NewTextHandler(io.Discard, nil)) }
+// Write takes a line of a log.
+func (w *world) Write(line []byte) (int, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.lines.Write(line)
+}
+
+func (w *world) log(name string) *slog.Logger {
+	return slog.New(slog.NewTextHandler(w, nil)).With("at", name)
+}
+
+// story gives the lines that name one of some words.
+func (w *world) story(words ...string) string {
+	var told strings.Builder
+	for line := range strings.Lines(w.lines.String()) {
+		if slices.ContainsFunc(words, func(word string) bool { return strings.Contains(line, word) }) {
+			told.WriteString(line)
+		}
+	}
+	return told.String()
+}
 
 func newBatch(id string, tasks int) *batch.Batch {
 	now := time.Now()
