tenure: Make the base of the tokens the epoch of a claim

Change: the epoch is the base, which rises with the time of day and above every claim that is known.

--- a/internal/gateway/node/groups.go
+++ b/internal/gateway/node/groups.go
@@ -91,7 +91,7 @@
 
 func (n *Node) newHolder(c tenure.Claim) *holder.Holder {
 	return holder.New(n.ctx, holder.Options{
-		Group: c.Group, Epoch: c.Epoch, First: n.tenure.First(c), Tokens: fence.New(fence.Number(c.Holder, c.Life), c.Base),
+		Group: c.Group, Epoch: c.Epoch, First: n.tenure.First(c), Tokens: fence.New(fence.Number(c.Holder, c.Life), c.Epoch),
 		Lease: n.settings.Lease, Resend: n.settings.Resend,
 		Calls: holder.Calls{Start: n.workers.Start, Stop: n.workers.Stop, Hold: n.workers.Hold},
 		Log:   n.log, Settled: n.settled, Counted: n.measures.order,
--- a/internal/placement/tenure/tenure.go
+++ b/internal/placement/tenure/tenure.go
@@ -16,13 +16,14 @@
 )
 
 // Claim says that an entry places the tasks of a group. Of two claims the one
-// with the higher epoch counts.
+// with the higher epoch counts. The epoch is also the base of the holder's fencing
+// tokens, so that entries and workers obey the same holder, and no two claims of
+// an entry share one.
 type Claim struct {
 	Group  string
 	Epoch  uint64
 	Holder string // ID of the entry
 	Life   uint64 // its incarnation
-	Base   uint64 // of its fencing tokens
 }
 
 // Candidate is a live entry that could hold a group once it is ready.
@@ -82,9 +83,6 @@
 	if c.Epoch != known.Epoch {
 		return c.Epoch > known.Epoch
 	}
-	if c.Base != known.Base {
-		return c.Base > known.Base
-	}
 	one, two := fence.Number(c.Holder, c.Life), fence.Number(known.Holder, known.Life)
 	if one != two {
 		return one > two
@@ -151,13 +149,11 @@
 	if first(group, zone, live).ID != t.options.Self.ID {
 		return false
 	}
-	t.claims[group] = Claim{
-		Group: group, Epoch: c.Epoch + 1, Holder: t.options.Self.ID, Life: t.options.Self.Life,
-		Base: fence.Base(c.Base, now),
-	}
+	next := Claim{Group: group, Epoch: fence.Base(c.Epoch, now), Holder: t.options.Self.ID, Life: t.options.Self.Life}
+	t.claims[group] = next
 	t.changed++
 	if !claimed {
-		t.first[group] = c.Epoch + 1
+		t.first[group] = next.Epoch
 	}
 	delete(t.vacant, group)
 	return true
@@ -187,7 +183,7 @@
 	if now.Sub(since) < cedeSpan {
 		return false
 	}
-	t.claims[group] = Claim{Group: group, Epoch: c.Epoch + 1, Holder: next.ID, Life: next.Life, Base: fence.Base(c.Base, now)}
+	t.claims[group] = Claim{Group: group, Epoch: fence.Base(c.Epoch, now), Holder: next.ID, Life: next.Life}
 	t.changed++
 	delete(t.small, group)
 	return true
--- a/internal/trial/history/world_test.go
+++ b/internal/trial/history/world_test.go
@@ -51,7 +51,7 @@
 	late    float64 // share of orders that are carried out late
 	watch   *worker.Watch
 	tasks   sync.WaitGroup
-	over    atomic.Bool // nothing starts again
+	over    atomic.Bool  // nothing starts again
 	lines   bytes.Buffer // of all logs
 }
 
--- a/internal/worker/fence/source.go
+++ b/internal/worker/fence/source.go
@@ -31,8 +31,8 @@
 	return (xxhash.Sum64String(id) ^ life) % (1 << holderBits)
 }
 
-// Base is the count at which the tokens of a claim begin, above those of the
-// claim before it, where one is known. The time of day alone puts it above claims
+// Base is the count at which the tokens of a claim begin, and the claim's epoch:
+// above that of the claim before it, where one is known. The time of day alone puts it above claims
 // that are not known any more.
 func Base(before uint64, now time.Time) uint64 {
 	count := uint64(max(1, (now.UnixMilli()-epoch*1000)*stepsPerSecond/1000))
--- a/peer/pool.go
+++ b/peer/pool.go
@@ -149,7 +149,7 @@
 func PackClaims(claims []tenure.Claim) []*wire.Claim {
 	var packed []*wire.Claim
 	for _, c := range claims {
-		packed = append(packed, &wire.Claim{Group: c.Group, Epoch: c.Epoch, Holder: c.Holder, Life: c.Life, Base: c.Base})
+		packed = append(packed, &wire.Claim{Group: c.Group, Epoch: c.Epoch, Holder: c.Holder, Life: c.Life})
 	}
 	return packed
 }
@@ -158,7 +158,7 @@
 func UnpackClaims(packed []*wire.Claim) []tenure.Claim {
 	var claims []tenure.Claim
 	for _, c := range packed {
-		claims = append(claims, tenure.Claim{Group: c.Group, Epoch: c.Epoch, Holder: c.Holder, Life: c.Life, Base: c.Base})
+		claims = append(claims, tenure.Claim{Group: c.Group, Epoch: c.Epoch, Holder: c.Holder, Life: c.Life})
 	}
 	return claims
 }
