holder: Give up starts by the answer times of late

Cause: a start without an answer was waited for 0.4 s, more than the objective of most jobs; with one order in twenty lost, a third of the jobs of eight tasks and a tenth of those of two waited for it. Change: the wait is 12 times the mean answer time, from 100 to 400 ms, and 400 ms after three lost in a row, when the own VM is likely to be slow.

--- a/internal/placement/holder/holder.go
+++ b/internal/placement/holder/holder.go
@@ -46,6 +46,7 @@
 	mu       sync.Mutex
 	plan     *plan.Plan
 	sessions map[string]*session
+	patience patience // for answers to starts
 	yielded  bool
 
 	ctx    context.Context
--- a/internal/placement/holder/session.go
+++ b/internal/placement/holder/session.go
@@ -13,7 +13,7 @@
 // Spans of calls to workers. A worker answers within a trip between zones, some
 // milliseconds; the rest is for slow VMs at either end.
 const (
-	orderSpan = 400 * time.Millisecond // for the answer to a start or a stop
+	stopSpan  = 400 * time.Millisecond // for the answer to a stop, which is sent again
 	holdWait  = 400 * time.Millisecond // a hold waits for an end; less than half of the lease
 	holdSpan  = 300 * time.Millisecond // for the answer to a hold beyond its wait
 	retrySpan = 100 * time.Millisecond // between holds that bring no answer, at first
@@ -244,8 +244,12 @@
 		h.with(func(p *plan.Plan, now time.Time) { p.Answered(s.target.ID, o.Task, o.Run, plan.NotTaken, now) })
 		return
 	}
-	ctx, cancel := context.WithTimeout(s.ctx, orderSpan)
+	h.mu.Lock()
+	span := h.patience.span()
+	h.mu.Unlock()
+	ctx, cancel := context.WithTimeout(s.ctx, span)
 	defer cancel()
+	sent := time.Now()
 	report, err := h.options.Calls.Start(ctx, s.target, o)
 	if s.ctx.Err() != nil {
 		return
@@ -260,6 +264,11 @@
 			"verdict", string(report.Verdict), "error", err)
 	}
 	h.with(func(p *plan.Plan, now time.Time) {
+		if err == nil {
+			h.patience.observe(now.Sub(sent))
+		} else {
+			h.patience.miss()
+		}
 		if report.Verdict == platform.Fenced && s.token == o.Token && s.fenced {
 			s.fenced = false // the hold under way or the next one settles who holds the worker
 			p.Unfenced(s.target.ID, now)
@@ -277,7 +286,7 @@
 
 // stop sends one order to stop. The plan asks again while the run is listed.
 func (s *session) stop(o plan.Order, token int64) {
-	ctx, cancel := context.WithTimeout(s.ctx, orderSpan)
+	ctx, cancel := context.WithTimeout(s.ctx, stopSpan)
 	defer cancel()
 	report, err := s.h.options.Calls.Stop(ctx, s.target, o.Task, o.Run, token)
 	s.h.options.Counted("stop " + string(report.Verdict))
