trial/history: Split the zone, and begin after the epoch of tokens

The worlds began in 2000, before the time from which tokens count, so that first claims all had the epoch 1.

--- a/internal/trial/history/history_test.go
+++ b/internal/trial/history/history_test.go
@@ -99,6 +99,26 @@
 			}
 		}
 	}},
+	{"the zone is split", func(w *world) {
+		// One entry and two workers on one side.
+		e, first, span := w.draw(entryCount), w.draw(workerCount), 1500*time.Millisecond+w.span(1500)
+		inside := map[string]bool{
+			fmt.Sprintf("e%d", e): true, fmt.Sprintf("w%d", first): true, fmt.Sprintf("w%d", (first+1)%workerCount): true,
+		}
+		for a := range entryCount {
+			name := fmt.Sprintf("e%d", a)
+			for b := range workerCount {
+				if other := fmt.Sprintf("w%d", b); inside[name] != inside[other] {
+					w.cut(name, other, span)
+				}
+			}
+			for b := range entryCount {
+				if other := fmt.Sprintf("e%d", b); inside[name] != inside[other] {
+					w.cut(name, other, span)
+				}
+			}
+		}
+	}},
 	{"a worker is not reached by an entry", func(w *world) {
 		w.cut(fmt.Sprintf("e%d", w.draw(entryCount)), fmt.Sprintf("w%d", w.draw(workerCount)), w.span(2500))
 	}},
@@ -159,6 +179,8 @@
 }
 
 func play(t *testing.T, seed uint64) {
+	// A bubble begins in 2000, and tokens count from 2026.
+	time.Sleep(time.Until(time.Date(2026, 6, 1, 0, 0, 0, 0, time.UTC)))
 	w := newWorld(seed, entryCount, workerCount)
 	began := time.Now()
 	var script []string
