--- /dev/null
+++ b/internal/placement/plan/report_test.go
@@ -0,0 +1,69 @@
+package plan
+
+import "testing"
+
+// TestRunIsJudgedByReportsAlone has the reports of a worker come late while a short
+// task runs. Only a report can show that the task stands still.
+func TestRunIsJudgedByReportsAlone(t *testing.T) {
+	tests := []struct {
+		name    string
+		reports []int // ms; each lists the task at the percent below
+		percent []int
+		at      int // ms
+		stops   int
+	}{
+		{"no report since the start", nil, nil, 900, 0},
+		{"the last report is old", []int{60}, []int{50}, 900, 0},
+		{"reports show that it stands still", []int{60, 500}, []int{50, 50}, 510, 1},
+		{"reports show that it goes on", []int{60, 500}, []int{50, 95}, 510, 0},
+	}
+	for _, c := range tests {
+		t.Run(c.name, func(t *testing.T) {
+			p := fencedPlan(machine("w1", 4))
+			b := jobOf("00000000000000aa", 1, start)
+			p.Tick(after(1200))
+			p.Admit(b, nil, after(1200))
+			began := starts(p)[0]
+			p.Answered(began.Worker, began.Task, began.Run, Taken, after(1200))
+			for i, at := range c.reports {
+				p.Take(Report{
+					Worker: "w1", Sent: after(1200 + at), Running: []Running{{Task: began.Task, Run: began.Run, Percent: c.percent[i]}},
+				}, after(1200+at))
+			}
+			p.Wanted(b.ID, after(1200+c.at))
+			p.Tick(after(1200 + c.at))
+			if got := len(kinds(p.Orders(), Stop)); got != c.stops {
+				t.Fatalf("%d stops, want %d", got, c.stops)
+			}
+		})
+	}
+}
+
+// TestLostReportIsAskedFor lets a task run past its time on a worker that has said
+// nothing since: it is asked outside its turn, and not again once it has answered.
+func TestLostReportIsAskedFor(t *testing.T) {
+	p := fencedPlan(machine("w1", 4))
+	p.Tick(after(1200))
+	b := jobOf("00000000000000aa", 1, after(1200)) // of 100 ms
+	p.Admit(b, nil, after(1200))
+	began := starts(p)[0]
+	p.Answered(began.Worker, began.Task, began.Run, Taken, after(1200))
+	steps := []struct {
+		at     int // ms since the start
+		report bool
+		looks  int
+	}{
+		{50, true, 0}, {150, false, 0}, {185, false, 1}, {210, false, 0}, {290, false, 1}, {300, true, 0}, {450, false, 0},
+	}
+	for _, s := range steps {
+		at := after(1200 + s.at)
+		if s.report {
+			p.Take(Report{Worker: "w1", Sent: at, Running: []Running{{Task: began.Task, Run: began.Run, Percent: 60}}}, at)
+		}
+		p.Wanted(b.ID, at)
+		p.Tick(at)
+		if got := len(kinds(p.Orders(), Look)); got != s.looks {
+			t.Fatalf("after %d ms: %d looks, want %d", s.at, got, s.looks)
+		}
+	}
+}
--- /dev/null
+++ b/internal/placement/plan/takeover_test.go
@@ -0,0 +1,207 @@
+package plan
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/radishgate/radishgate/internal/work/batch"
+)
+
+// TestJobOfAnEarlierHolderWaitsForEveryWorker lets a job come back that an
+// earlier holder may have started on a worker that has not taken the token yet:
+// long after this holder took over, as when a cut of its zone heals.
+func TestJobOfAnEarlierHolderWaitsForEveryWorker(t *testing.T) {
+	tests := []struct {
+		name   string
+		fenced bool
+		at     int // ms
+		starts int
+	}{
+		{"at once, a worker has not taken the token", false, 0, 0},
+		{"within the lease", false, 1000, 0},
+		{"after the lease", false, 1200, 1},
+		{"every worker has taken the token", true, 0, 1},
+	}
+	for _, c := range tests {
+		t.Run(c.name, func(t *testing.T) {
+			p := fencedPlan(machine("w1", 4))
+			p.Enlist(machine("w2", 4), start)
+			came := 60_000
+			if c.fenced {
+				p.Take(Report{Worker: "w2", Sent: after(came), Fenced: true}, after(came))
+			}
+			b := jobOf("00000000000000aa", 1, after(came))
+			b.Again = true
+			p.Admit(b, nil, after(came))
+			p.Wanted(b.ID, after(came+c.at))
+			p.Tick(after(came + c.at))
+			if got := len(starts(p)); got != c.starts {
+				t.Fatalf("%d starts, want %d", got, c.starts)
+			}
+		})
+	}
+}
+
+// TestDisputedGroup has another holder near: one that this holder has just taken
+// over from, or one that has just been met at a worker. A client may send a job
+// to both, so what either runs must be known before the job starts.
+func TestDisputedGroup(t *testing.T) {
+	tests := []struct {
+		name    string
+		dispute func(p *Plan)
+		at      int // ms
+		starts  int
+	}{
+		{"just taken over", func(*Plan) {}, 100, 0},
+		{"taken over long ago", func(*Plan) {}, 1200, 1},
+		{"just taken over, every worker known", func(p *Plan) {
+			p.Take(Report{Worker: "w2", Sent: after(50), Fenced: true}, after(50))
+		}, 100, 1},
+		{"met at a worker", func(p *Plan) { p.Disputed("w2", after(5000)) }, 5100, 0},
+		{"met at a worker before the lease", func(p *Plan) { p.Disputed("w2", after(5000)) }, 6200, 1},
+		{"met at a worker that was taken back", func(p *Plan) {
+			p.Disputed("w2", after(5000))
+			p.Take(Report{Worker: "w2", Sent: after(5050), Fenced: true}, after(5050))
+		}, 5100, 1},
+	}
+	for _, c := range tests {
+		t.Run(c.name, func(t *testing.T) {
+			p := fencedPlan(machine("w1", 4))
+			p.Enlist(machine("w2", 4), start)
+			c.dispute(p)
+			p.Admit(jobOf("00000000000000aa", 1, after(c.at)), nil, after(c.at))
+			if got := len(starts(p)); got != c.starts {
+				t.Fatalf("%d starts, want %d", got, c.starts)
+			}
+		})
+	}
+}
+
+// TestFirstHolder starts after all entries have lost power, with a worker that
+// does not answer. Jobs must not wait for it, unless an entry brings one back that
+// it has handed to another holder, or such a holder is met.
+func TestFirstHolder(t *testing.T) {
+	tests := []struct {
+		name   string
+		resend time.Duration
+		again  bool
+		met    bool
+		starts int
+	}{
+		{"a new job", 1300 * time.Millisecond, false, false, 1},
+		{"clients send again before leases lapse", time.Second, false, false, 0},
+		{"a job that was with another holder", 1300 * time.Millisecond, true, false, 0},
+		{"another holder is met", 1300 * time.Millisecond, false, true, 0},
+	}
+	for _, c := range tests {
+		t.Run(c.name, func(t *testing.T) {
+			p := New(Options{First: true, Resend: c.resend}, start)
+			p.Enlist(machine("w1", 4), start)
+			p.Enlist(machine("w2", 4), start)
+			p.Take(Report{Worker: "w1", Sent: start, Fenced: true}, after(5))
+			p.Silent("w2", after(300))
+			if c.met {
+				p.Disputed("w2", after(300))
+			}
+			b := jobOf("00000000000000aa", 1, after(310))
+			b.Again = c.again
+			p.Admit(b, nil, after(310))
+			if got := len(starts(p)); got != c.starts {
+				t.Fatalf("%d starts, want %d", got, c.starts)
+			}
+		})
+	}
+}
+
+// TestNewHolderForeseesWithAllItsWorkers has a holder that has just taken over:
+// one worker has taken its token, and the others are about to. A job must not be
+// refused as if that one were all that there is.
+func TestNewHolderForeseesWithAllItsWorkers(t *testing.T) {
+	tests := []struct {
+		name    string
+		silent  bool // the other workers do not answer
+		refused int
+	}{
+		{"the others have been asked", false, 0},
+		{"the others do not answer", true, 1},
+	}
+	for _, c := range tests {
+		t.Run(c.name, func(t *testing.T) {
+			p := New(Options{}, start)
+			for i := range 8 {
+				w := machine(fmt.Sprintf("w%d", i), 4)
+				p.Enlist(w, start)
+				if i > 0 && !c.silent {
+					continue
+				}
+				p.Take(Report{Worker: w.ID, Sent: start, Fenced: true}, start)
+				if i > 0 {
+					p.Silent(w.ID, start)
+				}
+			}
+			at := after(10)
+			for i := range 3 {
+				b := jobOf(fmt.Sprintf("00000000000000a%d", i), 12, at)
+				b.Expires = at.Add(600 * time.Millisecond)
+				p.Admit(b, nil, at)
+			}
+			refused := 0
+			for _, o := range kinds(p.Orders(), Settle) {
+				if o.Result.State == batch.Refused {
+					refused++
+				}
+			}
+			if refused != c.refused {
+				t.Fatalf("%d refused, want %d", refused, c.refused)
+			}
+		})
+	}
+}
+
+// TestRunOfAnEarlierHolderIsAdoptedLate lists a run of an earlier holder before its
+// job comes back, and loses its worker to that holder meanwhile. Once the worker
+// has taken the token again, the run is the job's and no other one is started.
+func TestRunOfAnEarlierHolderIsAdoptedLate(t *testing.T) {
+	p := fencedPlan(machine("w1", 4), machine("w2", 4))
+	b := jobOf("00000000000000aa", 1, after(2000))
+	b.Again = true
+	name := batch.TaskName(b.ID, 0, 0, 0)
+	listed := Report{Worker: "w2", Sent: after(1990), Fenced: true, Running: []Running{{Task: name, Run: 3, Percent: 10}}}
+	p.Take(listed, after(1990))
+	p.Disputed("w2", after(1995))
+	p.Admit(b, nil, after(2000))
+	listed.Sent = after(2010)
+	p.Take(listed, after(2010))
+	if got := starts(p); len(got) > 0 {
+		t.Fatalf("started beside the run that is listed: %+v", got)
+	}
+	p.Take(Report{Worker: "w2", Sent: after(2050), Endings: []Ending{{Task: name, Run: 3, How: Done}}}, after(2050))
+	if result, known := p.Wanted(b.ID, after(2051)); !known || result.State != batch.Completed {
+		t.Fatalf("result %+v", result)
+	}
+}
+
+// TestRunThatIsStoppedBlocksItsTask has a run of an earlier holder stopped, since its
+// job was not known, just before the job comes back.
+func TestRunThatIsStoppedBlocksItsTask(t *testing.T) {
+	p := fencedPlan(machine("w1", 4), machine("w2", 4))
+	b := jobOf("00000000000000aa", 1, after(2500))
+	b.Again = true
+	name := batch.TaskName(b.ID, 0, 0, 0)
+	p.Take(Report{Worker: "w2", Sent: after(2000), Running: []Running{{Task: name, Run: 3, Percent: 10}}}, after(2000))
+	p.Tick(after(2450))
+	if got := len(kinds(p.Orders(), Stop)); got != 1 {
+		t.Fatalf("%d stops of a run whose job is not known, want 1", got)
+	}
+	p.Admit(b, nil, after(2500))
+	p.Tick(after(2525))
+	if got := starts(p); len(got) > 0 {
+		t.Fatalf("started while a run is being stopped: %+v", got)
+	}
+	p.Take(Report{Worker: "w2", Sent: after(2530), Endings: []Ending{{Task: name, Run: 3, How: Ended}}}, after(2530))
+	p.Tick(after(2550))
+	if got := starts(p); len(got) != 1 || got[0].Run <= 3 {
+		t.Fatalf("starts %+v, want one with a higher number", got)
+	}
+}
--- a/internal/trial/history/history_test.go
+++ b/internal/trial/history/history_test.go
@@ -135,7 +135,7 @@
 		w.mute[fmt.Sprintf("w%d", place)] = time.Now().Add(span)
 	}},
 	{"a worker crashes", func(w *world) { w.startWorker(w.draw(workerCount)) }},
-	{"orders are carried out late", func(w *world) {
+	{"orders are executed late", func(w *world) {
 		w.mu.Lock()
 		w.late = 0.05
 		w.mu.Unlock()
--- a/internal/trial/history/world_test.go
+++ b/internal/trial/history/world_test.go
@@ -48,7 +48,7 @@
 	lives   []int // of workers, by place
 	cuts    map[[2]string]time.Time
 	mute    map[string]time.Time
-	late    float64 // share of orders that are carried out late
+	late    float64 // share of orders that are executed late
 	watch   *worker.Watch
 	tasks   sync.WaitGroup
 	over    atomic.Bool  // nothing starts again
