desk: Tell a holder again that it may have started a job

Its holder dropped the job after 0.7 s without word, and forgot it 5 s later. When the cut healed, the entry handed the job to the same holder under the same claim, as new; the holder refused it as not run when the client's time was nearly over. Ruled out: a second holder, the claim was the same all the while. Change: a job that a holder took or may have taken comes again as such, whoever holds the group; one that was turned down before comes as new. The new tests fail without it.

--- a/internal/gateway/desk/desk.go
+++ b/internal/gateway/desk/desk.go
@@ -160,8 +160,10 @@
 		return
 	}
 	b := *w.batch
-	b.Again = w.offered && (w.seat.Holder != seat.Holder || w.seat.Epoch != seat.Epoch)
-	w.several = w.several || b.Again
+	// Also the same holder may have started the job, dropped it since it was cut off
+	// from here, and forgotten it.
+	b.Again = w.offered
+	w.several = w.several || w.offered && (w.seat.Holder != seat.Holder || w.seat.Epoch != seat.Epoch)
 	w.batch = &b // the holder keeps it; it is not changed any more
 	w.seat, w.busy, w.offered, w.askedLast = seat, true, true, time.Now()
 	w.tries++
@@ -176,24 +178,38 @@
 	go func() { d.placed(ctx, w, seat, d.offer(ctx, seat, &b, finished)) }()
 }
 
-func (d *Desk) offer(ctx context.Context, seat Seat, b *batch.Batch, finished []string) bool {
+// fate is what became of a job that was handed over.
+type fate int
+
+const (
+	taken fate = iota
+	turnedDown
+	lost // it may have been taken
+)
+
+func (d *Desk) offer(ctx context.Context, seat Seat, b *batch.Batch, finished []string) fate {
 	ctx, cancel := context.WithTimeout(ctx, placeSpan)
 	defer cancel()
 	held, err := d.options.Place(ctx, seat, b, finished)
 	if err != nil {
 		d.options.Log.Warn("job not handed over", "job", b.ID, "to", seat.Holder, "epoch", seat.Epoch, "error", err)
+		return lost
+	}
+	if !held {
+		return turnedDown
 	}
-	return err == nil && held
+	return taken
 }
 
 // placed notes the answer of a holder. A job that was sent to another group
 // meanwhile is handed in there.
-func (d *Desk) placed(ctx context.Context, w *waiting, seat Seat, held bool) {
+func (d *Desk) placed(ctx context.Context, w *waiting, seat Seat, became fate) {
 	d.mu.Lock()
 	w.busy = false
 	turned := w.seat != seat
 	if !turned {
-		w.seated = held
+		w.seated = became == taken
+		w.offered = became != turnedDown || w.batch.Again
 		w.heardAt = time.Now()
 	}
 	d.mu.Unlock()
--- a/internal/gateway/desk/desk_test.go
+++ b/internal/gateway/desk/desk_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -19,6 +20,7 @@
 	offers    []offer
 	withdrawn []string
 	held      bool
+	forgotten bool // no holder knows any job
 }
 
 type offer struct {
@@ -47,7 +49,12 @@
 			o.offers = append(o.offers, offer{to, b.Again, b.Away})
 			return o.held, nil
 		},
-		Await: func(context.Context, Seat, []string) ([]batch.Result, []string, bool, error) {
+		Await: func(_ context.Context, _ Seat, ids []string) ([]batch.Result, []string, bool, error) {
+			o.mu.Lock()
+			defer o.mu.Unlock()
+			if o.forgotten {
+				return nil, ids, true, nil
+			}
 			return nil, nil, true, nil
 		},
 		Withdraw: func(_ context.Context, _ Seat, b *batch.Batch) {
@@ -59,6 +66,20 @@
 	return o
 }
 
+// forget lets the holders know no job, or those that they were given.
+func (o *office) forget(all bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.forgotten = all
+}
+
+// turn lets the holders take jobs, or turn them down.
+func (o *office) turn(take bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.held = take
+}
+
 func (o *office) move(s Seat) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -89,6 +110,28 @@
 // current is the number of the request in these tests.
 const current = 7
 
+// TestJobThatWasTurnedDownIsNew has a holder turn a job down before any has taken it:
+// nothing can have started, and the next one need not doubt it.
+func TestJobThatWasTurnedDownIsNew(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		o := newOffice(first)
+		o.turn(false)
+		done := make(chan batch.Result)
+		go func() { done <- o.Submit(t.Context(), jobOf(10*time.Second)) }()
+		synctest.Wait()
+		o.turn(true)
+		o.move(second)
+		o.Sweep(t.Context())
+		o.Settle([]batch.Result{result(batch.Completed)})
+		if got := <-done; got.State != batch.Completed {
+			t.Fatalf("result %+v", got)
+		}
+		if want := []offer{{first, false, false}, {second, false, false}}; !slices.Equal(o.offers, want) {
+			t.Fatalf("offers %+v, want %+v", o.offers, want)
+		}
+	})
+}
+
 // TestDesk steps through what holders say, with the last result as the client's.
 func TestDesk(t *testing.T) {
 	moved := batch.Result{ID: "j", State: batch.Moved, Group: "b", Attempt: current}
@@ -130,6 +173,25 @@
 		{"a good end of an earlier request comes late", []Seat{first}, func(o *office) {
 			o.Settle([]batch.Result{earlier(batch.Completed)})
 		}, batch.Completed, []offer{{first, false, false}}},
+		{"its holder has dropped and forgotten it while it was cut off", []Seat{first}, func(o *office) {
+			o.forget(true)
+			time.Sleep(2 * awaitSpan)
+			o.Sweep(context.Background())
+			o.forget(false)
+			o.Sweep(context.Background())
+			o.Settle([]batch.Result{result(batch.Unknown)})
+		}, batch.Unknown, []offer{{first, false, false}, {first, true, false}}},
+		{"its holder has turned it down", []Seat{first}, func(o *office) {
+			o.forget(true)
+			time.Sleep(2 * awaitSpan)
+			o.Sweep(context.Background())
+			o.forget(false)
+			o.turn(false)
+			o.Sweep(context.Background())
+			o.turn(true)
+			o.Sweep(context.Background())
+			o.Settle([]batch.Result{result(batch.Completed)})
+		}, batch.Completed, []offer{{first, false, false}, {first, true, false}, {first, true, false}}},
 		{"nobody holds the group", nil, func(o *office) {
 			time.Sleep(2 * time.Second)
 			o.Sweep(context.Background())
--- a/internal/placement/plan/job.go
+++ b/internal/placement/plan/job.go
@@ -27,6 +27,7 @@
 	pending   []*task // to be placed
 	left      int     // tasks that have not ended well
 	started   bool    // a task may have run
+	again     bool    // it came as one that an earlier holder, or this one, may have started
 	result    batch.Result
 	dropped   bool // nobody waits for it
 	withdrawn bool // by its client
@@ -82,7 +83,7 @@
 }
 
 func (p *Plan) newJob(b *batch.Batch, done []string) *job {
-	j := &job{Batch: b, result: batch.Result{ID: b.ID, State: batch.Pending}, started: b.Again, safeAt: p.leaseEnd(p.at)}
+	j := &job{Batch: b, result: batch.Result{ID: b.ID, State: batch.Pending}, started: b.Again, again: b.Again, safeAt: p.leaseEnd(p.at)}
 	p.jobs[b.ID] = j
 	ended := map[string]bool{}
 	for _, name := range done {
@@ -144,7 +145,7 @@
 
 // revive takes a job again that was given up or whose client had left.
 func (p *Plan) revive(j *job, b *batch.Batch) {
-	j.Batch, j.dropped, j.withdrawn, j.started, j.safeAt = b, false, false, true, p.leaseEnd(p.at)
+	j.Batch, j.dropped, j.withdrawn, j.started, j.again, j.safeAt = b, false, false, true, b.Again, p.leaseEnd(p.at)
 	j.result = batch.Result{ID: b.ID, State: batch.Pending}
 	for _, t := range j.tasks {
 		if !t.done && t.current == nil {
--- a/internal/placement/plan/place.go
+++ b/internal/placement/plan/place.go
@@ -361,7 +361,7 @@
 		if !known {
 			a.whole, a.work = p.occupied(j.Service)
 		}
-		if a.whole > 0 && !j.started && !j.Again && !j.result.State.Ended() {
+		if a.whole > 0 && !j.started && !j.again && !j.result.State.Ended() {
 			turn := p.at.Add(time.Duration(a.work / a.whole * float64(time.Second)))
 			if turn.Add(p.soonest(j.pending[0])).After(j.Expires) {
 				p.refuse(j, "the work ahead of it takes longer than its client waits")
--- a/internal/placement/plan/plan.go
+++ b/internal/placement/plan/plan.go
@@ -167,7 +167,7 @@
 // start until every worker has taken the token of this holder, or the leases that
 // the other one gave have lapsed.
 func (p *Plan) doubtful(j *job) bool {
-	return p.at.Before(p.disputedTo) || j.Again && p.at.Before(j.safeAt)
+	return p.at.Before(p.disputedTo) || j.again && p.at.Before(j.safeAt)
 }
 
 // known tells whether every worker of a service has taken the token.
--- a/internal/placement/plan/spill.go
+++ b/internal/placement/plan/spill.go
@@ -50,7 +50,7 @@
 		return
 	}
 	for _, j := range jobs {
-		if j.Away || j.Again || j.started || len(j.pending) != len(j.tasks) || j.result.State.Ended() {
+		if j.Away || j.again || j.started || len(j.pending) != len(j.tasks) || j.result.State.Ended() {
 			continue
 		}
 		group := p.vacant(len(j.tasks))
--- a/internal/work/batch/batch.go
+++ b/internal/work/batch/batch.go
@@ -50,7 +50,7 @@
 	Attempt uint64 // tells one request of the client from another
 	Arrived time.Time
 	Expires time.Time // when the client leaves
-	Again   bool      // may have been started before under another holder
+	Again   bool      // may have been started before, by any holder
 	Away    bool      // comes from another availability zone, where there was no room
 }
 
