plan: Let a job that comes over wait for the leases of before

Change: a job that was with another holder waits until the leases of before have lapsed, but for tasks that are listed as running, which are adopted. The tests of takeover ask for that now, which is stricter than before.

--- a/internal/placement/plan/place.go
+++ b/internal/placement/plan/place.go
@@ -78,7 +78,7 @@
 // waits before it has fitted them.
 func (p *Plan) placeNew(j *job) {
 	open := p.openWorkers()
-	if len(open) > 0 && (!p.doubtful(j) || p.known(j.Service)) {
+	if len(open) > 0 && !p.mayRun(j) && (!p.disputed() || p.known(j.Service)) {
 		p.placeJob(j, open, roomiest(open))
 	}
 	p.spill([]*job{j})
@@ -95,7 +95,10 @@
 		if most.Processors <= 0 {
 			return
 		}
-		if p.doubtful(j) {
+		if p.mayRun(j) {
+			continue
+		}
+		if p.disputed() {
 			bad, asked := unsafe[j.Service]
 			if !asked {
 				bad = !p.known(j.Service)
--- a/internal/placement/plan/plan.go
+++ b/internal/placement/plan/plan.go
@@ -165,12 +165,16 @@
 	leaseMargin = 60 * time.Millisecond // the time in which a lapsed run is ended, and a trip
 )
 
-// doubtful tells whether another holder may have started the job. It must not
-// start until every worker has taken the token of this holder, or the leases that
-// the other one gave have lapsed.
-func (p *Plan) doubtful(j *job) bool {
-	return p.at.Before(p.disputedTo) || j.again && p.at.Before(j.safeAt)
-}
+// disputed tells whether another holder may have started new jobs as well. They must
+// not start until every worker has taken the token of this holder, or the leases
+// that the other one gave have lapsed.
+func (p *Plan) disputed() bool { return p.at.Before(p.disputedTo) }
+
+// mayRun tells whether a job that was with another holder may still run somewhere.
+// Its tasks are adopted where they are listed. What is not listed may run on a
+// worker that this holder does not know yet: entries read registrations up to a
+// second apart.
+func (p *Plan) mayRun(j *job) bool { return j.again && p.at.Before(j.safeAt) }
 
 // known tells whether every worker of a service has taken the token.
 func (p *Plan) known(service string) bool {
--- a/internal/placement/plan/takeover_test.go
+++ b/internal/placement/plan/takeover_test.go
@@ -21,7 +21,8 @@
 		{"at once, a worker has not taken the token", false, 0, 0},
 		{"within the lease", false, 1000, 0},
 		{"after the lease", false, 1200, 1},
-		{"every worker has taken the token", true, 0, 1},
+		{"every known worker has taken the token", true, 0, 0},
+		{"every known worker has, after the lease", true, 1200, 1},
 	}
 	for _, c := range tests {
 		t.Run(c.name, func(t *testing.T) {
@@ -200,7 +201,8 @@
 		t.Fatalf("started while a run is being stopped: %+v", got)
 	}
 	p.Take(Report{Worker: "w2", Sent: after(2530), Endings: []Ending{{Task: name, Run: 3, How: Ended}}}, after(2530))
-	p.Tick(after(2550))
+	p.Wanted(b.ID, after(3600))
+	p.Tick(after(3600)) // the leases of the earlier holder have lapsed
 	if got := starts(p); len(got) != 1 || got[0].Run <= 3 {
 		t.Fatalf("starts %+v, want one with a higher number", got)
 	}
@@ -225,7 +227,6 @@
 			p.Enlist(machine("w1", 4), start)
 			p.Take(Report{Worker: "w1", Sent: start, Fenced: true}, start)
 			b := jobOf("00000000000000aa", 1, after(10))
-			b.Again = true
 			p.Admit(b, nil, after(10))
 			p.Wanted(b.ID, after(c.at))
 			p.Tick(after(c.at))
