plan: Let tasks wait for workers that are fast enough

A third of the workers take 1.7 of the usual run time, the others 0.7, and the objective is 1.6 times the run time and 60 ms: a task of 900 ms misses it on a slow worker. The plan took whatever had room first. Individual speeds were learned from few run times, so that sound workers looked slow at any time. Jobs of which some tasks had been placed stood behind others by their last moment, and missed their objective with half of their work done.

Ruled out by replay: a margin on the last moment to start (one kind is starved), shortest job first (the widest kind is starved), weighing the spread of run times instead of the speeds (no effect).

A task waits while it may still meet its objective on a faster worker and not on those with room; jobs that have begun go first; a worker's speed within 0.2 (logarithm) of its kind's counts as the kind's; the objective is taken at the usual speed, since run times and factors drift against each other.

--- a/internal/placement/pace/pace.go
+++ b/internal/placement/pace/pace.go
@@ -20,6 +20,12 @@
 // unknown is the run time expected of a queue without any outcome or estimate.
 const unknown = 200 * time.Millisecond
 
+// alike is how far, in logarithms, the mean of a worker may lie off that of its kind
+// and count as the same, and what is taken off larger distances: twice the spread
+// that workerStep leaves of run times which are off by a fourth. Without it half of
+// the workers of a kind look slow at any time.
+const alike = 0.2
+
 // Bounds of a worker's factor: what lies outside is a fault, not a speed.
 const (
 	slowest = 20
@@ -83,7 +89,8 @@
 
 // Factor is how many times as long as on a worker of the speed 1 a task takes.
 func (p *Pace) Factor(worker, kind string) float64 {
-	return math.Exp(get(p.kinds, kind).value + get(p.workers, worker).value)
+	off := get(p.workers, worker).value
+	return math.Exp(get(p.kinds, kind).value + off - min(max(off, -alike), alike))
 }
 
 // Observe takes the run time of a task that ended well.
--- a/internal/placement/plan/job.go
+++ b/internal/placement/plan/job.go
@@ -39,6 +39,7 @@
 	bases     []time.Duration // run time of a task at the speed 1, by step
 	latest    time.Time       // moment to start and still meet the objective
 	late      bool
+	begun     bool // a task has been placed
 }
 
 // Admit takes a job. One that is known goes on, or has its result told again. A
@@ -102,7 +103,9 @@
 			j.tasks = append(j.tasks, t)
 		}
 	}
-	j.objective = b.Arrived.Add(time.Duration(float64(longest)*b.Stretch) + b.Slack)
+	// Factors and run times are learned together and may drift against each other;
+	// the objective is that of a worker of the usual speed.
+	j.objective = b.Arrived.Add(time.Duration(float64(longest)*p.usual[b.Service]*b.Stretch) + b.Slack)
 	// With the speed of the fastest worker, jobs that are started at their last moment
 	// mostly miss their objective, and under overload all are.
 	j.latest = j.objective.Add(-time.Duration(float64(longest) * p.usual[b.Service]))
--- a/internal/placement/plan/place.go
+++ b/internal/placement/plan/place.go
@@ -137,14 +137,15 @@
 	})
 }
 
-// arrange puts first the jobs that can still meet their objective, by the last
-// moment at which they have to start; those that cannot follow by the time their
-// clients leave. It answers bursts: a job that has lost its objective must not
-// take the room of one that has not.
+// arrange puts first the jobs that can still meet their objective, those with tasks
+// placed before the others, by the last moment at which they have to start; those
+// that cannot follow by the time their clients leave. It answers bursts: a job that
+// has lost its objective must not take the room of one that has not, and room given
+// to some tasks of a job is lost if the others do not follow.
 func (p *Plan) arrange() {
 	p.arranged = true
 	for _, j := range p.waiting {
-		j.late = j.latest.Before(p.at)
+		j.late, j.begun = j.latest.Before(p.at), len(j.pending) < len(j.tasks)
 	}
 	slices.SortStableFunc(p.waiting, func(a, b *job) int {
 		switch {
@@ -154,6 +155,10 @@
 			return 1
 		case a.late:
 			return a.Expires.Compare(b.Expires)
+		case a.begun != b.begun && a.begun:
+			return -1
+		case a.begun != b.begun:
+			return 1
 		}
 		return a.latest.Compare(b.latest)
 	})
@@ -210,13 +215,15 @@
 }
 
 // choose finds the worker that ends the task first; of those about as fast, the
-// one whose room it fills best.
+// one whose room it fills best. A task waits for a faster worker than those with
+// room while it can still meet its objective there and not on these.
 func (p *Plan) choose(t *task, open []*worker) *worker {
 	step := t.job.Steps[t.step]
 	var best *worker
 	bestCost := 0.0
+	patient := !p.at.Add(p.soonest(t)).After(t.job.objective)
 	for _, w := range open {
-		if !p.suits(t, step, w) {
+		if !p.suits(t, step, w) || patient && p.misses(t, w) {
 			continue
 		}
 		took := float64(p.expect(t, w))
@@ -229,6 +236,18 @@
 	return best
 }
 
+// misses tells whether a task that starts on a worker now is likely to miss its
+// objective. It answers workers of different speeds: long tasks miss theirs on slow
+// ones, and fast ones have room again within some tens of milliseconds.
+func (p *Plan) misses(t *task, w *worker) bool {
+	doubtful := time.Duration(float64(p.expect(t, w)) * speedDoubt)
+	return p.at.Add(doubtful).After(t.job.objective)
+}
+
+// speedDoubt is by how much a task may take longer than expected: tasks of one job
+// differ by some tenths, and their objective is that of the longest.
+const speedDoubt = 1.1
+
 // residueWeight is how much of its run time a task may lose for a worker that it
 // fills without a rest.
 const residueWeight = 0.3
--- a/internal/placement/plan/plan.go
+++ b/internal/placement/plan/plan.go
@@ -208,7 +208,7 @@
 func (p *Plan) Tick(now time.Time) {
 	p.at = now
 	p.refresh()
-	for _, w := range p.workers {
+	for _, w := range p.list {
 		p.expireRuns(w)
 	}
 	for name, o := range p.orphans {
