--- a/internal/placement/plan/place.go
+++ b/internal/placement/plan/place.go
@@ -90,15 +90,17 @@
 		return
 	}
 	most := roomiest(open)
+	disputed := p.disputed()
 	unsafe := map[string]bool{} // services of which something is not known
 	for _, j := range p.waiting {
 		if most.Processors <= 0 {
 			return
 		}
-		if p.mayRun(j) {
+		// Most of what waits is too large for the little room that there is.
+		if !j.fits(most) || p.mayRun(j) {
 			continue
 		}
-		if p.disputed() {
+		if disputed {
 			bad, asked := unsafe[j.Service]
 			if !asked {
 				bad = !p.known(j.Service)
@@ -114,6 +116,21 @@
 	}
 }
 
+// fits tells whether some task that waits may find room.
+func (j *job) fits(most room.Room) bool {
+	step := -1
+	for _, t := range j.pending {
+		if t.step == step {
+			continue // tasks of a step are of one size
+		}
+		step = t.step
+		if j.Steps[step].Room.Fits(most) {
+			return true
+		}
+	}
+	return false
+}
+
 // roomiest gives the most of each kind of room that any of the workers has left.
 func roomiest(open []*worker) room.Room {
 	var most room.Room
--- a/internal/placement/plan/replay_test.go
+++ b/internal/placement/plan/replay_test.go
@@ -57,8 +57,8 @@
 	jitter  bool // a task's run time differs from start to start
 	workers map[string]float64
 	running map[string]map[runKey]spell // by worker
-	spans   map[string][]time.Duration // of the tasks, by job
-	intime  map[string]int           // jobs, by queue
+	spans   map[string][]time.Duration  // of the tasks, by job
+	intime  map[string]int              // jobs, by queue
 	all     map[string]int
 }
 
