--- a/internal/placement/holder/bench_test.go
+++ b/internal/placement/holder/bench_test.go
@@ -28,8 +28,8 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	h := New(ctx, Options{
 		Group: "a/00", Epoch: 1, First: true, Tokens: fence.New(1, 1), Lease: time.Second, Resend: 1300 * time.Millisecond,
-		Calls: Calls{Start: clients.Start, Stop: clients.Stop, Hold: clients.Hold},
-		Log:   slog.New(slog.NewTextHandler(io.Discard, nil)),
+		Calls:   Calls{Start: clients.Start, Stop: clients.Stop, Hold: clients.Hold},
+		Log:     slog.New(slog.NewTextHandler(io.Discard, nil)),
 		Settled: func(_ *batch.Batch, r batch.Result) { settled <- r },
 		Fenced:  func() bool { return true }, Counted: func(string) {},
 	})
