node: Let the holder of a zone and its successors alone read the workers

Every entry read every worker's registration, 600 KB/s each, 180 MB/s together of the 80 that the store gives, so that reads of the configuration waited behind them. After the loss of all entries none came back in 30 s: the whole list has some pages and more than a megabyte, 300 entries read it at once, none within the half second that a read may take, and each began again.

An entry reads the workers while it holds its zone's group or is one of the five that would take it next (tenure.Succeeds), small ones behind the large; it is ready for a group only once it has read them, and forgets them when it is no longer among these. It begins one heartbeat after its start, when it has heard of others. An entry that has just started greets 48 addresses at once at most.

--- a/internal/gateway/feed/follower.go
+++ b/internal/gateway/feed/follower.go
@@ -16,6 +16,7 @@
 	answerSpan = 500 * time.Millisecond // for an answer beyond its wait; the store takes some milliseconds
 	retryFirst = 100 * time.Millisecond
 	retryMost  = 800 * time.Millisecond
+	wantedSpan = 25 * time.Millisecond // between looks whether a topic is wanted again
 )
 
 // Follower reads one topic. Reset gets the newest record of every key, Apply the
@@ -31,7 +32,10 @@
 	// for the first time or again.
 	Lost func()
 	Back func()
-	Log  *slog.Logger
+	// Wanted tells whether the topic is to be read now; nil for always. What was
+	// read before a pause counts for nothing after it.
+	Wanted func() bool
+	Log    *slog.Logger
 
 	from   int64 // offset at which reading goes on, negative before the first
 	failed int
@@ -42,6 +46,11 @@
 func (f *Follower) Run(ctx context.Context) {
 	f.from = -1
 	for ctx.Err() == nil {
+		if f.Wanted != nil && !f.Wanted() {
+			f.from, f.failed, f.read = -1, 0, false
+			wait.For(ctx, wantedSpan)
+			continue
+		}
 		if err := f.step(ctx); err != nil {
 			f.miss(ctx, err)
 			continue
--- a/internal/gateway/feed/follower_test.go
+++ b/internal/gateway/feed/follower_test.go
@@ -9,7 +9,9 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/radishgate/radishgate/platform"
@@ -93,3 +95,44 @@
 		})
 	}
 }
+
+// TestUnwantedTopicIsNotRead pauses a follower: it reads nothing meanwhile, and begins
+// with the newest records after it, since it has missed what went.
+func TestUnwantedTopicIsNotRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		var wanted atomic.Bool
+		var newest, reads, backs atomic.Int64
+		f := &Follower{
+			Name: "workers", Pause: 100 * time.Millisecond, Wanted: wanted.Load, Log: slog.New(slog.NewTextHandler(io.Discard, nil)),
+			Feed: platform.Feed{
+				Newest: func(context.Context) ([]platform.Keyed, int64, error) { newest.Add(1); return nil, 7, nil },
+				Read: func(_ context.Context, from int64, _ time.Duration) ([]platform.Keyed, int64, error) {
+					reads.Add(1)
+					return nil, from, nil
+				},
+			},
+			Reset: func([]platform.Keyed) {}, Apply: func([]platform.Keyed) {}, Lost: func() {}, Back: func() { backs.Add(1) },
+		}
+		var done sync.WaitGroup
+		done.Go(func() { f.Run(ctx) })
+		steps := []struct {
+			wanted        bool
+			newest, backs int64
+		}{{false, 0, 0}, {true, 1, 1}, {false, 1, 1}, {true, 2, 2}}
+		for i, s := range steps {
+			wanted.Store(s.wanted)
+			time.Sleep(time.Second)
+			synctest.Wait()
+			before := reads.Load()
+			time.Sleep(time.Second)
+			synctest.Wait()
+			read := reads.Load() - before
+			if newest.Load() != s.newest || backs.Load() != s.backs || (read > 0) != s.wanted {
+				t.Errorf("step %d: %d lists read, told of %d times, %d reads in a second", i, newest.Load(), backs.Load(), read)
+			}
+		}
+		cancel()
+		done.Wait()
+	})
+}
--- a/internal/gateway/node/beats.go
+++ b/internal/gateway/node/beats.go
@@ -27,8 +27,8 @@
 	}
 }
 
-// next gives the addresses at which no known entry is: all of them when asked
-// for, else one in turn.
+// next gives the addresses at which no known entry is, in turn: many of them when
+// asked for, else one.
 func (c *contacts) next(known map[string]bool, all bool) []string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -38,12 +38,16 @@
 			open = append(open, a)
 		}
 	}
-	if all || len(open) == 0 {
+	most := 1
+	if all {
+		most = contactsMost
+	}
+	if len(open) <= most {
 		return open
 	}
 	sort.Strings(open)
-	c.turn++
-	return open[c.turn%len(open):][:1]
+	c.turn = (c.turn + most) % len(open)
+	return append(open[c.turn:], open[:c.turn]...)[:most]
 }
 
 // beatLoop sends heartbeats and settles who holds which group.
@@ -92,12 +96,13 @@
 	return targets
 }
 
-// contactBeats is the number of heartbeats between attempts to meet an entry
-// that is not among the members. An entry that has just started tries all of them each time, since others may
-// be about to start as well.
+// contactBeats is the number of heartbeats between attempts to meet an entry that is
+// not among the members. An entry that has just started tries many of them each time,
+// since others may be about to start as well.
 const (
 	contactBeats = 3
 	firstBeats   = 20
+	contactsMost = 48 // at once; hundreds of entries that start together would all greet each other
 )
 
 func (n *Node) send(ctx context.Context, group *sync.WaitGroup, records []member.Record, targets []member.Record) {
--- a/internal/gateway/node/groups.go
+++ b/internal/gateway/node/groups.go
@@ -20,17 +20,53 @@
 // before it makes any: two heartbeats. Others do not count on it meanwhile.
 const listenSpan = 300 * time.Millisecond
 
+// readSpan is how long an entry that has just started waits before it reads the
+// workers: until it has heard of most others of its zone, one heartbeat. Where
+// hundreds start at once, the store cannot give the whole list to each.
+const readSpan = listenSpan / 2
+
+// candidates are the live entries.
+func (n *Node) candidates() []tenure.Candidate {
+	var live []tenure.Candidate
+	for _, r := range n.members.Live("") {
+		live = append(live, tenure.Candidate{ID: r.ID, Life: r.Incarnation, Zone: r.Zone, Weight: r.Weight, Ready: r.Ready})
+	}
+	return live
+}
+
+// prepare settles whether this entry reads the workers: those that hold a group of
+// their zone do, and the next to take it.
+func (n *Node) prepare(live []tenure.Candidate) {
+	succeeds := false
+	for i := range n.settings.Groups {
+		succeeds = succeeds || n.tenure.Succeeds(groupName(n.settings.Zone, i), n.settings.Zone, live)
+	}
+	if n.prepared.want(succeeds) {
+		n.log.Info("workers read", "wanted", succeeds)
+	}
+	if succeeds {
+		return
+	}
+	n.registry.Clear()
+	n.mu.Lock()
+	n.workersRead, n.workersLate = time.Time{}, false
+	n.mu.Unlock()
+}
+
 // govern claims the groups that fall to this entry and begins or ends its
 // holders accordingly.
 func (n *Node) govern(ctx context.Context) {
-	if time.Since(n.began) < listenSpan || ctx.Err() != nil {
+	if time.Since(n.began) < readSpan || ctx.Err() != nil {
 		return
 	}
-	n.members.Update(func(r *member.Record) { r.Ready = !r.Leaving })
-	var live []tenure.Candidate
-	for _, r := range n.members.Live("") {
-		live = append(live, tenure.Candidate{ID: r.ID, Life: r.Incarnation, Zone: r.Zone, Weight: r.Weight, Ready: r.Ready})
+	live := n.candidates()
+	n.prepare(live)
+	if time.Since(n.began) < listenSpan {
+		return
 	}
+	known := n.prepared.ready()
+	n.members.Update(func(r *member.Record) { r.Ready = known && !r.Leaving })
+	live = n.candidates()
 	heard, now, claimed := n.hears(), time.Now(), false
 	for _, zone := range n.settings.Zones {
 		for i := range n.settings.Groups {
--- a/internal/gateway/node/node.go
+++ b/internal/gateway/node/node.go
@@ -57,6 +57,7 @@
 	outbox   *outbox
 
 	draining atomic.Bool
+	prepared preparation
 	contacts contacts
 
 	vacancies vacancies
@@ -139,7 +140,12 @@
 		},
 		{
 			Name: "workers", Feed: n.store.Workers(), Pause: workersPause, Log: n.log,
-			Reset: func(records []platform.Keyed) { n.takeWorkers(n.registry.Reset(records, time.Now())) },
+			Wanted: n.prepared.wanted,
+			Reset: func(records []platform.Keyed) {
+				n.takeWorkers(n.registry.Reset(records, time.Now()))
+				n.prepared.know()
+				n.govern(n.ctx)
+			},
 			Apply: func(records []platform.Keyed) { n.takeWorkers(n.registry.Apply(records, time.Now())) },
 			Lost:  n.workersLost,
 			Back:  n.workersBack,
--- a/internal/placement/tenure/tenure.go
+++ b/internal/placement/tenure/tenure.go
@@ -231,25 +231,82 @@
 const largeShare = 0.75
 
 // first is the candidate of the group's zone that takes it when it is vacant.
-// Entries of other zones do not: one that cannot be reached from there may still
-// be at work for its own zone. Small entries leave a group to a large one that is
-// about to be ready.
 func first(group, zone string, live []Candidate) Candidate {
-	best, bestRank, largest := Candidate{}, 0.0, 0.0
+	for _, l := range ranked(group, zone, live) {
+		if l.Ready {
+			return l
+		}
+	}
+	return Candidate{}
+}
+
+// successors is the number of entries of a zone that are prepared to place the tasks
+// of a group: as many as may be lost at once without the whole zone, and one more.
+const successors = 5
+
+// Succeeds tells whether the own entry is among those that are prepared to place the
+// tasks of a group: it holds the group or is among the next to take it, the small
+// entries behind the large ones.
+func (t *Table) Succeeds(group, zone string, live []Candidate) bool {
+	t.mu.Lock()
+	c := t.claims[group]
+	t.mu.Unlock()
+	if c.Holder == t.options.Self.ID && c.Life == t.options.Self.Life {
+		return true
+	}
+	prepared, rest := 0, live
+	for prepared < successors {
+		able := ranked(group, zone, rest)
+		if len(able) == 0 {
+			break
+		}
+		for _, l := range able[:min(len(able), successors-prepared)] {
+			if l.ID == t.options.Self.ID {
+				return true
+			}
+		}
+		prepared += len(able)
+		least := able[0].Weight
+		for _, l := range able {
+			least = min(least, l.Weight)
+		}
+		rest = smaller(rest, least)
+	}
+	return false
+}
+
+// smaller lists the candidates below a weight.
+func smaller(live []Candidate, weight float64) []Candidate {
+	var rest []Candidate
+	for _, l := range live {
+		if l.Weight < weight {
+			rest = append(rest, l)
+		}
+	}
+	return rest
+}
+
+// ranked lists the candidates of the group's zone that may take it, the first one
+// first. Entries of other zones may not: one that cannot be reached from there may
+// still be at work for its own zone. Small entries leave a group to a large one that
+// is about to be ready.
+func ranked(group, zone string, live []Candidate) []Candidate {
+	largest := 0.0
 	for _, l := range live {
 		if l.Zone == zone {
 			largest = max(largest, l.Weight)
 		}
 	}
+	var able []Candidate
 	for _, l := range live {
-		if l.Zone != zone || !l.Ready || l.Weight < largest*largeShare {
-			continue
-		}
-		if r := rank(group, l.ID, l.Weight); best.ID == "" || r > bestRank {
-			best, bestRank = l, r
+		if l.Zone == zone && l.Weight >= largest*largeShare {
+			able = append(able, l)
 		}
 	}
-	return best
+	sort.Slice(able, func(a, b int) bool {
+		return rank(group, able[a].ID, able[a].Weight) > rank(group, able[b].ID, able[b].Weight)
+	})
+	return able
 }
 
 // rank is a weighted rendezvous hash.
--- a/internal/placement/tenure/tenure_test.go
+++ b/internal/placement/tenure/tenure_test.go
@@ -1,6 +1,7 @@
 package tenure
 
 import (
+	"fmt"
 	"testing"
 	"time"
 )
@@ -202,3 +203,47 @@
 		t.Fatalf("%+v and %+v", one, two)
 	}
 }
+
+// TestSuccessors counts the entries of a zone that are prepared to hold its group:
+// few however many there are, and small ones behind the large.
+func TestSuccessors(t *testing.T) {
+	tests := []struct {
+		name         string
+		large, small int
+		claimed      string // by an entry besides
+		prepared     int
+		preparedHere []string // that must be among them
+	}{
+		{"a small zone", 3, 0, "", 3, []string{"l00", "l01", "l02"}},
+		{"large entries and small ones", 3, 7, "", 5, []string{"l00", "l01", "l02"}},
+		{"hundreds", 60, 140, "", 5, nil},
+		{"a small entry holds the group", 60, 140, "s100", 6, []string{"s100"}},
+	}
+	for _, c := range tests {
+		t.Run(c.name, func(t *testing.T) {
+			var live []Candidate
+			for i := range c.large {
+				live = append(live, Candidate{ID: fmt.Sprintf("l%02d", i), Life: 1, Zone: "a", Weight: 0.8})
+			}
+			for i := range c.small {
+				live = append(live, Candidate{ID: fmt.Sprintf("s%02d", i), Life: 1, Zone: "a", Weight: 0.144})
+			}
+			prepared := map[string]bool{}
+			for _, self := range append(live, entry("b1", "b")) {
+				table := table(self)
+				table.Merge([]Claim{{Group: "a/0", Epoch: 3, Holder: c.claimed, Life: 1}})
+				if table.Succeeds("a/0", "a", live) {
+					prepared[self.ID] = true
+				}
+			}
+			if len(prepared) != c.prepared {
+				t.Fatalf("%d entries are prepared, want %d", len(prepared), c.prepared)
+			}
+			for _, id := range c.preparedHere {
+				if !prepared[id] {
+					t.Fatalf("%s is not among %v", id, prepared)
+				}
+			}
+		})
+	}
+}
--- a/internal/worker/registry/registry.go
+++ b/internal/worker/registry/registry.go
@@ -100,6 +100,13 @@
 	return Change{}
 }
 
+// Clear forgets all workers, since nobody reads of them any more.
+func (r *Registry) Clear() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	clear(r.entries)
+}
+
 // Live lists the workers that are there, by ID.
 func (r *Registry) Live() []platform.Registration {
 	r.mu.Lock()
