--- /dev/null
+++ b/capacity/sweep.go
@@ -0,0 +1,39 @@
+package capacity
+
+import (
+	"fmt"
+	"strings"
+
+	"github.com/radishgate/radishgate/platform"
+)
+
+// Sweep gives the table of a sweep over sizes of the whole system.
+func Sweep(s platform.Sweep) string {
+	var w strings.Builder
+	w.WriteString("| VMs / workers | served in time | worth | rules |\n| --- | --- | --- | --- |\n")
+	for _, d := range s.Days {
+		rules := "kept"
+		if d.Broken != "" {
+			rules = "**" + d.Broken + " broken**"
+		}
+		fmt.Fprintf(&w, "| %s | %.3f | %.3f | %s |\n", d.Size, d.Served, d.Worth, rules)
+	}
+	first := s.Growths[0]
+	w.WriteString("\n| role | figure, middle / busiest |")
+	for _, size := range first.Sizes {
+		fmt.Fprintf(&w, " %g VMs |", size)
+	}
+	fmt.Fprintf(&w, " power | busiest at %g |\n| --- | --- |%s --- | --- |\n", first.Target, strings.Repeat(" --- |", len(first.Sizes)))
+	for _, g := range s.Growths {
+		role := g.Role
+		if role == "" {
+			role = "all"
+		}
+		fmt.Fprintf(&w, "| %s | %s |", role, g.What)
+		for i := range g.Sizes {
+			fmt.Fprintf(&w, " %s / %s |", short(g.Middle[i]), short(g.Busiest[i]))
+		}
+		fmt.Fprintf(&w, " %.2f | %s |\n", g.Power, short(g.Value))
+	}
+	return w.String()
+}
--- a/commands/capacity.go
+++ b/commands/capacity.go
@@ -3,29 +3,55 @@
 import (
 	"context"
 	"io"
+	"os"
 
 	"github.com/radishgate/radishgate/capacity"
 	"github.com/radishgate/radishgate/common/page"
+	"github.com/radishgate/radishgate/platform"
 )
 
 type capacityCommand struct {
 	Page string `arg:"--page" help:"page whose measured part is written anew, such as docs/CAPACITY.md"`
 	JSON bool   `arg:"--json"`
+	// Sweep is output of the users' bench, whose figures go into a part of their own.
+	Sweep string `arg:"--sweep" help:"file with the output of a sweep over sizes; nothing is measured then"`
 }
 
 func (c *capacityCommand) run(_ context.Context, out, problems io.Writer) error {
+	if c.Sweep != "" {
+		return c.sweep(out)
+	}
 	result, err := capacity.Run(problems)
 	if err != nil {
 		return err
 	}
+	return c.write(out, "radishgate capacity", result.Markdown(), result)
+}
+
+// sweep writes the figures of a sweep.
+func (c *capacityCommand) sweep(out io.Writer) error {
+	file, err := os.Open(c.Sweep)
+	if err != nil {
+		return &UsageError{Reason: err.Error()}
+	}
+	defer file.Close()
+	s, err := platform.ReadSweep(file)
+	if err != nil {
+		return &UsageError{Reason: c.Sweep + ": " + err.Error()}
+	}
+	return c.write(out, "radishgate capacity --sweep", capacity.Sweep(s), s)
+}
+
+// write puts a text into the page, where there is one, and prints it or its figures.
+func (c *capacityCommand) write(out io.Writer, command, text string, figures any) error {
 	if c.Page != "" {
-		if err := page.Update(c.Page, "radishgate capacity", result.Markdown()); err != nil {
+		if err := page.Update(c.Page, command, text); err != nil {
 			return &UsageError{Reason: err.Error()}
 		}
 	}
 	if c.JSON {
-		return printJSON(out, result)
+		return printJSON(out, figures)
 	}
-	_, err = io.WriteString(out, result.Markdown())
+	_, err := io.WriteString(out, text)
 	return err
 }
