job: Give answers once the job is complete, and none before

Job.Result gave its own slice while the job ran; what was packed could be torn and is never of use, since a job is answered completely or not at all.

Change: answers are given when the job is complete, after which nothing writes them. TestRunningJobGivesNoAnswers fails before (2 answers of a running job) and passes after.

--- a/job/job.go
+++ b/job/job.go
@@ -209,6 +209,9 @@
 	if j.state == Complete && j.dropped {
 		return Failed, nil, refusal.New(refusal.NotKept, refusal.Failed, "the job was answered; its answer is no longer kept")
 	}
+	if j.state != Complete {
+		return j.state, nil, j.failure // answers are still being written while it runs
+	}
 	return j.state, j.answers, j.failure
 }
 
--- a/job/job_test.go
+++ b/job/job_test.go
@@ -94,3 +94,19 @@
 		t.Fatal(r)
 	}
 }
+
+// TestRunningJobGivesNoAnswers asks a job for its result while answers come in: they
+// are given whole once it is complete, and not at all before.
+func TestRunningJobGivesNoAnswers(t *testing.T) {
+	j := New(t.Context(), &Job{Deadline: time.Now().Add(time.Minute), Tasks: make([]Task, 2)})
+	for i, want := range []struct {
+		state   State
+		answers int
+	}{{Running, 0}, {Complete, 2}} {
+		j.Finish(i, Answer{Status: 200})
+		state, answers, _ := j.Result()
+		if state != want.state || len(answers) != want.answers {
+			t.Errorf("after %d answers: %s with %d of them, want %s with %d", i+1, state, len(answers), want.state, want.answers)
+		}
+	}
+}
