feed, node: Wait for the word that a topic is wanted, and read it anew after each change

An entry that does not read the workers asked every 25 ms whether it should.

Where an entry was among the next to hold a group, was not and was again between two reads (0.8 s), the follower noticed nothing, while the registry had been cleared: the entry never became ready to hold the group, and had no workers. Now a change of what is wanted restarts the reading, and the follower alone drops what was read.

Also: candidates are listed once per change of the members instead of twice in each settling, ranks hashed once per candidate, members not copied for each heartbeat.

Tests: TestTopicWantedAgainIsReadAnew (fails before), looks counted in TestUnwantedTopicIsNotRead, TestCandidatesAreListedOnce.

--- a/internal/gateway/feed/follower.go
+++ b/internal/gateway/feed/follower.go
@@ -16,7 +16,6 @@
 	answerSpan = 500 * time.Millisecond // for an answer beyond its wait; the store takes some milliseconds
 	retryFirst = 100 * time.Millisecond
 	retryMost  = 800 * time.Millisecond
-	wantedSpan = 25 * time.Millisecond // between looks whether a topic is wanted again
 )
 
 // Follower reads one topic. Reset gets the newest record of every key, Apply the
@@ -32,10 +31,14 @@
 	// for the first time or again.
 	Lost func()
 	Back func()
-	// Wanted tells whether the topic is to be read now; nil for always. What was
-	// read before a pause counts for nothing after it.
-	Wanted func() bool
-	Log    *slog.Logger
+	// Wanted tells whether the topic is to be read now, nil for always, and Changed
+	// has a value once that has changed. What was read before a change counts for
+	// nothing after it, also where the pause was too short to be seen. Paused is told
+	// when it is no longer read.
+	Wanted  func() bool
+	Changed <-chan struct{}
+	Paused  func()
+	Log     *slog.Logger
 
 	from   int64 // offset at which reading goes on, negative before the first
 	failed int
@@ -46,9 +49,18 @@
 func (f *Follower) Run(ctx context.Context) {
 	f.from = -1
 	for ctx.Err() == nil {
+		select {
+		case <-f.Changed:
+			f.from = -1
+		default:
+		}
 		if f.Wanted != nil && !f.Wanted() {
 			f.from, f.failed, f.read = -1, 0, false
-			wait.For(ctx, wantedSpan)
+			f.Paused()
+			select {
+			case <-ctx.Done():
+			case <-f.Changed:
+			}
 			continue
 		}
 		if err := f.step(ctx); err != nil {
--- a/internal/gateway/feed/follower_test.go
+++ b/internal/gateway/feed/follower_test.go
@@ -102,9 +102,10 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		var wanted atomic.Bool
-		var newest, reads, backs atomic.Int64
+		changed := make(chan struct{}, 1)
+		var newest, asked, reads, backs atomic.Int64
 		f := &Follower{
-			Name: "workers", Pause: 100 * time.Millisecond, Wanted: wanted.Load, Log: slog.New(slog.NewTextHandler(io.Discard, nil)),
+			Name: "workers", Pause: 100 * time.Millisecond, Changed: changed, Wanted: func() bool { asked.Add(1); return wanted.Load() }, Log: slog.New(slog.NewTextHandler(io.Discard, nil)),
 			Feed: platform.Feed{
 				Newest: func(context.Context) ([]platform.Keyed, int64, error) { newest.Add(1); return nil, 7, nil },
 				Read: func(_ context.Context, from int64, _ time.Duration) ([]platform.Keyed, int64, error) {
@@ -112,7 +113,7 @@
 					return nil, from, nil
 				},
 			},
-			Reset: func([]platform.Keyed) {}, Apply: func([]platform.Keyed) {}, Lost: func() {}, Back: func() { backs.Add(1) },
+			Reset: func([]platform.Keyed) {}, Apply: func([]platform.Keyed) {}, Lost: func() {}, Back: func() { backs.Add(1) }, Paused: func() {},
 		}
 		var done sync.WaitGroup
 		done.Go(func() { f.Run(ctx) })
@@ -122,12 +123,16 @@
 		}{{false, 0, 0}, {true, 1, 1}, {false, 1, 1}, {true, 2, 2}}
 		for i, s := range steps {
 			wanted.Store(s.wanted)
+			changed <- struct{}{}
 			time.Sleep(time.Second)
 			synctest.Wait()
-			before := reads.Load()
+			before, looks := reads.Load(), asked.Load()
 			time.Sleep(time.Second)
 			synctest.Wait()
 			read := reads.Load() - before
+			if looks = asked.Load() - looks; !s.wanted && looks > 0 {
+				t.Errorf("step %d: %d looks in a second at a topic that is not wanted, want none", i, looks)
+			}
 			if newest.Load() != s.newest || backs.Load() != s.backs || (read > 0) != s.wanted {
 				t.Errorf("step %d: %d lists read, told of %d times, %d reads in a second", i, newest.Load(), backs.Load(), read)
 			}
@@ -136,3 +141,34 @@
 		done.Wait()
 	})
 }
+
+// TestTopicWantedAgainIsReadAnew wants a topic no longer and again between two reads:
+// the follower has seen no pause, while who wanted it has dropped what was read.
+func TestTopicWantedAgainIsReadAnew(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		changed := make(chan struct{}, 1)
+		resets := 0
+		f := &Follower{
+			Name: "workers", Pause: time.Second, Log: slog.New(slog.NewTextHandler(io.Discard, nil)),
+			Wanted: func() bool { return true }, Changed: changed, Paused: func() {},
+			Feed: platform.Feed{
+				Newest: func(context.Context) ([]platform.Keyed, int64, error) { return nil, 7, nil },
+				Read: func(_ context.Context, from int64, _ time.Duration) ([]platform.Keyed, int64, error) {
+					return nil, from, nil
+				},
+			},
+			Reset: func([]platform.Keyed) { resets++ }, Apply: func([]platform.Keyed) {}, Lost: func() {}, Back: func() {},
+		}
+		var done sync.WaitGroup
+		done.Go(func() { f.Run(ctx) })
+		time.Sleep(2500 * time.Millisecond)
+		changed <- struct{}{}
+		time.Sleep(2500 * time.Millisecond)
+		cancel()
+		done.Wait()
+		if resets != 2 {
+			t.Fatalf("all records read %d times, want 2", resets)
+		}
+	})
+}
--- a/internal/gateway/node/beats.go
+++ b/internal/gateway/node/beats.go
@@ -177,8 +177,8 @@
 
 // hears tells whether any other entry is heard of.
 func (n *Node) hears() bool {
-	for _, r := range n.members.Live("") {
-		if r.ID != n.settings.VM {
+	for _, c := range n.candidates() {
+		if c.ID != n.settings.VM {
 			return true
 		}
 	}
--- a/internal/gateway/node/groups.go
+++ b/internal/gateway/node/groups.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -25,15 +26,32 @@
 // hundreds start at once, the store cannot give the whole list to each.
 const readSpan = listenSpan / 2
 
-// candidates are the live entries.
+// candidates are the live entries, listed anew once their set has changed: what
+// settles the holders runs with each heartbeat and each message that brings news.
 func (n *Node) candidates() []tenure.Candidate {
+	generation := n.members.Generation()
+	n.live.mu.Lock()
+	defer n.live.mu.Unlock()
+	if n.live.listed && n.live.generation == generation {
+		return n.live.candidates
+	}
 	var live []tenure.Candidate
 	for _, r := range n.members.Live("") {
 		live = append(live, tenure.Candidate{ID: r.ID, Life: r.Incarnation, Zone: r.Zone, Weight: r.Weight, Ready: r.Ready})
 	}
+	n.live.candidates, n.live.generation, n.live.listed = live, generation, true
 	return live
 }
 
+// roster is the last list of candidates, which nobody changes, and the generation of
+// the members that it was made from or is later than.
+type roster struct {
+	mu         sync.Mutex
+	candidates []tenure.Candidate
+	generation uint64
+	listed     bool
+}
+
 // prepare settles whether this entry reads the workers: those that hold a group of
 // their zone do, and the next to take it.
 func (n *Node) prepare(live []tenure.Candidate) {
@@ -44,9 +62,11 @@
 	if n.prepared.want(succeeds) {
 		n.log.Info("workers read", "wanted", succeeds)
 	}
-	if succeeds {
-		return
-	}
+}
+
+// forgetWorkers drops what was read of the workers: it counts for nothing once they
+// are no longer read.
+func (n *Node) forgetWorkers() {
 	n.registry.Clear()
 	n.mu.Lock()
 	n.workersRead, n.workersLate = time.Time{}, false
--- a/internal/gateway/node/node.go
+++ b/internal/gateway/node/node.go
@@ -59,6 +59,7 @@
 	draining atomic.Bool
 	prepared preparation
 	contacts contacts
+	live     roster
 
 	vacancies vacancies
 
@@ -83,6 +84,7 @@
 		client: peer.NewClient(nil, &counted.Counter{}, nil),
 		routes: routes.New(), registry: registry.New(), holders: map[string]*holder.Holder{},
 		contacts:  contacts{addresses: map[string]bool{}},
+		prepared:  preparation{changed: make(chan struct{}, 1)},
 		vacancies: vacancies{groups: map[string]vacancy{}},
 	}
 	n.ctx, n.cancel = context.WithCancel(context.Background())
@@ -140,7 +142,7 @@
 		},
 		{
 			Name: "workers", Feed: n.store.Workers(), Pause: workersPause, Log: n.log,
-			Wanted: n.prepared.wanted,
+			Wanted: n.prepared.wanted, Changed: n.prepared.changed, Paused: n.forgetWorkers,
 			Reset: func(records []platform.Keyed) {
 				n.takeWorkers(n.registry.Reset(records, time.Now()))
 				n.prepared.know()
--- a/internal/gateway/node/node_test.go
+++ b/internal/gateway/node/node_test.go
@@ -68,7 +68,7 @@
 	return f
 }
 
-func listen(t *testing.T) net.Listener {
+func listen(t testing.TB) net.Listener {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
--- a/internal/gateway/node/preparation.go
+++ b/internal/gateway/node/preparation.go
@@ -7,15 +7,22 @@
 type preparation struct {
 	mu           sync.Mutex
 	reads, knows bool
+	changed      chan struct{} // has a value once reads has changed
 }
 
 // want settles whether the workers are read and tells whether that is new.
 func (p *preparation) want(reads bool) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	changed := p.reads != reads
-	p.reads, p.knows = reads, p.knows && reads
-	return changed
+	if p.reads == reads {
+		return false
+	}
+	p.reads, p.knows = reads, false
+	select {
+	case p.changed <- struct{}{}:
+	default: // it has one
+	}
+	return true
 }
 
 func (p *preparation) wanted() bool {
--- /dev/null
+++ b/internal/gateway/node/scale_test.go
@@ -0,0 +1,88 @@
+package node
+
+import (
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/radishgate/radishgate/internal/gateway/settings"
+	"github.com/radishgate/radishgate/member"
+	"github.com/radishgate/radishgate/standin/ledger"
+)
+
+// largeNode makes an entry, not running, that knows of many others in three zones,
+// each of whose groups has a holder.
+func largeNode(t testing.TB, entries int) *Node {
+	store := httptest.NewServer(ledger.New())
+	t.Cleanup(store.Close)
+	zones := []string{"a", "b", "c"}
+	peers := listen(t)
+	n, err := New(Options{
+		Settings: &settings.Settings{
+			VM: "e0", Zone: "a", Zones: zones, Processors: 1, Memory: 256, Peers: peers.Addr().String(), Reach: peers.Addr().String(),
+			Store: strings.TrimPrefix(store.URL, "http://"), Lease: time.Second, Grace: fleetGrace, Groups: 1, Beat: fleetBeat,
+		},
+		Log: slog.New(slog.NewTextHandler(io.Discard, nil)), Dropped: func() int64 { return 0 },
+		Clients: listen(t), Peers: peers, Ready: listen(t),
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(n.Abort)
+	n.began = n.began.Add(-time.Minute)
+	hearAll(n, entries, 1)
+	return n
+}
+
+// hearAll has a node hear of all others by their own heartbeats.
+func hearAll(n *Node, entries int, beat uint64) {
+	for i := 1; i < entries; i++ {
+		zone := n.settings.Zones[i%len(n.settings.Zones)]
+		n.members.Merge([]member.Record{{ID: fmt.Sprintf("e%d", i), Zone: zone, Peer: fmt.Sprintf("127.0.0.1:%d", 1000+i), Incarnation: 7, Beat: beat, Weight: 1, Ready: true}})
+	}
+}
+
+// TestCandidatesAreListedOnce settles holders again and again among many entries of
+// which nothing new is heard, then of one that has gone.
+func TestCandidatesAreListedOnce(t *testing.T) {
+	n := largeNode(t, 300)
+	first := n.candidates()
+	hearAll(n, 300, 2)
+	if again := n.candidates(); len(first) != 300 || &first[0] != &again[0] {
+		t.Fatalf("%d entries listed anew after heartbeats that bring no change", len(again))
+	}
+	n.members.Merge([]member.Record{{ID: "e5", Zone: "c", Incarnation: 7, Beat: 3, Weight: 1, Leaving: true}})
+	if later := n.candidates(); len(later) != 299 {
+		t.Fatalf("%d entries after one has left, want 299", len(later))
+	}
+}
+
+func BenchmarkGovern(b *testing.B) {
+	for _, entries := range []int{30, 300} {
+		b.Run(fmt.Sprint(entries), func(b *testing.B) {
+			n := largeNode(b, entries)
+			for b.Loop() {
+				n.govern(n.ctx)
+			}
+		})
+	}
+}
+
+func BenchmarkBeat(b *testing.B) {
+	for _, entries := range []int{30, 300} {
+		b.Run(fmt.Sprint(entries), func(b *testing.B) {
+			n := largeNode(b, entries)
+			for b.Loop() {
+				n.members.Sweep()
+				n.countVacancies()
+				records, targets := n.members.Beat()
+				n.addHolders(targets)
+				n.compose(records)
+			}
+		})
+	}
+}
--- a/internal/placement/tenure/tenure.go
+++ b/internal/placement/tenure/tenure.go
@@ -297,15 +297,21 @@
 			largest = max(largest, l.Weight)
 		}
 	}
-	var able []Candidate
+	type place struct {
+		Candidate
+		rank float64
+	}
+	var places []place
 	for _, l := range live {
 		if l.Zone == zone && l.Weight >= largest*largeShare {
-			able = append(able, l)
+			places = append(places, place{l, rank(group, l.ID, l.Weight)})
 		}
 	}
-	sort.Slice(able, func(a, b int) bool {
-		return rank(group, able[a].ID, able[a].Weight) > rank(group, able[b].ID, able[b].Weight)
-	})
+	sort.Slice(places, func(a, b int) bool { return places[a].rank > places[b].rank })
+	able := make([]Candidate, len(places))
+	for i, p := range places {
+		able[i] = p.Candidate
+	}
 	return able
 }
 
--- a/member/beat.go
+++ b/member/beat.go
@@ -65,7 +65,7 @@
 	var targets []Record
 	for i := range min(t.options.Fanout, len(near)) {
 		turn := (int(t.ticks)*t.options.Fanout + i) % len(near)
-		targets = append(targets, near[turn])
+		targets = append(targets, near[turn].record)
 	}
 	if len(far) > 0 && (t.ticks%2 == 0 || t.spreading()) {
 		targets = append(targets, elsewhere(far, t.farTurn))
@@ -94,11 +94,11 @@
 
 // cutOff lists the members elsewhere that seem dead from here. One of them is
 // tried with every heartbeat, so that a healed cut is noticed soon.
-func (t *Table) cutOff(far []Record) []Record {
-	var cut []Record
-	for _, r := range far {
-		if v := t.views[r.ID]; v.state == Alive && t.seems(v) == Dead {
-			cut = append(cut, r)
+func (t *Table) cutOff(far []*view) []*view {
+	var cut []*view
+	for _, v := range far {
+		if v.state == Alive && t.seems(v) == Dead {
+			cut = append(cut, v)
 		}
 	}
 	return cut
@@ -106,24 +106,24 @@
 
 // elsewhere takes the zones in turn, and within each its members in turn, so
 // that the time until each hears from here has a bound.
-func elsewhere(far []Record, turn int) Record {
-	byZone := map[string][]Record{}
+func elsewhere(far []*view, turn int) Record {
+	byZone := map[string][]*view{}
 	var zones []string
-	for _, r := range far {
-		if len(byZone[r.Zone]) == 0 {
-			zones = append(zones, r.Zone)
+	for _, v := range far {
+		zone := v.record.Zone
+		if len(byZone[zone]) == 0 {
+			zones = append(zones, zone)
 		}
-		byZone[r.Zone] = append(byZone[r.Zone], r)
+		byZone[zone] = append(byZone[zone], v)
 	}
 	members := byZone[zones[turn%len(zones)]]
-	return members[turn/len(zones)%len(members)]
+	return members[turn/len(zones)%len(members)].record
 }
 
 // sorted splits the others into those of the own zone, those of other zones,
 // and those that are only seeds or dead, which are tried now and then so that a
 // healed cut is noticed.
-func (t *Table) sorted() ([]Record, []Record, []Record) {
-	var near, far, lost []Record
+func (t *Table) sorted() (near, far []*view, lost []Record) {
 	for _, id := range t.order {
 		v, ok := t.views[id]
 		if !ok {
@@ -133,9 +133,9 @@
 		case v.state == Dead:
 			lost = append(lost, v.record)
 		case v.record.Zone == t.self.Zone:
-			near = append(near, v.record)
+			near = append(near, v)
 		default:
-			far = append(far, v.record)
+			far = append(far, v)
 		}
 	}
 	for id, r := range t.seeds {
