node: Claim groups one heartbeat after a start instead of two

Ruled out that two heartbeats are needed: an entry greets all others it knows of (48 at once) with its first heartbeat, and any answer carries all claims. If two claim at once, the workers obey one of them and the claims settle with the next heartbeat, as before.

Test: TestGroupIsTakenAfterOneHeartbeat (not taken before).

--- a/internal/gateway/node/groups.go
+++ b/internal/gateway/node/groups.go
@@ -17,14 +17,11 @@
 	"github.com/radishgate/radishgate/platform"
 )
 
-// listenSpan is how long an entry that has just started listens for claims
-// before it makes any: two heartbeats. Others do not count on it meanwhile.
-const listenSpan = 300 * time.Millisecond
-
-// readSpan is how long an entry that has just started waits before it reads the
-// workers: until it has heard of most others of its zone, one heartbeat. Where
-// hundreds start at once, the store cannot give the whole list to each.
-const readSpan = listenSpan / 2
+// listenSpan is how long an entry that has just started listens before it reads the
+// workers and claims a group: one heartbeat. It has greeted many others by then, and any
+// that was there before has told it of all claims. Where hundreds start at once, the
+// store cannot give the whole list of workers to each.
+const listenSpan = 150 * time.Millisecond
 
 // candidates are the live entries, listed anew once their set has changed: what
 // settles the holders runs with each heartbeat and each message that brings news.
@@ -76,14 +73,11 @@
 // govern claims the groups that fall to this entry and begins or ends its
 // holders accordingly.
 func (n *Node) govern(ctx context.Context) {
-	if time.Since(n.began) < readSpan || ctx.Err() != nil {
+	if time.Since(n.began) < listenSpan || ctx.Err() != nil {
 		return
 	}
 	live := n.candidates()
 	n.prepare(live)
-	if time.Since(n.began) < listenSpan {
-		return
-	}
 	known := n.prepared.ready()
 	n.members.Update(func(r *member.Record) { r.Ready = known && !r.Leaving })
 	live = n.candidates()
--- a/internal/gateway/node/scale_test.go
+++ b/internal/gateway/node/scale_test.go
@@ -46,6 +46,29 @@
 	}
 }
 
+// TestGroupIsTakenAfterOneHeartbeat settles holders at an entry that has just started
+// and knows the workers, as after the loss of all entries: what it waits is a pause in
+// service.
+func TestGroupIsTakenAfterOneHeartbeat(t *testing.T) {
+	tests := []struct {
+		name  string
+		since time.Duration
+		taken bool
+	}{{"it starts", -time.Hour, false}, {"one heartbeat after", fleetBeat + fleetBeat/3, true}}
+	for _, c := range tests {
+		t.Run(c.name, func(t *testing.T) {
+			n := largeNode(t, 1)
+			n.began = time.Now().Add(-c.since)
+			n.govern(n.ctx)
+			n.prepared.know()
+			n.govern(n.ctx)
+			if _, taken := n.holder(groupName("a", 0)); taken != c.taken {
+				t.Fatalf("group taken: %v, want %v", taken, c.taken)
+			}
+		})
+	}
+}
+
 // TestCandidatesAreListedOnce settles holders again and again among many entries of
 // which nothing new is heard, then of one that has gone.
 func TestCandidatesAreListedOnce(t *testing.T) {
