--- a/capacity/sweep.go
+++ b/capacity/sweep.go
@@ -13,7 +13,10 @@
 	w.WriteString("| VMs / workers | served in time | worth | rules |\n| --- | --- | --- | --- |\n")
 	for _, d := range s.Days {
 		rules := "kept"
-		if d.Broken != "" {
+		switch {
+		case d.GivenUp:
+			rules = "**day given up**"
+		case d.Broken != "":
 			rules = "**" + d.Broken + " broken**"
 		}
 		fmt.Fprintf(&w, "| %s | %.3f | %.3f | %s |\n", d.Size, d.Served, d.Worth, rules)
