tenure, member: Let the lesser side of a cut stand back for the holder of the other one

Two entries are cut off from all others but hear each other. Each takes the group of its zone after 0.6 s, as the next entry that is left there does on the other side. Both holders hear somebody, so that neither stands back: for five seconds they take every worker from each other (`another holder at worker`, `worker fenced anew`, some 40 a second), and the zone's jobs stop with each change. No task ran twice: workers obey one token at a time.

Ruled out: entries that hear nobody (they stand back since the beginning), entries of other zones (they claim nothing).

A holder that meets another one at a worker and hears not more than half of the entries it knows (of two equal halves, the one without the least ID) stands back for 8 s, then tries for 0.4 s whether the other one is gone; hearing most again ends it. Entries that have left or refuse connections count for no side, so that survivors of a loss are not the lesser part. Without another holder nobody stands back.

What is left are the clients of the two entries, and the change of holders when the cut heals.

Tests: TestLesserSideStandsBack, TestMostAreHeardOnOneSide."

--- a/internal/gateway/node/groups.go
+++ b/internal/gateway/node/groups.go
@@ -81,6 +81,9 @@
 	known := n.prepared.ready()
 	n.members.Update(func(r *member.Record) { r.Ready = known && !r.Leaving })
 	live = n.candidates()
+	if n.members.Most() {
+		n.tenure.Stand()
+	}
 	heard, now, claimed := n.hears(), time.Now(), false
 	for _, zone := range n.settings.Zones {
 		for i := range n.settings.Groups {
@@ -146,8 +149,9 @@
 		Calls: holder.Calls{Start: n.workers.Start, Stop: n.workers.Stop, Hold: n.workers.Hold},
 		Log:   n.log, Settled: n.settled, Counted: n.measures.order,
 		Fenced: func() bool {
-			n.tenure.Fenced(n.hears(), time.Now())
-			return n.tenure.Standing(c.Group)
+			now := time.Now()
+			n.tenure.Fenced(n.hears(), n.members.Most(), now)
+			return n.tenure.Standing(c.Group, now)
 		},
 	})
 }
@@ -199,7 +203,7 @@
 		return desk.Seat{}, false
 	}
 	if c.Holder == n.settings.VM {
-		return desk.Seat{Group: group, Epoch: c.Epoch, Holder: c.Holder, Own: true}, c.Life == n.life && n.tenure.Standing(group)
+		return desk.Seat{Group: group, Epoch: c.Epoch, Holder: c.Holder, Own: true}, c.Life == n.life && n.tenure.Standing(group, time.Now())
 	}
 	r, state, known := n.members.Find(c.Holder)
 	if !known || state == member.Dead || r.Incarnation != c.Life {
--- a/internal/placement/tenure/tenure.go
+++ b/internal/placement/tenure/tenure.go
@@ -54,6 +54,7 @@
 	first   map[string]uint64    // epoch of the own entry's claim that followed no other, by group
 	small   map[string]time.Time // since when a larger entry could hold a group of the own entry
 	fenced  time.Time            // when another holder was met while nobody was heard
+	yielded time.Time            // when another holder was met while most others were not heard
 	changed uint64
 }
 
@@ -197,22 +198,41 @@
 	return c.Epoch > 0 && t.first[c.Group] == c.Epoch
 }
 
-// Fenced notes that another holder was met at a worker. An entry that hears
-// nobody then stands back until it hears somebody.
-func (t *Table) Fenced(heard bool, now time.Time) {
+// Spans of standing back for a holder that more entries hear.
+const (
+	yieldSpan = 8 * time.Second        // longer than most cuts: each attempt to take the workers back disturbs the other one
+	retrySpan = 400 * time.Millisecond // in which it takes its workers back, should the other one be gone
+)
+
+// Fenced notes that another holder was met at a worker. An entry that hears nobody
+// then stands back until it hears somebody, and one that hears the lesser part of the
+// others for a while. It answers entries that are cut off together: both sides hear
+// somebody, and would take the workers from each other until the cut heals.
+func (t *Table) Fenced(heard, most bool, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if !heard {
+	switch {
+	case !heard:
 		t.fenced = now
+	case !most && !now.Before(t.yielded.Add(yieldSpan+retrySpan)):
+		t.yielded = now
 	}
 }
 
+// Stand ends the standing back, since most others are heard.
+func (t *Table) Stand() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.yielded = time.Time{}
+}
+
 // Standing tells whether the own entry may act as the holder of a group.
-func (t *Table) Standing(group string) bool {
+func (t *Table) Standing(group string, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	c := t.claims[group]
-	return c.Holder == t.options.Self.ID && c.Life == t.options.Self.Life && t.fenced.IsZero()
+	back := !t.yielded.IsZero() && now.Before(t.yielded.Add(yieldSpan))
+	return c.Holder == t.options.Self.ID && c.Life == t.options.Self.Life && t.fenced.IsZero() && !back
 }
 
 // holds tells whether the holder of a claim lives. It need not be known as ready:
--- a/internal/placement/tenure/tenure_test.go
+++ b/internal/placement/tenure/tenure_test.go
@@ -157,15 +157,15 @@
 	a1 := entry("a1", "a")
 	table := table(a1)
 	table.Settle("a/0", "a", []Candidate{a1}, false, now)
-	if !table.Standing("a/0") {
+	if !table.Standing("a/0", now) {
 		t.Fatal("the entry does not hold the group that it claimed")
 	}
-	table.Fenced(false, now)
-	if table.Standing("a/0") {
+	table.Fenced(false, false, now)
+	if table.Standing("a/0", now) {
 		t.Fatal("the entry goes on though another holder was met and nobody is heard")
 	}
 	table.Settle("a/0", "a", []Candidate{a1, entry("a2", "a")}, true, now)
-	if !table.Standing("a/0") {
+	if !table.Standing("a/0", now) {
 		t.Fatal("the entry does not go on once it hears others")
 	}
 }
@@ -247,3 +247,38 @@
 		})
 	}
 }
+
+// TestLesserSideStandsBack cuts some entries off together, so that both sides hear
+// somebody and meet each other's token at the workers.
+func TestLesserSideStandsBack(t *testing.T) {
+	a1 := entry("a1", "a")
+	steps := []struct {
+		name     string
+		at       time.Duration
+		met      bool // another holder, at a worker
+		most     bool // others are heard
+		standing bool
+	}{
+		{"nothing met", 0, false, false, true},
+		{"met while few are heard", 100 * time.Millisecond, true, false, false},
+		{"met again", time.Second, true, false, false},
+		{"the other may be gone", 100*time.Millisecond + yieldSpan, true, false, true},
+		{"it is not", 100*time.Millisecond + yieldSpan + retrySpan, true, false, false},
+		{"most are heard", 2 * yieldSpan, false, true, true},
+		{"met while most are heard", 2*yieldSpan + time.Second, true, true, true},
+	}
+	table := table(a1)
+	table.Settle("a/0", "a", []Candidate{a1}, true, now)
+	for _, s := range steps {
+		at := now.Add(s.at)
+		if s.most {
+			table.Stand()
+		}
+		if s.met {
+			table.Fenced(true, s.most, at)
+		}
+		if got := table.Standing("a/0", at); got != s.standing {
+			t.Fatalf("%s: standing %v, want %v", s.name, got, s.standing)
+		}
+	}
+}
--- a/internal/trial/history/entry_test.go
+++ b/internal/trial/history/entry_test.go
@@ -147,7 +147,7 @@
 			Lease: lease, Resend: resend,
 			Calls: holder.Calls{Start: e.orders.Start, Stop: e.orders.Stop, Hold: e.orders.Hold},
 			Log:   e.log(e.id), Settled: e.settled, Counted: func(string) {},
-			Fenced: func() bool { return e.table.Standing(group) },
+			Fenced: func() bool { return e.table.Standing(group, time.Now()) },
 		})
 	}
 	e.lock.Unlock()
--- a/member/state.go
+++ b/member/state.go
@@ -71,6 +71,10 @@
 	}
 }
 
+// refusals is the number of refused connections in a row that show that a process is
+// gone.
+const refusals = 2
+
 // Refused notes that nothing listens at a member's address. Twice in a row is
 // evidence that the process is gone.
 func (t *Table) Refused(id string) {
@@ -81,7 +85,7 @@
 		return
 	}
 	v.refused++
-	if v.refused >= 2 {
+	if v.refused >= refusals {
 		t.kill(v)
 	}
 }
--- a/member/table.go
+++ b/member/table.go
@@ -305,3 +305,28 @@
 	}
 	return known
 }
+
+// Most tells whether more than half of the members that are known are heard, the own
+// entry among them; of two equal halves the one with the least ID. Members that have
+// left, or whose address refuses connections, are not counted: they are on no other
+// side of a cut.
+func (t *Table) Most() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	heard, all := 1, 1
+	least, there := t.self.ID, true
+	for id, v := range t.views {
+		state := t.seems(v)
+		if state == Dead && (v.record.Leaving || v.refused >= refusals) {
+			continue
+		}
+		all++
+		if state != Dead {
+			heard++
+		}
+		if id < least {
+			least, there = id, state != Dead
+		}
+	}
+	return 2*heard > all || 2*heard == all && there
+}
--- a/member/table_test.go
+++ b/member/table_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -187,6 +188,43 @@
 	})
 }
 
+// TestMostAreHeardOnOneSide cuts members off together: just one side hears the most,
+// also of two equal halves. Members that are gone for sure belong to neither.
+func TestMostAreHeardOnOneSide(t *testing.T) {
+	tests := []struct {
+		name           string
+		members, zones int
+		away           []string // on the other side of the cut
+		gone           []string // nothing listens there
+		most           map[string]bool
+	}{
+		{"two of nine", 9, 3, []string{"e001", "e002"}, nil, map[string]bool{"e000": true, "e001": false, "e002": false}},
+		{"two of four", 4, 2, []string{"e002", "e003"}, nil, map[string]bool{"e000": true, "e002": false}},
+		{"the least with another one", 4, 2, []string{"e000", "e003"}, nil, map[string]bool{"e000": true, "e001": false}},
+		{"most are gone", 5, 1, nil, []string{"e001", "e002", "e003"}, map[string]bool{"e000": true, "e004": true}},
+	}
+	for _, c := range tests {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := newGroup(c.members, c.zones)
+				g.until(t, 40, c.members)
+				g.cut = func(a, b Record) bool { return slices.Contains(c.away, a.ID) != slices.Contains(c.away, b.ID) }
+				for _, id := range c.gone {
+					g.stopped[id] = true
+				}
+				for range 40 {
+					g.tick()
+				}
+				for id, want := range c.most {
+					if got := g.find(id).Most(); got != want {
+						t.Errorf("%s hears most: %v, want %v", id, got, want)
+					}
+				}
+			})
+		})
+	}
+}
+
 func TestCutOfOneWay(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := newGroup(4, 2)
