node, desk: Send clients elsewhere and refuse at once where no holder is known

An entry that has known no holder for its zone for 1 s, longer than a takeover, is not ready, asks clients to close their connections and refuses at once what it has not handed to anybody. It is so again once a holder is known.

Tests: TestStranded, TestStrandedEntryRefusesAtOnce (1.5 s before).

--- a/internal/gateway/desk/desk.go
+++ b/internal/gateway/desk/desk.go
@@ -31,16 +31,19 @@
 	Await    func(ctx context.Context, to Seat, ids []string) (results []batch.Result, unknown []string, held bool, err error)
 	Withdraw func(ctx context.Context, to Seat, b *batch.Batch)
 	Ended    func(b *batch.Batch, r batch.Result, tries int)
+	// Stranded tells that no holder is known and none is to be expected within a
+	// takeover; nil for never.
+	Stranded func() bool
 	Log      *slog.Logger
 }
 
 // Spans of the desk.
 const (
-	sweepSpan   = 25 * time.Millisecond  // between looks at jobs that have to be handed in again
-	awaitSpan   = 250 * time.Millisecond // without news after which a holder is asked for a job
-	placeSpan   = 400 * time.Millisecond // for the answer to a job that is handed in
-	vacancySpan = 1500 * time.Millisecond
-	returnSpan  = time.Second // after which a client may try again when there was no holder
+	sweepSpan   = 25 * time.Millisecond   // between looks at jobs that have to be handed in again
+	awaitSpan   = 250 * time.Millisecond  // without news after which a holder is asked for a job
+	placeSpan   = 400 * time.Millisecond  // for the answer to a job that is handed in
+	vacancySpan = 1500 * time.Millisecond // that a job waits for a holder
+	returnSpan  = time.Second             // after which a client may try again when there was no holder
 )
 
 // waiting is a job whose client waits.
@@ -74,6 +77,9 @@
 	if options.Number == nil {
 		options.Number = rand.Uint64
 	}
+	if options.Stranded == nil {
+		options.Stranded = func() bool { return false }
+	}
 	return &Desk{options: options, jobs: map[string]*waiting{}}
 }
 
@@ -276,7 +282,7 @@
 
 // Sweep looks once at all jobs.
 func (d *Desk) Sweep(ctx context.Context) {
-	now := time.Now()
+	now, stranded := time.Now(), d.options.Stranded()
 	var again []*waiting
 	silent := map[Seat][]string{}
 	var vacant []batch.Result
@@ -287,7 +293,7 @@
 		}
 		seat, ok := d.options.Seat(w.group)
 		switch {
-		case !ok && !w.offered && now.Sub(w.batch.Arrived) > vacancySpan:
+		case !ok && !w.offered && (stranded || now.Sub(w.batch.Arrived) > vacancySpan):
 			vacant = append(vacant, batch.Result{
 				ID: id, Attempt: w.batch.Attempt, State: batch.Refused, Reason: "no entry places its tasks", RetryAt: now.Add(returnSpan),
 			})
--- a/internal/gateway/desk/desk_test.go
+++ b/internal/gateway/desk/desk_test.go
@@ -250,3 +250,29 @@
 		}
 	})
 }
+
+// TestStrandedEntryRefusesAtOnce hands a job in where no holder is known: it waits for
+// a takeover, but not where none is to be expected.
+func TestStrandedEntryRefusesAtOnce(t *testing.T) {
+	tests := []struct {
+		name     string
+		stranded bool
+		most     time.Duration
+	}{{"a holder may come", false, vacancySpan + 2*sweepSpan}, {"none is to be expected", true, 2 * sweepSpan}}
+	for _, c := range tests {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				o := newOffice()
+				o.options.Stranded = func() bool { return c.stranded }
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				go o.Run(ctx)
+				began := time.Now()
+				r := o.Submit(ctx, &batch.Batch{ID: "0000000000000001", Arrived: began, Expires: began.Add(10 * time.Second)})
+				if took := time.Since(began); r.State != batch.Refused || !r.RetryAt.After(time.Now()) || took > c.most {
+					t.Fatalf("%s after %v, again at %v; want a refusal within %v", r.State, took, r.RetryAt, c.most)
+				}
+			})
+		})
+	}
+}
--- a/internal/gateway/node/groups.go
+++ b/internal/gateway/node/groups.go
@@ -94,6 +94,7 @@
 		}
 	}
 	changed := n.matchHolders()
+	n.noteSeats(now)
 	if claimed {
 		go n.announce(ctx)
 	}
@@ -212,6 +213,18 @@
 	return desk.Seat{Group: group, Epoch: c.Epoch, Holder: c.Holder, Address: r.Peer}, true
 }
 
+// noteSeats notes whether some group of the own zone has a holder.
+func (n *Node) noteSeats(now time.Time) {
+	held := false
+	for i := range n.settings.Groups {
+		_, ok := n.seat(groupName(n.settings.Zone, i))
+		held = held || ok
+	}
+	if n.stranded.note(held, now) {
+		n.log.Info("holder of the zone", "zone", n.settings.Zone, "known", held)
+	}
+}
+
 // waitHolders returns when the present holders have ended with the node's context.
 func (n *Node) waitHolders() {
 	n.mu.Lock()
--- a/internal/gateway/node/node.go
+++ b/internal/gateway/node/node.go
@@ -57,6 +57,7 @@
 	outbox   *outbox
 
 	draining atomic.Bool
+	stranded stranded
 	prepared preparation
 	contacts contacts
 	live     roster
@@ -106,7 +107,7 @@
 	n.outbox = newOutbox(n)
 	n.desk = desk.New(desk.Options{
 		Self: s.VM, Group: n.groupOfJob, Seat: n.seat, Place: n.placeAt, Await: n.awaitAt, Withdraw: n.withdrawAt,
-		Ended: n.jobEnded, Log: n.log,
+		Ended: n.jobEnded, Log: n.log, Stranded: func() bool { return n.stranded.is(time.Now()) },
 	})
 	n.contacts.add(s.Seeds...)
 	return n, nil
--- a/internal/gateway/node/serve.go
+++ b/internal/gateway/node/serve.go
@@ -45,8 +45,12 @@
 	return nil
 }
 
-// Ready tells whether the entry wants new connections of clients.
-func (n *Node) Ready() bool { return n.routes.Version() > 0 && !n.draining.Load() }
+// Ready tells whether the entry wants new connections of clients. One that is cut off
+// from the holder of its zone leaves them to others.
+func (n *Node) Ready() bool { return n.routes.Version() > 0 && !n.closing() }
+
+// closing tells whether clients are to open a new connection, to another entry.
+func (n *Node) closing() bool { return n.draining.Load() || n.stranded.is(time.Now()) }
 
 // Run serves until the context ends, then drains.
 func (n *Node) Run(ctx context.Context) error {
@@ -109,7 +113,7 @@
 func (n *Node) clientRoutes() http.Handler {
 	ingress := &platform.Ingress{
 		Find: n.routes.Find, Submit: n.submit, Look: n.look, Cancel: n.cancelJob, Backlog: n.backlog,
-		Closing: n.draining.Load, Limit: n.routes.Body,
+		Closing: n.closing, Limit: n.routes.Body,
 	}
 	e := echo.New()
 	e.Any("/*", echo.WrapHandler(ingress))
--- /dev/null
+++ b/internal/gateway/node/stranded_test.go
@@ -0,0 +1,34 @@
+package node
+
+import (
+	"testing"
+	"time"
+)
+
+// TestStranded loses the holder of a zone: for the time of a takeover nothing changes,
+// after it clients are to go to other entries until one is known again.
+func TestStranded(t *testing.T) {
+	began := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	steps := []struct {
+		at       time.Duration
+		held     bool
+		stranded bool
+		changed  bool
+	}{
+		{0, true, false, false},
+		{100 * time.Millisecond, false, false, false},
+		{900 * time.Millisecond, false, false, false},
+		{100*time.Millisecond + strandedSpan, false, true, true},
+		{3 * time.Second, false, true, false},
+		{3100 * time.Millisecond, true, false, true},
+		{3200 * time.Millisecond, false, false, false},
+		{3300 * time.Millisecond, true, false, false},
+	}
+	var s stranded
+	for _, c := range steps {
+		now := began.Add(c.at)
+		if changed := s.note(c.held, now); changed != c.changed || s.is(now) != c.stranded {
+			t.Fatalf("after %v: stranded %v, changed %v; want %v, %v", c.at, s.is(now), changed, c.stranded, c.changed)
+		}
+	}
+}
