--- a/internal/placement/holder/session_test.go
+++ b/internal/placement/holder/session_test.go
@@ -76,6 +76,61 @@
 	return r
 }
 
+// holderOf makes a holder of one worker, which has taken its token.
+func holderOf(ctx context.Context, w *slot, settled chan<- batch.Result) *Holder {
+	h := New(ctx, Options{
+		Group: "a/0", Epoch: 1, First: true, Tokens: fence.New(1, 1), Lease: time.Second, Resend: 1300 * time.Millisecond,
+		Calls: Calls{Start: w.start, Stop: w.stop, Hold: w.hold},
+		Log:   slog.New(slog.NewTextHandler(io.Discard, nil)), Settled: func(_ *batch.Batch, r batch.Result) { settled <- r },
+		Fenced: func() bool { return true }, Counted: func(string) {},
+	})
+	h.Enlist(platform.Registration{ID: "w", Service: "listing", Zone: "a", Address: "w", Labels: []string{"k"}, Room: room.Room{Processors: 1000, Memory: 100}})
+	time.Sleep(10 * time.Millisecond)
+	return h
+}
+
+// TestReportsThatCountForNothing has reports come that others have overtaken. Taken for
+// the last word, they would tell that an order of unknown fate has come to nothing.
+func TestReportsThatCountForNothing(t *testing.T) {
+	tests := []struct {
+		name   string
+		before func(s *session) // under the holder's lock
+		born   int64
+		clock  time.Duration // of the worker, since its last report
+		seen   int64
+		fenced bool
+	}{
+		{"the last one", func(*session) {}, 1, time.Millisecond, 1, true},
+		{"a higher token is due", func(s *session) { s.refence("a test") }, 1, time.Millisecond, 0, false},
+		{"a later one has come on another connection", func(*session) {}, 1, -time.Millisecond, 0, true},
+		{"the worker has started again", func(*session) {}, 2, time.Millisecond, 0, false},
+	}
+	for _, c := range tests {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				h := holderOf(ctx, &slot{lost: func(int) bool { return true }}, nil)
+				h.mu.Lock()
+				s := h.sessions["w"]
+				token, clock := s.token, s.clock
+				c.before(s)
+				h.mu.Unlock()
+				s.take(platform.Report{
+					Verdict: platform.Accepted, Clock: clock + c.clock.Milliseconds(), Born: c.born,
+					Ended: []platform.EndedTask{{Task: "0000000000000001.0.0.0", Run: 1, Sequence: 1, How: platform.Done}},
+				}, true, token, time.Now())
+				h.mu.Lock()
+				if s.seen != c.seen || s.fenced != c.fenced {
+					t.Errorf("ends up to %d seen, fenced %v; want %d, %v", s.seen, s.fenced, c.seen, c.fenced)
+				}
+				h.mu.Unlock()
+				cancel()
+				h.Wait()
+			})
+		})
+	}
+}
+
 // TestLostHoldIsReplaced loses holds on their way: the ends that they would have told
 // of are looked for, and the next ones must not wait until the lost hold is given up.
 func TestLostHoldIsReplaced(t *testing.T) {
@@ -95,14 +150,7 @@
 				w := &slot{span: 40 * time.Millisecond, lost: c.lost}
 				ctx, cancel := context.WithCancel(t.Context())
 				settled := make(chan batch.Result, jobs)
-				h := New(ctx, Options{
-					Group: "a/0", Epoch: 1, First: true, Tokens: fence.New(1, 1), Lease: time.Second, Resend: 1300 * time.Millisecond,
-					Calls: Calls{Start: w.start, Stop: w.stop, Hold: w.hold},
-					Log:   slog.New(slog.NewTextHandler(io.Discard, nil)), Settled: func(_ *batch.Batch, r batch.Result) { settled <- r },
-					Fenced: func() bool { return true }, Counted: func(string) {},
-				})
-				h.Enlist(platform.Registration{ID: "w", Service: "listing", Zone: "a", Address: "w", Labels: []string{"k"}, Room: room.Room{Processors: 1000, Memory: 100}})
-				time.Sleep(10 * time.Millisecond)
+				h := holderOf(ctx, w, settled)
 				began := time.Now()
 				for i := range jobs {
 					h.Admit(&batch.Batch{
--- a/internal/placement/plan/plan_test.go
+++ b/internal/placement/plan/plan_test.go
@@ -74,6 +74,14 @@
 			p.Admit(b, nil, b.Arrived)
 			p.Withdraw(busy.ID, busy.Attempt, b.Arrived)
 		}, 2, 1},
+		{"withdrawn while it runs", func(p *Plan, b *batch.Batch) {
+			p.Admit(b, nil, b.Arrived)
+			p.Withdraw(b.ID, 1, b.Arrived)
+		}, 1, 0},
+		{"withdrawn while it runs, and sent again by the client", func(p *Plan, b *batch.Batch) {
+			p.Admit(b, nil, b.Arrived)
+			p.Withdraw(b.ID, 1, b.Arrived)
+		}, 2, 1},
 		{"withdrawn first", func(p *Plan, b *batch.Batch) { p.Withdraw(b.ID, 1, b.Arrived) }, 1, 0},
 		{"withdrawn first, and sent again by the client", func(p *Plan, b *batch.Batch) { p.Withdraw(b.ID, 1, b.Arrived) }, 2, 1},
 		{"withdrawn before, long ago", func(p *Plan, b *batch.Batch) {
@@ -241,6 +249,31 @@
 	}
 }
 
+// TestLapsedRunKeepsItsRoom has a worker fall silent for longer than its lease and then
+// list what it runs all the same: its room is not free before the run has ended.
+func TestLapsedRunKeepsItsRoom(t *testing.T) {
+	p := fencedPlan(machine("w1", 1), machine("w2", 1))
+	p.Renewing("w1", after(4600))
+	p.Admit(jobOf("00000000000000aa", 1, after(5000)), nil, after(5000))
+	first := starts(p)[0]
+	p.Answered(first.Worker, first.Task, first.Run, Taken, after(5002))
+	p.Silent(first.Worker, after(5100))
+	p.Wanted("00000000000000aa", after(6090))
+	p.Tick(after(6090))
+	if second := starts(p); len(second) != 1 || second[0].Worker == first.Worker {
+		t.Fatalf("starts %v, want one on the other worker", second)
+	}
+	p.Admit(jobOf("00000000000000bb", 1, after(6100)), nil, after(6100))
+	p.Take(Report{Worker: first.Worker, Sent: after(6110), Running: []Running{{Task: first.Task, Run: first.Run, Percent: 50}}}, after(6110))
+	if got := starts(p); len(got) != 0 {
+		t.Fatalf("starts %v while the room is taken", got)
+	}
+	p.Take(Report{Worker: first.Worker, Sent: after(6200), Endings: []Ending{{first.Task, first.Run, Ended}}}, after(6200))
+	if got := starts(p); len(got) != 1 {
+		t.Fatalf("%d starts once the room is free, want 1", len(got))
+	}
+}
+
 // TestBacklog has more work than room. Load pattern: a burst whose jobs wait for
 // seconds. Refused at once is what cannot be served in its client's time, by the
 // work that goes before it; an urgent job goes before those that are late.
--- a/internal/placement/plan/takeover_test.go
+++ b/internal/placement/plan/takeover_test.go
@@ -184,27 +184,32 @@
 }
 
 // TestRunThatIsStoppedBlocksItsTask has a run of an earlier holder stopped, since its
-// job was not known, just before the job comes back.
+// job was not known, just before the job comes back: from its entry, or from its client
+// through another entry, which knows of no earlier holder.
 func TestRunThatIsStoppedBlocksItsTask(t *testing.T) {
-	p := fencedPlan(machine("w1", 4), machine("w2", 4))
-	b := jobOf("00000000000000aa", 1, after(2500))
-	b.Again = true
-	name := batch.TaskName(b.ID, 0, 0, 0)
-	p.Take(Report{Worker: "w2", Sent: after(2000), Running: []Running{{Task: name, Run: 3, Percent: 10}}}, after(2000))
-	p.Tick(after(2450))
-	if got := len(kinds(p.Orders(), Stop)); got != 1 {
-		t.Fatalf("%d stops of a run whose job is not known, want 1", got)
-	}
-	p.Admit(b, nil, after(2500))
-	p.Tick(after(2525))
-	if got := starts(p); len(got) > 0 {
-		t.Fatalf("started while a run is being stopped: %+v", got)
-	}
-	p.Take(Report{Worker: "w2", Sent: after(2530), Endings: []Ending{{Task: name, Run: 3, How: Ended}}}, after(2530))
-	p.Wanted(b.ID, after(3600))
-	p.Tick(after(3600)) // the leases of the earlier holder have lapsed
-	if got := starts(p); len(got) != 1 || got[0].Run <= 3 {
-		t.Fatalf("starts %+v, want one with a higher number", got)
+	for _, again := range []bool{true, false} {
+		t.Run(fmt.Sprint("again ", again), func(t *testing.T) {
+			p := fencedPlan(machine("w1", 4), machine("w2", 4))
+			b := jobOf("00000000000000aa", 1, after(2500))
+			b.Again = again
+			name := batch.TaskName(b.ID, 0, 0, 0)
+			p.Take(Report{Worker: "w2", Sent: after(2000), Running: []Running{{Task: name, Run: 3, Percent: 10}}}, after(2000))
+			p.Tick(after(2450))
+			if got := len(kinds(p.Orders(), Stop)); got != 1 {
+				t.Fatalf("%d stops of a run whose job is not known, want 1", got)
+			}
+			p.Admit(b, nil, after(2500))
+			p.Tick(after(2525))
+			if got := starts(p); len(got) > 0 {
+				t.Fatalf("started while a run is being stopped: %+v", got)
+			}
+			p.Take(Report{Worker: "w2", Sent: after(2530), Endings: []Ending{{Task: name, Run: 3, How: Ended}}}, after(2530))
+			p.Wanted(b.ID, after(3600))
+			p.Tick(after(3600)) // the leases of the earlier holder have lapsed
+			if got := starts(p); len(got) != 1 || got[0].Run <= 3 {
+				t.Fatalf("starts %+v, want one with a higher number", got)
+			}
+		})
 	}
 }
 
