node, plan, member: Start nothing after a pause until others have answered

Cause, worked out from the statement in docs/design/safety.md: a holder that stood still for longer than others wait (0.9 s) acted on its claim when it went on, before it could hear that another one had taken the group over. A message about a job that lay unread meanwhile started the job, with a fresh lease, on any worker that the next holder had not reached; that one starts it elsewhere once the leases of before have lapsed. Besides, an entry that wakes took all others for dead, since it had not heard of them for as long.

Ruled out: runs that go on (their leases end before the next holder starts them), orders decided before the pause (they name a moment on the worker's clock), jobs that are known (they are dropped after 1.2 s, but by the next tick only).

A gap of more than four heartbeats between two of its own puts an entry in doubt until a heartbeat sent afterwards is answered, which brings the others' claims, or 0.4 s have passed without any. In doubt it turns jobs down, which are handed in again after 25 ms, and its holders start nothing. Silences are put off by the time for which an entry itself stood still.

--- a/internal/gateway/node/beats.go
+++ b/internal/gateway/node/beats.go
@@ -57,6 +57,9 @@
 	ticker := time.NewTicker(n.settings.Beat)
 	defer ticker.Stop()
 	for step := 0; ctx.Err() == nil; step++ {
+		if gap := n.pause.beat(time.Now()); gap > 0 {
+			n.log.Warn("entry stood still", "ms", gap.Milliseconds())
+		}
 		n.members.Sweep()
 		n.countVacancies()
 		records, targets := n.members.Beat()
@@ -139,6 +142,7 @@
 	ctx, cancel := context.WithTimeout(ctx, gossipSpan)
 	defer cancel()
 	n.measures.message("beat")
+	sent := time.Now()
 	answer, err := n.client.Gossip(ctx, address, beat)
 	if id != "" {
 		n.members.Reached(id, err == nil)
@@ -150,6 +154,7 @@
 		return
 	}
 	n.hear(answer)
+	n.pause.answered(sent)
 }
 
 // heard answers a heartbeat with the own record and claims.
--- a/internal/gateway/node/groups.go
+++ b/internal/gateway/node/groups.go
@@ -149,6 +149,7 @@
 		Lease: n.settings.Lease, Resend: n.settings.Resend, PartialTo: n.partialTo(),
 		Calls: holder.Calls{Start: n.workers.Start, Stop: n.workers.Stop, Hold: n.workers.Hold},
 		Log:   n.log, Settled: n.settled, Counted: n.measures.order,
+		Doubtful: func() bool { return n.pause.doubtful(time.Now()) },
 		Fenced: func() bool {
 			now := time.Now()
 			n.tenure.Fenced(n.hears(), n.members.Most(), now)
@@ -290,7 +291,7 @@
 // onPlace takes a job for a group that this entry holds.
 func (n *Node) onPlace(group string, epoch uint64, b *batch.Batch, done []string) bool {
 	h, held := n.holder(group)
-	if !held || h.Epoch() != epoch {
+	if !held || h.Epoch() != epoch || n.pause.doubtful(time.Now()) {
 		return false
 	}
 	h.Admit(b, done)
--- a/internal/gateway/node/node.go
+++ b/internal/gateway/node/node.go
@@ -58,6 +58,7 @@
 
 	draining atomic.Bool
 	stranded stranded
+	pause    pause
 	prepared preparation
 	contacts contacts
 	live     roster
@@ -86,6 +87,7 @@
 		routes: routes.New(), registry: registry.New(), holders: map[string]*holder.Holder{},
 		contacts:  contacts{addresses: map[string]bool{}},
 		prepared:  preparation{changed: make(chan struct{}, 1)},
+		pause:     pause{span: suspectBeats * s.Beat},
 		vacancies: vacancies{groups: map[string]vacancy{}},
 	}
 	n.ctx, n.cancel = context.WithCancel(context.Background())
--- a/internal/placement/holder/holder.go
+++ b/internal/placement/holder/holder.go
@@ -38,6 +38,9 @@
 	// Fenced is told that another holder was met at a worker. It tells whether
 	// this one is to take the worker back.
 	Fenced func() bool
+	// Doubtful tells whether another entry may have taken the group over unheard, as
+	// while this process stood still: nothing starts then. Nil for never.
+	Doubtful func() bool
 	// Counted is told of every order and its answer.
 	Counted func(what string)
 }
@@ -59,6 +62,9 @@
 // New makes a holder that works until the context ends or it yields.
 func New(ctx context.Context, options Options) *Holder {
 	now := time.Now()
+	if options.Doubtful == nil {
+		options.Doubtful = func() bool { return false }
+	}
 	h := &Holder{
 		options: options, sessions: map[string]*session{},
 		plan: plan.New(plan.Options{
@@ -94,6 +100,7 @@
 		h.mu.Unlock()
 		return
 	}
+	h.plan.Doubt(h.options.Doubtful())
 	change(h.plan, time.Now())
 	settled := h.send(h.plan.Orders())
 	h.mu.Unlock()
--- a/internal/placement/plan/place.go
+++ b/internal/placement/plan/place.go
@@ -22,7 +22,7 @@
 // place gives tasks to all workers, in the order of what is lost by waiting.
 func (p *Plan) place() {
 	p.compact()
-	if len(p.waiting) == 0 {
+	if len(p.waiting) == 0 || p.doubt {
 		return
 	}
 	p.arrange()
@@ -36,7 +36,7 @@
 // placeAt gives tasks to one worker whose room has changed. Nothing that waits
 // has fitted the others.
 func (p *Plan) placeAt(w *worker) {
-	if len(p.waiting) == 0 || !w.usable() {
+	if len(p.waiting) == 0 || p.doubt || !w.usable() {
 		return
 	}
 	if !p.arranged {
@@ -49,6 +49,9 @@
 // placeNew gives the tasks of a job that has just come to workers. Nothing that
 // waits before it has fitted them.
 func (p *Plan) placeNew(j *job) {
+	if p.doubt {
+		return
+	}
 	open := p.openWorkers()
 	if len(open) > 0 && !p.mayRun(j) && (!p.disputed() || p.known(j.Service)) {
 		p.placeJob(j, open, roomiest(open))
--- a/internal/placement/plan/plan.go
+++ b/internal/placement/plan/plan.go
@@ -94,6 +94,7 @@
 	// arranged tells that no job has come to those that wait since their order was made.
 	arranged bool
 	returned bool // a task has come back to those that wait
+	doubt    bool // another holder may have taken over unheard
 	orphans  map[string]orphan
 	strays   map[string]*run // without a task of this holder, by the task's name
 	orders   []Order
@@ -170,6 +171,10 @@
 // that the other one gave have lapsed.
 func (p *Plan) disputed() bool { return p.at.Before(p.disputedTo) }
 
+// Doubt sets whether another holder may have taken over unheard. Nothing starts then:
+// leases of before, on which the other one waits, must not be followed by new ones.
+func (p *Plan) Doubt(doubt bool) { p.doubt = doubt }
+
 // mayRun tells whether a job that was with another holder may still run somewhere.
 // Its tasks are adopted where they are listed. What is not listed may run on a
 // worker that this holder does not know yet: entries read registrations up to a
--- a/internal/placement/plan/takeover_test.go
+++ b/internal/placement/plan/takeover_test.go
@@ -213,6 +213,30 @@
 	}
 }
 
+// TestDoubtStartsNothing has a holder that has stood still go on: neither a job that
+// comes, nor room that is free, nor the passing of time starts anything before it knows
+// that it still holds its group.
+func TestDoubtStartsNothing(t *testing.T) {
+	p := fencedPlan(machine("w1", 1))
+	first := jobOf("00000000000000aa", 1, after(5000))
+	p.Admit(first, nil, after(5000))
+	begun := starts(p)[0]
+	p.Answered(begun.Worker, begun.Task, begun.Run, Taken, after(5002))
+	p.Admit(jobOf("00000000000000bb", 1, after(5010)), nil, after(5010))
+	p.Doubt(true)
+	p.Take(Report{Worker: "w1", Sent: after(5110), Endings: []Ending{{begun.Task, begun.Run, Done}}}, after(5110))
+	p.Admit(jobOf("00000000000000cc", 1, after(5120)), nil, after(5120))
+	p.Tick(after(5125))
+	if got := starts(p); len(got) > 0 {
+		t.Fatalf("starts in doubt: %+v", got)
+	}
+	p.Doubt(false)
+	p.Tick(after(5150))
+	if got := starts(p); len(got) != 1 {
+		t.Fatalf("%d starts without doubt, want 1", len(got))
+	}
+}
+
 // TestHolderThatMayLackWorkers takes a group over with a list of workers read just
 // after the store came back: the one that runs the job is not on it yet.
 func TestHolderThatMayLackWorkers(t *testing.T) {
--- a/member/state.go
+++ b/member/state.go
@@ -104,6 +104,10 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.options.Now()
+	if gap := now.Sub(t.sweptAt); !t.sweptAt.IsZero() && gap > t.options.Suspect {
+		t.forgive(gap)
+	}
+	t.sweptAt = now
 	t.near = 0
 	for id, v := range t.views {
 		if v.record.Zone == t.self.Zone && v.state != Dead {
@@ -127,6 +131,17 @@
 	t.watchZones()
 }
 
+// forgive puts off the silences by a time for which this process has not looked, as
+// one that stood still: others are not to blame for it.
+func (t *Table) forgive(gap time.Duration) {
+	for _, v := range t.views {
+		v.suspectAt, v.deadAt, v.newsAt = v.suspectAt.Add(gap), v.deadAt.Add(gap), v.newsAt.Add(gap)
+	}
+	for zone, at := range t.heard {
+		t.heard[zone] = at.Add(gap)
+	}
+}
+
 // lastResort is the time without news after which a member elsewhere is given
 // up though its own zone has told nothing. News of each comes more rarely the
 // more there are.
--- a/member/table.go
+++ b/member/table.go
@@ -79,6 +79,7 @@
 	silence int                  // zones that were silent at the last look
 	order   []string
 	ticks   uint64
+	sweptAt time.Time
 	farTurn int // members of other zones, in turn
 	cutTurn int // members that are cut off, in turn
 }
--- a/member/table_test.go
+++ b/member/table_test.go
@@ -225,6 +225,20 @@
 	}
 }
 
+// TestOwnPauseIsNobodysSilence has one member stand still while the others go on: when
+// it wakes it must not take them for dead.
+func TestOwnPauseIsNobodysSilence(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGroup(6, 2)
+		g.until(t, 40, 6)
+		time.Sleep(10 * time.Second)
+		g.tables[0].Sweep()
+		if live := len(g.tables[0].Live("")); live != 6 {
+			t.Fatalf("%d members alive after an own pause, want 6", live)
+		}
+	})
+}
+
 func TestCutOfOneWay(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := newGroup(4, 2)
