--- a/internal/placement/plan/foresee.go
+++ b/internal/placement/plan/foresee.go
@@ -39,12 +39,12 @@
 	if whole == 0 {
 		return 0
 	}
-	late := j.misses(p.at)
+	late := j.tardy(p.at)
 	for _, other := range p.waiting {
 		if other == j || other.Service != j.Service {
 			continue
 		}
-		otherLate := other.misses(p.at)
+		otherLate := other.tardy(p.at)
 		if otherLate != late && late || otherLate == late && !other.latest.After(j.latest) {
 			work += other.work()
 		}
--- a/internal/placement/plan/place.go
+++ b/internal/placement/plan/place.go
@@ -137,7 +137,7 @@
 func (p *Plan) arrange() {
 	p.arranged = true
 	for _, j := range p.waiting {
-		j.late, j.begun = j.misses(p.at), len(j.pending) < len(j.tasks)
+		j.late, j.begun = j.tardy(p.at), len(j.pending) < len(j.tasks)
 	}
 	slices.SortStableFunc(p.waiting, func(a, b *job) int {
 		switch {
@@ -156,11 +156,11 @@
 	})
 }
 
-// misses tells whether a job that gets its turn now is likely to miss its objective.
+// tardy tells whether a job that gets its turn now is likely to miss its objective.
 // One of which no task is placed has to get room for all of them: if it begins at the
 // last moment, its last tasks come too late and the work of the others is lost. It
 // answers loads above the room, under which most jobs begin at their last moment.
-func (j *job) misses(now time.Time) bool {
+func (j *job) tardy(now time.Time) bool {
 	if len(j.pending) < len(j.tasks) {
 		return j.latest.Before(now)
 	}
