--- a/internal/gateway/node/groups.go
+++ b/internal/gateway/node/groups.go
@@ -81,9 +81,7 @@
 	known := n.prepared.ready()
 	n.members.Update(func(r *member.Record) { r.Ready = known && !r.Leaving })
 	live = n.candidates()
-	if n.members.Most() {
-		n.tenure.Stand()
-	}
+	n.tenure.Stand(n.members.Most)
 	heard, now, claimed := n.hears(), time.Now(), false
 	for _, zone := range n.settings.Zones {
 		for i := range n.settings.Groups {
--- a/internal/placement/plan/foresee.go
+++ b/internal/placement/plan/foresee.go
@@ -13,9 +13,7 @@
 	for _, w := range p.workers {
 		if w.Service == j.Service {
 			known++
-			largest.Processors = max(largest.Processors, w.Room.Processors)
-			largest.Memory = max(largest.Memory, w.Room.Memory)
-			largest.Accelerators = max(largest.Accelerators, w.Room.Accelerators)
+			largest = largest.Max(w.Room)
 		}
 	}
 	if known == 0 {
@@ -27,11 +25,14 @@
 		}
 	}
 	if !j.started && p.at.Add(p.drained(j)+p.soonest(j.pending[0])).After(j.Expires) {
-		return "the work ahead of it takes longer than its client waits"
+		return inVain
 	}
 	return ""
 }
 
+// inVain is why a job is refused whose turn comes too late.
+const inVain = "the work ahead of it takes longer than its client waits"
+
 // drained is the time after which the room of the workers is free for a job: what
 // runs has ended, and what goes before the job has been done.
 func (p *Plan) drained(j *job) time.Duration {
@@ -94,7 +95,7 @@
 		if a.whole > 0 && !j.started && !j.again && !j.result.State.Ended() {
 			turn := p.at.Add(time.Duration(a.work / a.whole * float64(time.Second)))
 			if turn.Add(p.soonest(j.pending[0])).After(j.Expires) {
-				p.refuse(j, "the work ahead of it takes longer than its client waits")
+				p.refuse(j, inVain)
 				accounts[j.Service] = a
 				continue
 			}
--- a/internal/placement/plan/job.go
+++ b/internal/placement/plan/job.go
@@ -39,7 +39,6 @@
 	bases     []time.Duration // run time of a task at the speed 1, by step
 	latest    time.Time       // moment to start and still meet the objective
 	late      bool
-	begun     bool // a task has been placed
 }
 
 // Admit takes a job. One that is known goes on, or has its result told again. A
--- a/internal/placement/plan/place.go
+++ b/internal/placement/plan/place.go
@@ -110,10 +110,7 @@
 func roomiest(open []*worker) room.Room {
 	var most room.Room
 	for _, w := range open {
-		free := w.free()
-		most.Processors = max(most.Processors, free.Processors)
-		most.Memory = max(most.Memory, free.Memory)
-		most.Accelerators = max(most.Accelerators, free.Accelerators)
+		most = most.Max(w.free())
 	}
 	return most
 }
@@ -137,7 +134,7 @@
 func (p *Plan) arrange() {
 	p.arranged = true
 	for _, j := range p.waiting {
-		j.late, j.begun = j.tardy(p.at), len(j.pending) < len(j.tasks)
+		j.late = j.tardy(p.at)
 	}
 	slices.SortStableFunc(p.waiting, func(a, b *job) int {
 		switch {
@@ -147,9 +144,9 @@
 			return 1
 		case a.late:
 			return a.Expires.Compare(b.Expires)
-		case a.begun != b.begun && a.begun:
+		case a.begun() != b.begun() && a.begun():
 			return -1
-		case a.begun != b.begun:
+		case a.begun() != b.begun():
 			return 1
 		}
 		return a.latest.Compare(b.latest)
@@ -161,12 +158,15 @@
 // last moment, its last tasks come too late and the work of the others is lost. It
 // answers loads above the room, under which most jobs begin at their last moment.
 func (j *job) tardy(now time.Time) bool {
-	if len(j.pending) < len(j.tasks) {
+	if j.begun() {
 		return j.latest.Before(now)
 	}
 	return j.latest.Before(now.Add(min(gatherSpan, j.latest.Sub(j.Arrived)/2)))
 }
 
+// begun tells whether a task of the job has been placed.
+func (j *job) begun() bool { return len(j.pending) < len(j.tasks) }
+
 // gatherSpan is the time within which the tasks of a job get room one after the other
 // under load. Replays of loads of 1.5 to 3 times the usual are alike for 40 to 90 ms.
 const gatherSpan = 60 * time.Millisecond
--- a/internal/placement/tenure/tenure.go
+++ b/internal/placement/tenure/tenure.go
@@ -55,7 +55,6 @@
 	small   map[string]time.Time // since when a larger entry could hold a group of the own entry
 	fenced  time.Time            // when another holder was met while nobody was heard
 	yielded time.Time            // when another holder was met while most others were not heard
-	changed uint64
 }
 
 // New makes a table without claims.
@@ -71,7 +70,6 @@
 	for _, c := range claims {
 		if beats(c, t.claims[c.Group]) {
 			t.claims[c.Group] = c
-			t.changed++
 			news = true
 		}
 	}
@@ -103,13 +101,6 @@
 	return claims
 }
 
-// Generation rises with each change of a claim.
-func (t *Table) Generation() uint64 {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.changed
-}
-
 // Holder gives the claim of a group; false where there is none.
 func (t *Table) Holder(group string) (Claim, bool) {
 	t.mu.Lock()
@@ -152,7 +143,6 @@
 	}
 	next := Claim{Group: group, Epoch: fence.Base(c.Epoch, now), Holder: t.options.Self.ID, Life: t.options.Self.Life}
 	t.claims[group] = next
-	t.changed++
 	if !claimed {
 		t.first[group] = next.Epoch
 	}
@@ -172,7 +162,7 @@
 	defer t.mu.Unlock()
 	c := t.claims[group]
 	next := first(group, zone, live)
-	if c.Holder != t.options.Self.ID || c.Life != t.options.Self.Life || next.ID == "" || t.options.Self.Weight >= next.Weight*largeShare {
+	if !t.own(c) || next.ID == "" || t.options.Self.Weight >= next.Weight*largeShare {
 		delete(t.small, group)
 		return false
 	}
@@ -185,7 +175,6 @@
 		return false
 	}
 	t.claims[group] = Claim{Group: group, Epoch: fence.Base(c.Epoch, now), Holder: next.ID, Life: next.Life}
-	t.changed++
 	delete(t.small, group)
 	return true
 }
@@ -219,11 +208,14 @@
 	}
 }
 
-// Stand ends the standing back, since most others are heard.
-func (t *Table) Stand() {
+// Stand ends the standing back once most others are heard. They are counted only
+// where the own entry stands back.
+func (t *Table) Stand(most func() bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.yielded = time.Time{}
+	if !t.yielded.IsZero() && most() {
+		t.yielded = time.Time{}
+	}
 }
 
 // Standing tells whether the own entry may act as the holder of a group.
@@ -232,7 +224,12 @@
 	defer t.mu.Unlock()
 	c := t.claims[group]
 	back := !t.yielded.IsZero() && now.Before(t.yielded.Add(yieldSpan))
-	return c.Holder == t.options.Self.ID && c.Life == t.options.Self.Life && t.fenced.IsZero() && !back
+	return t.own(c) && t.fenced.IsZero() && !back
+}
+
+// own tells whether a claim is the own entry's, of this life.
+func (t *Table) own(c Claim) bool {
+	return c.Holder == t.options.Self.ID && c.Life == t.options.Self.Life
 }
 
 // holds tells whether the holder of a claim lives. It need not be known as ready:
@@ -271,7 +268,7 @@
 	t.mu.Lock()
 	c := t.claims[group]
 	t.mu.Unlock()
-	if c.Holder == t.options.Self.ID && c.Life == t.options.Self.Life {
+	if t.own(c) {
 		return true
 	}
 	prepared, rest := 0, live
--- a/internal/placement/tenure/tenure_test.go
+++ b/internal/placement/tenure/tenure_test.go
@@ -271,9 +271,7 @@
 	table.Settle("a/0", "a", []Candidate{a1}, true, now)
 	for _, s := range steps {
 		at := now.Add(s.at)
-		if s.most {
-			table.Stand()
-		}
+		table.Stand(func() bool { return s.most })
 		if s.met {
 			table.Fenced(true, s.most, at)
 		}
--- a/internal/work/room/room.go
+++ b/internal/work/room/room.go
@@ -22,3 +22,8 @@
 func (r Room) Minus(other Room) Room {
 	return Room{r.Processors - other.Processors, r.Memory - other.Memory, r.Accelerators - other.Accelerators}
 }
+
+// Max takes the larger amount of each kind.
+func (r Room) Max(other Room) Room {
+	return Room{max(r.Processors, other.Processors), max(r.Memory, other.Memory), max(r.Accelerators, other.Accelerators)}
+}
