node, holder, plan, feed: Share what sets tests up

The fleet and the large entry were made by two copies of the same options, holders under test and in the benchmark by two more, two followers by the same seams, and two tests of the plan began with the same six lines. newNode, holderOver, quiet and silenced serve both. The assertions are the same; the benchmark's group is now called a/0 like the tests'.

--- a/internal/gateway/feed/follower_test.go
+++ b/internal/gateway/feed/follower_test.go
@@ -96,6 +96,26 @@
 	}
 }
 
+// counts is what a follower of a topic without news has done.
+type counts struct{ newest, asked, reads, backs atomic.Int64 }
+
+// quiet makes a follower of a topic without news.
+func quiet(pause time.Duration, changed <-chan struct{}, wanted func() bool) (*Follower, *counts) {
+	c := &counts{}
+	return &Follower{
+		Name: "workers", Pause: pause, Log: slog.New(slog.NewTextHandler(io.Discard, nil)),
+		Changed: changed, Wanted: func() bool { c.asked.Add(1); return wanted() },
+		Feed: platform.Feed{
+			Newest: func(context.Context) ([]platform.Keyed, int64, error) { c.newest.Add(1); return nil, 7, nil },
+			Read: func(_ context.Context, from int64, _ time.Duration) ([]platform.Keyed, int64, error) {
+				c.reads.Add(1)
+				return nil, from, nil
+			},
+		},
+		Reset: func([]platform.Keyed) {}, Apply: func([]platform.Keyed) {}, Lost: func() {}, Back: func() { c.backs.Add(1) }, Paused: func() {},
+	}, c
+}
+
 // TestUnwantedTopicIsNotRead pauses a follower: it reads nothing meanwhile, and begins
 // with the newest records after it, since it has missed what went.
 func TestUnwantedTopicIsNotRead(t *testing.T) {
@@ -103,18 +123,7 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		var wanted atomic.Bool
 		changed := make(chan struct{}, 1)
-		var newest, asked, reads, backs atomic.Int64
-		f := &Follower{
-			Name: "workers", Pause: 100 * time.Millisecond, Changed: changed, Wanted: func() bool { asked.Add(1); return wanted.Load() }, Log: slog.New(slog.NewTextHandler(io.Discard, nil)),
-			Feed: platform.Feed{
-				Newest: func(context.Context) ([]platform.Keyed, int64, error) { newest.Add(1); return nil, 7, nil },
-				Read: func(_ context.Context, from int64, _ time.Duration) ([]platform.Keyed, int64, error) {
-					reads.Add(1)
-					return nil, from, nil
-				},
-			},
-			Reset: func([]platform.Keyed) {}, Apply: func([]platform.Keyed) {}, Lost: func() {}, Back: func() { backs.Add(1) }, Paused: func() {},
-		}
+		f, c := quiet(100*time.Millisecond, changed, wanted.Load)
 		var done sync.WaitGroup
 		done.Go(func() { f.Run(ctx) })
 		steps := []struct {
@@ -126,15 +135,15 @@
 			changed <- struct{}{}
 			time.Sleep(time.Second)
 			synctest.Wait()
-			before, looks := reads.Load(), asked.Load()
+			before, looks := c.reads.Load(), c.asked.Load()
 			time.Sleep(time.Second)
 			synctest.Wait()
-			read := reads.Load() - before
-			if looks = asked.Load() - looks; !s.wanted && looks > 0 {
+			read := c.reads.Load() - before
+			if looks = c.asked.Load() - looks; !s.wanted && looks > 0 {
 				t.Errorf("step %d: %d looks in a second at a topic that is not wanted, want none", i, looks)
 			}
-			if newest.Load() != s.newest || backs.Load() != s.backs || (read > 0) != s.wanted {
-				t.Errorf("step %d: %d lists read, told of %d times, %d reads in a second", i, newest.Load(), backs.Load(), read)
+			if c.newest.Load() != s.newest || c.backs.Load() != s.backs || (read > 0) != s.wanted {
+				t.Errorf("step %d: %d lists read, told of %d times, %d reads in a second", i, c.newest.Load(), c.backs.Load(), read)
 			}
 		}
 		cancel()
@@ -149,17 +158,8 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		changed := make(chan struct{}, 1)
 		resets := 0
-		f := &Follower{
-			Name: "workers", Pause: time.Second, Log: slog.New(slog.NewTextHandler(io.Discard, nil)),
-			Wanted: func() bool { return true }, Changed: changed, Paused: func() {},
-			Feed: platform.Feed{
-				Newest: func(context.Context) ([]platform.Keyed, int64, error) { return nil, 7, nil },
-				Read: func(_ context.Context, from int64, _ time.Duration) ([]platform.Keyed, int64, error) {
-					return nil, from, nil
-				},
-			},
-			Reset: func([]platform.Keyed) { resets++ }, Apply: func([]platform.Keyed) {}, Lost: func() {}, Back: func() {},
-		}
+		f, _ := quiet(time.Second, changed, func() bool { return true })
+		f.Reset = func([]platform.Keyed) { resets++ }
 		var done sync.WaitGroup
 		done.Go(func() { f.Run(ctx) })
 		time.Sleep(2500 * time.Millisecond)
--- a/internal/gateway/node/node_test.go
+++ b/internal/gateway/node/node_test.go
@@ -86,18 +86,7 @@
 }
 
 func (f *fleet) addNode(id string, processors float64, peers net.Listener, seeds []string) {
-	clients, ready := listen(f.t), listen(f.t)
-	n, err := New(Options{
-		Settings: &settings.Settings{
-			VM: id, Zone: "a", Zones: []string{"a"}, Processors: processors, Memory: 256, Peers: peers.Addr().String(), Reach: peers.Addr().String(), Seeds: seeds,
-			Store: f.address, Lease: time.Second, Grace: fleetGrace, Groups: 1, Beat: fleetBeat,
-		},
-		Log: slog.New(slog.NewTextHandler(f.t.Output(), nil)), Dropped: func() int64 { return 0 },
-		Clients: clients, Peers: peers, Ready: ready,
-	})
-	if err != nil {
-		f.t.Fatal(err)
-	}
+	n := newNode(f.t, f.t.Output(), peers, settings.Settings{VM: id, Zones: []string{"a"}, Processors: processors, Seeds: seeds, Store: f.address})
 	ctx, stop := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
@@ -109,6 +98,21 @@
 	f.nodes, f.stops, f.stopped = append(f.nodes, n), append(f.stops, stop), append(f.stopped, done)
 }
 
+// newNode makes an entry of zone a, with the settings that are given and those that
+// are the same for all. Its log goes to out.
+func newNode(t testing.TB, out io.Writer, peers net.Listener, s settings.Settings) *Node {
+	s.Zone, s.Memory, s.Groups, s.Lease, s.Grace, s.Beat = "a", 256, 1, time.Second, fleetGrace, fleetBeat
+	s.Peers, s.Reach = peers.Addr().String(), peers.Addr().String()
+	n, err := New(Options{
+		Settings: &s, Log: slog.New(slog.NewTextHandler(out, nil)), Dropped: func() int64 { return 0 },
+		Clients: listen(t), Peers: peers, Ready: listen(t),
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return n
+}
+
 func (f *fleet) close() {
 	for i := range f.nodes {
 		f.nodes[i].Abort()
--- a/internal/gateway/node/scale_test.go
+++ b/internal/gateway/node/scale_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"io"
-	"log/slog"
 	"net/http/httptest"
 	"strings"
 	"testing"
@@ -19,19 +18,9 @@
 func largeNode(t testing.TB, entries int) *Node {
 	store := httptest.NewServer(ledger.New())
 	t.Cleanup(store.Close)
-	zones := []string{"a", "b", "c"}
-	peers := listen(t)
-	n, err := New(Options{
-		Settings: &settings.Settings{
-			VM: "e0", Zone: "a", Zones: zones, Processors: 1, Memory: 256, Peers: peers.Addr().String(), Reach: peers.Addr().String(),
-			Store: strings.TrimPrefix(store.URL, "http://"), Lease: time.Second, Grace: fleetGrace, Groups: 1, Beat: fleetBeat,
-		},
-		Log: slog.New(slog.NewTextHandler(io.Discard, nil)), Dropped: func() int64 { return 0 },
-		Clients: listen(t), Peers: peers, Ready: listen(t),
+	n := newNode(t, io.Discard, listen(t), settings.Settings{
+		VM: "e0", Zones: []string{"a", "b", "c"}, Processors: 1, Store: strings.TrimPrefix(store.URL, "http://"),
 	})
-	if err != nil {
-		t.Fatal(err)
-	}
 	t.Cleanup(n.Abort)
 	n.began = n.began.Add(-time.Minute)
 	hearAll(n, entries, 1)
--- a/internal/placement/holder/bench_test.go
+++ b/internal/placement/holder/bench_test.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"io"
-	"log/slog"
 	"net/http/httptest"
 	"strings"
 	"testing"
@@ -12,7 +10,6 @@
 
 	"github.com/radishgate/radishgate/internal/work/batch"
 	"github.com/radishgate/radishgate/internal/work/room"
-	"github.com/radishgate/radishgate/internal/worker/fence"
 	"github.com/radishgate/radishgate/platform"
 	"github.com/radishgate/radishgate/standin/worker"
 )
@@ -26,13 +23,7 @@
 	defer clients.Close()
 	settled := make(chan batch.Result, workers*room1)
 	ctx, cancel := context.WithCancel(context.Background())
-	h := New(ctx, Options{
-		Group: "a/00", Epoch: 1, First: true, Tokens: fence.New(1, 1), Lease: time.Second, Resend: 1300 * time.Millisecond,
-		Calls:   Calls{Start: clients.Start, Stop: clients.Stop, Hold: clients.Hold},
-		Log:     slog.New(slog.NewTextHandler(io.Discard, nil)),
-		Settled: func(_ *batch.Batch, r batch.Result) { settled <- r },
-		Fenced:  func() bool { return true }, Counted: func(string) {},
-	})
+	h := holderOver(ctx, Calls{Start: clients.Start, Stop: clients.Stop, Hold: clients.Hold}, settled)
 	for i := range workers {
 		id := fmt.Sprintf("w%02d", i)
 		server := httptest.NewServer(worker.New(worker.Options{ID: id, Room: room1, Watch: watch}))
--- a/internal/placement/holder/session_test.go
+++ b/internal/placement/holder/session_test.go
@@ -76,14 +76,18 @@
 	return r
 }
 
-// holderOf makes a holder of one worker, which has taken its token.
-func holderOf(ctx context.Context, w *slot, settled chan<- batch.Result) *Holder {
-	h := New(ctx, Options{
-		Group: "a/0", Epoch: 1, First: true, Tokens: fence.New(1, 1), Lease: time.Second, Resend: 1300 * time.Millisecond,
-		Calls: Calls{Start: w.start, Stop: w.stop, Hold: w.hold},
-		Log:   slog.New(slog.NewTextHandler(io.Discard, nil)), Settled: func(_ *batch.Batch, r batch.Result) { settled <- r },
+// holderOver makes a holder without workers that is the only one.
+func holderOver(ctx context.Context, calls Calls, settled chan<- batch.Result) *Holder {
+	return New(ctx, Options{
+		Group: "a/0", Epoch: 1, First: true, Tokens: fence.New(1, 1), Lease: time.Second, Resend: 1300 * time.Millisecond, Calls: calls,
+		Log: slog.New(slog.NewTextHandler(io.Discard, nil)), Settled: func(_ *batch.Batch, r batch.Result) { settled <- r },
 		Fenced: func() bool { return true }, Counted: func(string) {},
 	})
+}
+
+// holderOf makes a holder of one worker, which has taken its token.
+func holderOf(ctx context.Context, w *slot, settled chan<- batch.Result) *Holder {
+	h := holderOver(ctx, Calls{Start: w.start, Stop: w.stop, Hold: w.hold}, settled)
 	h.Enlist(platform.Registration{ID: "w", Service: "listing", Zone: "a", Address: "w", Labels: []string{"k"}, Room: room.Room{Processors: 1000, Memory: 100}})
 	time.Sleep(10 * time.Millisecond)
 	return h
--- a/internal/placement/plan/plan_test.go
+++ b/internal/placement/plan/plan_test.go
@@ -227,6 +227,17 @@
 	}
 }
 
+// silenced has a worker that was held last at 4600 ms take a task at 5000 and fall silent
+// at 5100. It gives the start; the task is that of job 00000000000000aa.
+func silenced(p *Plan) Order {
+	p.Renewing("w1", after(4600))
+	p.Admit(jobOf("00000000000000aa", 1, after(5000)), nil, after(5000))
+	begun := starts(p)[0]
+	p.Answered(begun.Worker, begun.Task, begun.Run, Taken, after(5002))
+	p.Silent(begun.Worker, after(5100))
+	return begun
+}
+
 // TestStartRenewsTheLease has a worker fall silent right after a start, which
 // gave it a lease of its own: the task starts elsewhere only after that one.
 func TestStartRenewsTheLease(t *testing.T) {
@@ -236,11 +247,7 @@
 	}{{5700, 0}, {6030, 0}, {6090, 1}}
 	for _, c := range tests {
 		p := fencedPlan(machine("w1", 1), machine("w2", 1))
-		p.Renewing("w1", after(4600))
-		p.Admit(jobOf("00000000000000aa", 1, after(5000)), nil, after(5000))
-		begun := starts(p)[0]
-		p.Answered(begun.Worker, begun.Task, begun.Run, Taken, after(5002))
-		p.Silent(begun.Worker, after(5100))
+		silenced(p)
 		p.Wanted("00000000000000aa", after(c.at))
 		p.Tick(after(c.at))
 		if got := len(starts(p)); got != c.starts {
@@ -253,11 +260,7 @@
 // list what it runs all the same: its room is not free before the run has ended.
 func TestLapsedRunKeepsItsRoom(t *testing.T) {
 	p := fencedPlan(machine("w1", 1), machine("w2", 1))
-	p.Renewing("w1", after(4600))
-	p.Admit(jobOf("00000000000000aa", 1, after(5000)), nil, after(5000))
-	first := starts(p)[0]
-	p.Answered(first.Worker, first.Task, first.Run, Taken, after(5002))
-	p.Silent(first.Worker, after(5100))
+	first := silenced(p)
 	p.Wanted("00000000000000aa", after(6090))
 	p.Tick(after(6090))
 	if second := starts(p); len(second) != 1 || second[0].Worker == first.Worker {
