holder: Add the failing test of a registration read after the restart

The test restarts a worker under its ID, starts a task on the new incarnation once a report has told of it, and registers that incarnation afterwards: the task starts a second time on another worker.

--- /dev/null
+++ b/internal/placement/holder/restart_test.go
@@ -0,0 +1,229 @@
+package holder
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/radishgate/radishgate/internal/work/batch"
+	"github.com/radishgate/radishgate/internal/work/resources"
+	"github.com/radishgate/radishgate/platform"
+)
+
+// incarnation is one life of a worker: it knows nothing of the runs, the tokens and the
+// clock of an earlier one.
+type incarnation struct {
+	startedAt    time.Time
+	highestToken int64
+	running      map[string]fakeRun
+	ended        []platform.EndedTask
+}
+
+// restartingWorker is a worker that may start again under its ID. Its tasks all take the
+// same time.
+type restartingWorker struct {
+	mu       sync.Mutex
+	runtime  time.Duration
+	current  *incarnation
+	restarts chan struct{} // closed at the next restart
+	starts   []string      // tasks that it has started
+}
+
+func newRestartingWorker() *restartingWorker {
+	return &restartingWorker{runtime: 200 * time.Millisecond, current: newIncarnation(), restarts: make(chan struct{})}
+}
+
+func newIncarnation() *incarnation {
+	return &incarnation{startedAt: time.Now(), running: map[string]fakeRun{}}
+}
+
+// restart ends all runs and starts a new incarnation at once.
+func (w *restartingWorker) restart() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.current = newIncarnation()
+	close(w.restarts)
+	w.restarts = make(chan struct{})
+}
+
+func (w *restartingWorker) start(ctx context.Context, o platform.StartRequest) (platform.Report, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if o.Token < w.current.highestToken {
+		return platform.Report{Verdict: platform.Fenced}, ctx.Err()
+	}
+	w.current.highestToken = o.Token
+	w.current.running[o.Task] = fakeRun{task: o.Task, run: o.Run, ends: time.Now().Add(w.runtime)}
+	w.starts = append(w.starts, o.Task)
+	return platform.Report{Verdict: platform.Accepted}, ctx.Err()
+}
+
+func (w *restartingWorker) stop(task string) platform.Report {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.current.end(task, platform.Stopped)
+	return platform.Report{Verdict: platform.Accepted}
+}
+
+func (i *incarnation) end(task string, outcome platform.Outcome) {
+	if r, found := i.running[task]; found {
+		delete(i.running, task)
+		i.ended = append(i.ended, platform.EndedTask{Task: task, Run: r.run, Sequence: int64(len(i.ended) + 1), Outcome: outcome})
+	}
+}
+
+func (w *restartingWorker) hold(ctx context.Context, o platform.HoldRequest) (platform.Report, error) {
+	time.Sleep(time.Millisecond)
+	w.mu.Lock()
+	broken := w.restarts
+	w.mu.Unlock()
+	for until := time.Now().Add(o.Wait); time.Now().Before(until); {
+		select {
+		case <-broken:
+			return platform.Report{}, io.ErrUnexpectedEOF
+		case <-time.After(time.Millisecond):
+		}
+		if r := w.report(o); len(r.Ended) > 0 {
+			return r, nil
+		}
+	}
+	return w.report(o), ctx.Err()
+}
+
+// report returns the lists of the current incarnation. It leaves out the ends that the
+// request acknowledges.
+func (w *restartingWorker) report(o platform.HoldRequest) platform.Report {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	i := w.current
+	if o.Token < i.highestToken {
+		return platform.Report{Verdict: platform.Fenced}
+	}
+	i.highestToken = o.Token
+	r := platform.Report{Verdict: platform.Accepted, ClockMilli: time.Since(i.startedAt).Milliseconds(), StartUnixMilli: i.startedAt.UnixMilli()}
+	for task, run := range i.running {
+		if !run.ends.After(time.Now()) {
+			i.end(task, platform.Done)
+			continue
+		}
+		r.Running = append(r.Running, platform.RunningTask{Task: task, Run: run.run, Percent: 50})
+	}
+	for _, e := range i.ended {
+		if e.Sequence > o.AckSequence {
+			r.Ended = append(r.Ended, e)
+		}
+	}
+	return r
+}
+
+// registration returns what the current incarnation registers.
+func (w *restartingWorker) registration(id string) platform.Registration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return platform.Registration{
+		ID: id, Service: "listing", Zone: "a", Address: id, Labels: []string{"k"}, StartUnixMilli: w.current.startedAt.UnixMilli(),
+		Capacity: resources.Resources{MilliCores: 1000, MemoryMB: 100},
+	}
+}
+
+// restartBench is a holder with two workers that may restart.
+type restartBench struct {
+	*Holder
+	workers map[string]*restartingWorker
+	results chan batch.Result
+}
+
+// newRestartBench returns a bench whose holder knows the worker w1.
+func newRestartBench(ctx context.Context) *restartBench {
+	b := &restartBench{workers: map[string]*restartingWorker{"w1": newRestartingWorker(), "w2": newRestartingWorker()}, results: make(chan batch.Result, 1)}
+	b.Holder = newHolder(ctx, WorkerCalls{
+		Start: func(ctx context.Context, to platform.Target, o platform.StartRequest) (platform.Report, error) {
+			return b.workers[to.ID].start(ctx, o)
+		},
+		Stop: func(_ context.Context, to platform.Target, task string, _ int, _ int64) (platform.Report, error) {
+			return b.workers[to.ID].stop(task), nil
+		},
+		Hold: func(ctx context.Context, to platform.Target, o platform.HoldRequest) (platform.Report, error) {
+			return b.workers[to.ID].hold(ctx, o)
+		},
+	}, b.results)
+	b.AddWorker(b.workers["w1"].registration("w1"))
+	time.Sleep(20 * time.Millisecond)
+	return b
+}
+
+// admit adds a job of one task, which fills a worker.
+func (b *restartBench) admit() {
+	now := time.Now()
+	b.Admit(&batch.Batch{
+		QueueSettings: batch.QueueSettings{Queue: "q", Service: "listing", MaxAttempts: 1, Stretch: 1.6, Slack: time.Second},
+		ID:            fmt.Sprintf("%016x", 1), ArrivedAt: now, ExpiresAt: now.Add(time.Minute),
+		Steps: []batch.Step{{Count: 1, Resources: resources.Resources{MilliCores: 1000, MemoryMB: 10}, Hint: 200 * time.Millisecond}},
+	}, nil)
+}
+
+// starts returns how often any task has started, by worker.
+func (b *restartBench) starts() (first, second int) {
+	count := func(id string) int {
+		w := b.workers[id]
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		return len(w.starts)
+	}
+	return count("w1"), count("w2")
+}
+
+// TestRegistrationAfterReportKeepsRuns guards against a second start of a task whose run is
+// alive: the registration of a new incarnation is read after a report has told of it, and is
+// taken for a further restart.
+func TestRegistrationAfterReportKeepsRuns(t *testing.T) {
+	tests := []struct {
+		name   string
+		first  bool // the first registration states the start time
+		second bool // the one of the new incarnation does
+	}{
+		{"both state the start", true, true},
+		{"only the second states it", false, true},
+		{"only the first states it", true, false},
+		{"none states it", false, false},
+	}
+	for _, c := range tests {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				b := newRestartBench(ctx)
+				register := func(id string, stated bool) {
+					r := b.workers[id].registration(id)
+					if !stated {
+						r.StartUnixMilli = 0
+					}
+					b.AddWorker(r)
+				}
+				if !c.first {
+					b.RemoveWorker("w1", "it is registered anew")
+					register("w1", false)
+					time.Sleep(20 * time.Millisecond)
+				}
+				b.workers["w1"].restart()
+				time.Sleep(500 * time.Millisecond) // the next hold tells of the restart
+				b.admit()
+				time.Sleep(10 * time.Millisecond)
+				register("w2", true)
+				time.Sleep(10 * time.Millisecond)
+				register("w1", c.second)
+				if r := <-b.results; r.State != batch.Completed {
+					t.Errorf("job: %s %s, want completed", r.State, r.Reason)
+				}
+				if first, second := b.starts(); first+second != 1 {
+					t.Errorf("%d starts on the restarted worker and %d on the other, want one in all", first, second)
+				}
+				cancel()
+				b.Wait()
+			})
+		})
+	}
+}
