holder: Acknowledge ends only to the incarnation that listed them

What callers would see: a task that is done runs again (TWICE, after an end that counts as taken note of).

Cause: a hold after a lost one, and a request for a report, carried the number of the last end seen, also when the worker had restarted meanwhile. A new incarnation numbers its ends from 1, so it forgot ends that nobody had read, and the plan started their tasks again as lost.

Evidence: TestEndsAreAcknowledgedToTheirIncarnation, without this change: three starts of two tasks by the hold that follows a lost one, and by a request for a report. The third case, a new registration, passes either way since a new session acknowledges nothing.

Change: only a hold that renews the lease, which follows an answer, acknowledges ends. One that is sent anew or brings a token lists them again, and the plan skips those it has.

After: the test passes, three times with -race.

--- a/internal/placement/holder/restart_test.go
+++ b/internal/placement/holder/restart_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -21,6 +22,7 @@
 	highestToken int64
 	running      map[string]fakeRun
 	ended        []platform.EndedTask
+	lastSequence int64
 }
 
 // restartingWorker is a worker that may start again under its ID. Its tasks all take the
@@ -88,7 +90,8 @@
 func (i *incarnation) end(task string, outcome platform.Outcome) {
 	if r, found := i.running[task]; found {
 		delete(i.running, task)
-		i.ended = append(i.ended, platform.EndedTask{Task: task, Run: r.run, Sequence: int64(len(i.ended) + 1), Outcome: outcome})
+		i.lastSequence++
+		i.ended = append(i.ended, platform.EndedTask{Task: task, Run: r.run, Sequence: i.lastSequence, Outcome: outcome})
 	}
 }
 
@@ -114,8 +117,8 @@
 	return w.report(o), ctx.Err()
 }
 
-// report returns the lists of the current incarnation. It leaves out the ends that the
-// request acknowledges.
+// report returns the lists of the current incarnation, which forgets the ends that the request
+// acknowledges.
 func (w *restartingWorker) report(o platform.HoldRequest) platform.Report {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -132,11 +135,8 @@
 		}
 		r.Running = append(r.Running, platform.RunningTask{Task: task, Run: run.run, Percent: 50})
 	}
-	for _, e := range i.ended {
-		if e.Sequence > o.AckSequence {
-			r.Ended = append(r.Ended, e)
-		}
-	}
+	i.ended = slices.DeleteFunc(i.ended, func(e platform.EndedTask) bool { return e.Sequence <= o.AckSequence })
+	r.Ended = slices.Clone(i.ended)
 	return r
 }
 
@@ -155,6 +155,7 @@
 	*Holder
 	workers     map[string]*restartingWorker
 	results     chan batch.Result
+	jobs        int
 	overlapping []string // tasks that ran on both workers at a time
 }
 
@@ -183,10 +184,11 @@
 
 // admit adds a job of one task, which fills a worker.
 func (b *restartBench) admit() {
+	b.jobs++
 	now := time.Now()
 	b.Admit(&batch.Batch{
 		QueueSettings: batch.QueueSettings{Queue: "q", Service: "listing", MaxAttempts: 1, Stretch: 1.6, Slack: time.Second},
-		ID:            fmt.Sprintf("%016x", 1), ArrivedAt: now, ExpiresAt: now.Add(time.Minute),
+		ID:            fmt.Sprintf("%016x", b.jobs), ArrivedAt: now, ExpiresAt: now.Add(time.Minute),
 		Steps: []batch.Step{{Count: 1, Resources: resources.Resources{MilliCores: 1000, MemoryMB: 10}, Hint: 200 * time.Millisecond}},
 	}, nil)
 }
@@ -354,3 +356,45 @@
 	defer b.mu.Unlock()
 	return b.sessions[id]
 }
+
+// TestEndsAreAcknowledgedToTheirIncarnation guards against a second run of a task that is done:
+// the new incarnation of a worker numbers its ends from 1 and forgets those that are
+// acknowledged, so it must not get the number of an end of the old one.
+func TestEndsAreAcknowledgedToTheirIncarnation(t *testing.T) {
+	tests := []struct {
+		name  string
+		learn func(b *restartBench)
+	}{
+		{"by the hold that follows a lost one", func(*restartBench) {}},
+		{"by a request for a report", func(b *restartBench) { b.session("w1").requestReport() }},
+		{"by a new registration", func(b *restartBench) { b.AddWorker(b.workers["w1"].registration("w1")) }},
+	}
+	for _, c := range tests {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				b := newRestartBench(ctx)
+				b.admit()
+				<-b.results
+				time.Sleep(10 * time.Millisecond) // the next hold acknowledges the end
+				w := b.workers["w1"]
+				w.setSilent(true)
+				time.Sleep(450 * time.Millisecond)
+				w.restart()
+				w.runtime = 20 * time.Millisecond
+				b.admit()
+				time.Sleep(30 * time.Millisecond)
+				c.learn(b)
+				w.setSilent(false)
+				if r := <-b.results; r.State != batch.Completed {
+					t.Errorf("job: %s %s, want completed", r.State, r.Reason)
+				}
+				if first, _ := b.starts(); first != 2 {
+					t.Errorf("%d starts of two tasks, want one each", first)
+				}
+				cancel()
+				b.Wait()
+			})
+		})
+	}
+}
--- a/internal/placement/holder/session.go
+++ b/internal/placement/holder/session.go
@@ -100,14 +100,15 @@
 
 // hold sends one hold, which renews the lease and waits for a run to end, and passes
 // the worker's report to the plan. A worker that has not accepted the token yet, or
-// did not answer the last hold, is asked for its report at once and gets no lease.
+// did not answer the last hold, is asked for its report at once and gets no lease. Nor are its
+// ends acknowledged: it may have restarted and count them anew.
 func (s *session) hold() {
 	holder := s.holder
 	holder.mu.Lock()
-	request := platform.HoldRequest{Token: s.token, AckSequence: s.seenSequence}
+	request := platform.HoldRequest{Token: s.token}
 	fencing := !s.tokenAccepted
 	if !fencing && s.missedHolds == 0 {
-		request.LeaseEnd, request.Wait = s.leaseUntil(), holdWait
+		request.AckSequence, request.LeaseEnd, request.Wait = s.seenSequence, s.leaseUntil(), holdWait
 	}
 	ctx, cancel := context.WithTimeout(s.ctx, request.Wait+holdTimeout)
 	s.cancelHold = cancel
@@ -152,11 +153,12 @@
 // Errors are ignored: only holds decide whether the worker answers. A hold returns as
 // soon as a run ends, so an ending that is found here means that the answer to the
 // pending hold was lost. That hold is then cancelled, so that a new one replaces it at once
-// and further endings need not wait for its timeout.
+// and further endings need not wait for its timeout. It acknowledges no end, since the worker
+// may have restarted meanwhile.
 func (s *session) requestReport() {
 	holder := s.holder
 	holder.mu.Lock()
-	request, tokenAccepted := platform.HoldRequest{Token: s.token, AckSequence: s.seenSequence}, s.tokenAccepted
+	request, tokenAccepted := platform.HoldRequest{Token: s.token}, s.tokenAccepted
 	cancelHold := s.cancelHold
 	holder.mu.Unlock()
 	if !tokenAccepted {
