holder: Ignore what reaches a session that has ended

Cause: an answer to a call of a session that had been replaced was still applied to the plan, as a report of the worker that the next session is about. A list of the old incarnation lacks the runs of the new one, and the plan took those for lost.

Evidence: the case "an answer to the session before comes after the registration" of TestRestartKeepsRunsUntilListed failed: two runs of one task at a time.

Change: sessions change the plan through session.update, which does nothing once the session has ended; both happen under the holder's lock. After: passes, with -race.

--- a/internal/placement/holder/restart_test.go
+++ b/internal/placement/holder/restart_test.go
@@ -193,6 +193,20 @@
 	}, nil)
 }
 
+// result returns the result of the job that was admitted last, for which it keeps asking as an
+// entry does, or none after some seconds.
+func (b *restartBench) result() batch.Result {
+	for until := time.Now().Add(5 * time.Second); time.Now().Before(until); {
+		select {
+		case r := <-b.results:
+			return r
+		case <-time.After(250 * time.Millisecond):
+			b.KeepAlive([]string{fmt.Sprintf("%016x", b.jobs)})
+		}
+	}
+	return batch.Result{}
+}
+
 // starts returns how often any task has started, by worker.
 func (b *restartBench) starts() (first, second int) {
 	count := func(id string) int {
@@ -242,7 +256,7 @@
 				register("w2", true)
 				time.Sleep(10 * time.Millisecond)
 				register("w1", c.second)
-				if r := <-b.results; r.State != batch.Completed {
+				if r := b.result(); r.State != batch.Completed {
 					t.Errorf("job: %s %s, want completed", r.State, r.Reason)
 				}
 				if first, second := b.starts(); first+second != 1 {
@@ -312,6 +326,17 @@
 			b.AddWorker(b.workers["w2"].registration("w2"))
 			b.AddWorker(b.workers["w1"].registration("w1"))
 		}, 1},
+		{"an answer to the session before comes after the registration", func(b *restartBench, order func()) {
+			s := b.session("w1")
+			old := b.workers["w1"].report(platform.HoldRequest{Token: s.token})
+			b.workers["w1"].restart()
+			b.AddWorker(b.workers["w1"].registration("w1"))
+			time.Sleep(20 * time.Millisecond)
+			order()
+			time.Sleep(10 * time.Millisecond)
+			b.AddWorker(b.workers["w2"].registration("w2"))
+			s.applyReport(old, false, s.token, time.Now())
+		}, 1},
 		{"the run has ended with the old incarnation", func(b *restartBench, order func()) {
 			order()
 			time.Sleep(10 * time.Millisecond)
@@ -328,7 +353,7 @@
 				c.learn(b, b.admit)
 				time.Sleep(10 * time.Millisecond)
 				b.AddWorker(b.workers["w2"].registration("w2"))
-				if r := <-b.results; r.State != batch.Completed {
+				if r := b.result(); r.State != batch.Completed {
 					t.Errorf("job: %s %s, want completed", r.State, r.Reason)
 				}
 				if first, second := b.starts(); first+second != c.starts {
@@ -375,7 +400,7 @@
 				ctx, cancel := context.WithCancel(t.Context())
 				b := newRestartBench(ctx)
 				b.admit()
-				<-b.results
+				b.result()
 				time.Sleep(10 * time.Millisecond) // the next hold acknowledges the end
 				w := b.workers["w1"]
 				w.setSilent(true)
@@ -386,7 +411,7 @@
 				time.Sleep(30 * time.Millisecond)
 				c.learn(b)
 				w.setSilent(false)
-				if r := <-b.results; r.State != batch.Completed {
+				if r := b.result(); r.State != batch.Completed {
 					t.Errorf("job: %s %s, want completed", r.State, r.Reason)
 				}
 				if first, _ := b.starts(); first != 2 {
--- a/internal/placement/holder/session.go
+++ b/internal/placement/holder/session.go
@@ -58,6 +58,16 @@
 	s.holder.options.Log.Info("worker dropped", "worker", s.target.ID, "reason", reason)
 }
 
+// update changes the plan, unless the session has ended: another one may have begun with the
+// same worker.
+func (s *session) update(change func(p *plan.Plan, now time.Time)) {
+	s.holder.update(func(p *plan.Plan, now time.Time) {
+		if s.ctx.Err() == nil {
+			change(p, now)
+		}
+	})
+}
+
 // isOutdated reports whether a registration is of an incarnation before the one that the
 // session knows.
 func (s *session) isOutdated(r platform.Registration) bool {
@@ -188,7 +198,7 @@
 		s.holder.options.Log.Warn("worker does not answer", "worker", s.target.ID, "error", err)
 	}
 	if s.missedHolds >= unresponsiveAfterMisses {
-		s.holder.update(func(p *plan.Plan, now time.Time) { p.MarkUnresponsive(s.target.ID, now) })
+		s.update(func(p *plan.Plan, now time.Time) { p.MarkUnresponsive(s.target.ID, now) })
 	}
 	delay := min(maxRetryDelay, minRetryDelay<<min(s.missedHolds-1, 4))
 	wait.For(s.ctx, delay/2+rand.N(delay/2))
@@ -202,7 +212,7 @@
 // and retakes the worker if OnConflict allows it.
 func (s *session) handleFenced(token int64) {
 	holder := s.holder
-	holder.update(func(p *plan.Plan, now time.Time) { p.OtherHolderSeen(s.target.ID, now) })
+	s.update(func(p *plan.Plan, now time.Time) { p.OtherHolderSeen(s.target.ID, now) })
 	holder.options.Log.Warn("another holder at worker", "worker", s.target.ID, "token", token)
 	// It takes some heartbeats until both holders know each other's claim and so
 	// which of them must give way.
@@ -221,8 +231,7 @@
 // two incarnations may overtake each other, so only an answer to the present token tells which
 // of them the worker is: no other report changes what is known to run there.
 func (s *session) applyReport(report platform.Report, fencing bool, token int64, sent time.Time) (hasEndings bool) {
-	holder := s.holder
-	holder.update(func(p *plan.Plan, now time.Time) {
+	s.update(func(p *plan.Plan, now time.Time) {
 		s.answeringUntil = now.Add(answeringSpan)
 		if s.token != token {
 			return // a higher token is set; only a report under that one is final
@@ -295,7 +304,7 @@
 func (s *session) sendStart(request platform.StartRequest) {
 	holder := s.holder
 	if request.LeaseEnd == 0 {
-		holder.update(func(p *plan.Plan, now time.Time) {
+		s.update(func(p *plan.Plan, now time.Time) {
 			p.HandleStartOutcome(s.target.ID, request.Task, request.Run, plan.StartRejected, now)
 		})
 		return
@@ -320,7 +329,7 @@
 		holder.options.Log.Warn("start not taken", "task", request.Task, "run", request.Run, "worker", s.target.ID,
 			"verdict", string(a.report.Verdict), "copies", a.copies, "error", a.err)
 	}
-	holder.update(func(p *plan.Plan, now time.Time) {
+	s.update(func(p *plan.Plan, now time.Time) {
 		if a.err == nil {
 			holder.startTimeout.observe(a.took)
 		} else {
