plan, holder: Keep the runs of an unregistered worker until their lease expires

Cause: a worker whose registration had been missing for 2.5 s and that had not answered for 1.5 s was removed as ended, and its tasks started elsewhere at once. A start may be sent up to 0.7 s after the last answer and carries a lease of its own, so a worker that cannot reach the store or its holder may run it for another 0.28 s. A missing registration proves nothing about runs; only an expired lease does, or the answer of another worker at the address.

Evidence: TestUnregisteredWorkerKeepsRuns failed in both cases: two runs at a time, and two starts where the worker registers again during the run.

Change: plan.RetireWorker keeps the worker, which gets nothing more, until it has no runs or their lease has expired. RemoveWorker is left for proof. A session removes only its own worker. After: the test passes, with -race.

--- a/internal/placement/holder/holder.go
+++ b/internal/placement/holder/holder.go
@@ -188,23 +188,27 @@
 	return w
 }
 
-// RemoveWorker ends the session with a worker and removes it from the plan.
+// RemoveWorker ends the session with a worker that is no longer registered. Its runs count as
+// lost once their lease has expired.
 func (h *Holder) RemoveWorker(id, reason string) {
 	h.update(func(p *plan.Plan, now time.Time) {
 		if s, known := h.sessions[id]; known {
-			h.endSession(s, p, now, reason)
+			s.end(reason)
+			delete(h.sessions, id)
+			p.RetireWorker(id, now)
 		}
 	})
 }
 
-// endSession ends a session and removes its worker from the plan. The caller holds
-// the lock.
-func (h *Holder) endSession(s *session, p *plan.Plan, now time.Time, reason string) {
-	s.end(reason)
-	if h.sessions[s.target.ID] == s {
-		delete(h.sessions, s.target.ID)
-		p.RemoveWorker(s.target.ID, now)
-	}
+// removeEnded ends a session whose worker has ended: another one answers at its address.
+func (h *Holder) removeEnded(s *session, reason string) {
+	h.update(func(p *plan.Plan, now time.Time) {
+		if h.sessions[s.target.ID] == s {
+			s.end(reason)
+			delete(h.sessions, s.target.ID)
+			p.RemoveWorker(s.target.ID, now)
+		}
+	})
 }
 
 // AllWorkersReady reports whether all workers answer and have accepted the token.
--- a/internal/placement/holder/restart_test.go
+++ b/internal/placement/holder/restart_test.go
@@ -423,3 +423,44 @@
 		})
 	}
 }
+
+// TestUnregisteredWorkerKeepsRuns guards against a second start of a task whose worker is alive
+// although its registration has gone.
+func TestUnregisteredWorkerKeepsRuns(t *testing.T) {
+	tests := []struct {
+		name     string
+		register bool // the worker is registered again while the run goes on
+		starts   int  // on both workers
+	}{
+		{"the registration stays away", false, 2},
+		{"the registration is back", true, 1},
+	}
+	for _, c := range tests {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				b := newRestartBench(ctx)
+				b.admit()
+				time.Sleep(10 * time.Millisecond)
+				b.AddWorker(b.workers["w2"].registration("w2"))
+				time.Sleep(10 * time.Millisecond)
+				b.RemoveWorker("w1", "its registration has gone")
+				time.Sleep(50 * time.Millisecond)
+				if c.register {
+					b.AddWorker(b.workers["w1"].registration("w1"))
+				}
+				if r := b.result(); r.State != batch.Completed {
+					t.Errorf("job: %s %s, want completed", r.State, r.Reason)
+				}
+				if first, second := b.starts(); first+second != c.starts {
+					t.Errorf("%d starts on the unregistered worker and %d on the other, want %d in all", first, second, c.starts)
+				}
+				if len(b.overlapping) > 0 {
+					t.Errorf("two runs at a time of %v", b.overlapping)
+				}
+				cancel()
+				b.Wait()
+			})
+		})
+	}
+}
--- a/internal/placement/holder/session.go
+++ b/internal/placement/holder/session.go
@@ -150,7 +150,7 @@
 	case report.Verdict == platform.Fenced:
 		s.handleFenced(request.Token)
 	case report.Verdict == platform.OtherIncarnation:
-		holder.RemoveWorker(s.target.ID, "another incarnation answers at its address")
+		holder.removeEnded(s, "another incarnation answers at its address")
 	case report.Verdict != platform.Accepted:
 		s.noteMissedHold(&verdictError{report.Verdict})
 	default:
--- a/internal/placement/plan/plan.go
+++ b/internal/placement/plan/plan.go
@@ -243,6 +243,7 @@
 	p.estimator.DecaySlowdowns(now.Sub(p.tickedAt))
 	p.now, p.tickedAt = now, now
 	p.refreshFactors()
+	p.removeRetired()
 	for _, w := range p.workerList {
 		p.checkRuns(w)
 	}
--- a/internal/placement/plan/worker.go
+++ b/internal/placement/plan/worker.go
@@ -1,6 +1,7 @@
 package plan
 
 import (
+	"slices"
 	"time"
 
 	"github.com/radishgate/radishgate/internal/work/resources"
@@ -55,6 +56,7 @@
 	factor            float64             // learned slowdown factor: run time of a task here as a multiple of its base time
 	runs              map[runKey]*run
 	renewedAt         time.Time // when the last renewal that may have reached it was sent
+	retired           bool      // it is removed once the lease of its runs has expired
 	unanswered        bool      // it did not answer the last call
 	unansweredSince   time.Time // when the first of the unanswered calls was noticed
 	reportedAt        time.Time // when the last report came
@@ -86,6 +88,9 @@
 		w = &worker{runs: map[runKey]*run{}, renewedAt: now}
 		p.workers[registration.ID] = w
 	}
+	if w.retired {
+		w.retired, w.state = false, fencing
+	}
 	changed := w.Worker.Draining != registration.Draining || w.Worker.Capacity != registration.Capacity || !known
 	w.Worker = registration
 	if !known {
@@ -102,24 +107,51 @@
 	p.outliers.SetMaxEjected(max(1, int(maxEjectedShare*float64(len(p.workers)))))
 }
 
-// RemoveWorker removes a worker that has ended. Nothing runs there any more, so its tasks
-// are pending again.
+// RemoveWorker removes a worker that is known to have ended. Nothing runs there any more, so
+// its tasks are pending again.
 func (p *Plan) RemoveWorker(id string, now time.Time) {
 	p.now = now
 	w, known := p.workers[id]
 	if !known {
 		return
 	}
+	p.removeWorker(w)
+	p.placeAll()
+}
+
+// removeWorker removes a worker and loses its runs.
+func (p *Plan) removeWorker(w *worker) {
 	for _, r := range w.runs {
 		p.loseRun(r)
 	}
-	delete(p.workers, id)
-	p.estimator.Forget(id)
+	delete(p.workers, w.ID)
+	p.estimator.Forget(w.ID)
 	p.updateEjectionLimit()
 	p.rebuildWorkerList()
+}
+
+// RetireWorker removes a worker of which no more is known than that it is not registered and
+// not called any more. It may be alive, so its runs are kept until their lease has expired.
+func (p *Plan) RetireWorker(id string, now time.Time) {
+	p.MarkUnresponsive(id, now)
+	w, known := p.workers[id]
+	if !known {
+		return
+	}
+	w.state, w.retired = unresponsive, true
+	p.removeRetired()
 	p.placeAll()
 }
 
+// removeRetired removes the retired workers that can run nothing any more.
+func (p *Plan) removeRetired() {
+	for _, w := range slices.Clone(p.workerList) {
+		if w.retired && (len(w.runs) == 0 || p.leaseLapsed(w)) {
+			p.removeWorker(w)
+		}
+	}
+}
+
 // RestartWorker records that a worker has started again under its ID, as registered. Its runs
 // are kept until the new incarnation has accepted the fencing token and reports what it runs:
 // a start may have reached either incarnation.
