plan: Count a job as started when a run of it is found later

Cause: attachRun makes the run of an earlier holder the active run of a task, but only adopt, which looks for runs when the job arrives, noted that the job has started. A run that is listed later (matchRun) left the job as one of which nothing has run.

Sequence: a holder takes over; the job comes through an entry that knows of no earlier run; then the worker accepts the token and lists the run, which is adopted. When the job is given up its client was told "refused", although the run was alive until then, and while other tasks of it wait the job could be refused as too late.

Test: go test ./internal/placement/plan -run TestRunFoundAfterItsJobArrivedCountsAsStarted failed before (state refused), passes now.

--- a/internal/placement/plan/job.go
+++ b/internal/placement/plan/job.go
@@ -156,6 +156,7 @@
 	r.worker.used = r.worker.used.Add(r.resources)
 	r.sentAt, r.expectedEnd = time.Time{}, r.startedAt.Add(p.expectedTime(t, r.worker))
 	t.activeRun = r
+	t.job.started = true
 }
 
 // reopen continues a job that was abandoned, withdrawn, refused or given up, when a message
