holder: Compute leases from the time that the plan knows

Cause: an update took its time, the process was paused, and the lease of a start was then computed from a later time than the one from which the plan counts it. The plan took the lease for expired while the start was fresh.

Change: leases of starts and holds are computed from the time that the plan records.

--- a/internal/placement/holder/holder.go
+++ b/internal/placement/holder/holder.go
@@ -108,8 +108,9 @@
 		return
 	}
 	h.plan.SetTakeoverSuspected(h.options.TakeoverSuspected())
-	change(h.plan, time.Now())
-	results := h.dispatch(h.plan.Orders())
+	now := time.Now()
+	change(h.plan, now)
+	results := h.dispatch(h.plan.Orders(), now)
 	h.mu.Unlock()
 	for _, o := range results {
 		h.options.OnResult(o.Batch, o.Result)
@@ -118,8 +119,9 @@
 
 // dispatch starts sending the orders for workers and returns the orders that carry
 // results. An order is sent with the token valid at dispatch, even if a higher one is
-// set before it is sent. The caller holds the lock.
-func (h *Holder) dispatch(orders []plan.Order) []plan.Order {
+// set before it is sent. Its lease begins at now, the time at which the plan has issued it: the
+// process may have been paused since. The caller holds the lock.
+func (h *Holder) dispatch(orders []plan.Order, now time.Time) []plan.Order {
 	var results []plan.Order
 	for _, o := range orders {
 		if o.Kind == plan.DeliverResult {
@@ -135,7 +137,7 @@
 		}
 		switch o.Kind {
 		case plan.Start:
-			start := platform.StartRequest{Task: o.Task, Run: o.Run, Spec: o.Batch.Spec, LeaseEnd: s.leaseUntil(), Token: s.token}
+			start := platform.StartRequest{Task: o.Task, Run: o.Run, Spec: o.Batch.Spec, LeaseEnd: s.leaseUntil(now), Token: s.token}
 			h.options.Log.Info("start ordered", "task", o.Task, "run", o.Run, "worker", o.Worker, "token", s.token,
 				"expected_ms", o.ExpectedTime.Milliseconds(), "free", o.FreeMilliCores, "waiting", o.WaitingJobs, "group", h.options.Group)
 			h.goroutines.Go(func() { s.sendStart(start) })
--- a/internal/placement/holder/proof_test.go
+++ b/internal/placement/holder/proof_test.go
@@ -225,7 +225,7 @@
 		synctest.Test(t, func(t *testing.T) {
 			s := &session{holder: &Holder{options: Options{Lease: time.Second}}, workerClock: 1000, clockReadAt: time.Now()}
 			time.Sleep(age)
-			left := float64(s.leaseUntil()-1000) - age.Seconds()*980 // ms on the clock of the worker
+			left := float64(s.leaseUntil(time.Now())-1000) - age.Seconds()*980 // ms on the clock of the worker
 			if lasts := time.Duration(left / 0.98 * float64(time.Millisecond)); lasts > bound {
 				t.Errorf("clock read %v ago: lease may last %v after it was granted, the plan waits %v", age, lasts, bound)
 			}
--- a/internal/placement/holder/session.go
+++ b/internal/placement/holder/session.go
@@ -80,13 +80,13 @@
 	return sameStart && r.Address == s.target.Address
 }
 
-// leaseUntil returns the end of a lease that is renewed now, on the worker's clock
+// leaseUntil returns the end of a lease that is renewed at a time, on the worker's clock
 // in milliseconds. It returns 0 while that clock is unknown.
-func (s *session) leaseUntil() int64 {
+func (s *session) leaseUntil(renewedAt time.Time) int64 {
 	if s.clockReadAt.IsZero() {
 		return 0
 	}
-	return s.workerClock + time.Since(s.clockReadAt).Milliseconds() + s.holder.options.Lease.Milliseconds()
+	return s.workerClock + renewedAt.Sub(s.clockReadAt).Milliseconds() + s.holder.options.Lease.Milliseconds()
 }
 
 // raiseToken sets a higher token, which the worker must accept before it gets further
@@ -116,13 +116,12 @@
 	holder := s.holder
 	holder.mu.Lock()
 	request := platform.HoldRequest{Token: s.token}
-	fencing := !s.tokenAccepted
+	fencing, sent := !s.tokenAccepted, time.Now()
 	if !fencing && s.missedHolds == 0 {
-		request.AckSequence, request.LeaseEnd, request.Wait = s.seenSequence, s.leaseUntil(), holdWait
+		request.AckSequence, request.LeaseEnd, request.Wait = s.seenSequence, s.leaseUntil(sent), holdWait
 	}
 	ctx, cancel := context.WithTimeout(s.ctx, request.Wait+holdTimeout)
 	s.cancelHold = cancel
-	sent := time.Now()
 	if request.LeaseEnd > 0 {
 		holder.plan.RenewalSent(s.target.ID, sent)
 	}
