holder: Grant no lease while a takeover is suspected

Cause: a holder that resumes after a pause starts nothing until it knows that no other has taken over, but its holds went on renewing leases. The next holder waits only for leases granted before its takeover, and may not know a worker yet, or not reach it.

Evidence: TestNoLeaseIsGrantedWhileATakeoverIsSuspected failed, two leases granted. Change: holds ask for the lists without a lease meanwhile. After: the test passes.

--- a/internal/placement/holder/session.go
+++ b/internal/placement/holder/session.go
@@ -118,7 +118,11 @@
 	request := platform.HoldRequest{Token: s.token}
 	fencing, sent := !s.tokenAccepted, time.Now()
 	if !fencing && s.missedHolds == 0 {
-		request.AckSequence, request.LeaseEnd, request.Wait = s.seenSequence, s.leaseUntil(sent), holdWait
+		request.AckSequence, request.Wait = s.seenSequence, holdWait
+		// The next holder, if there is one, waits for leases granted before its takeover only.
+		if !holder.options.TakeoverSuspected() {
+			request.LeaseEnd = s.leaseUntil(sent)
+		}
 	}
 	ctx, cancel := context.WithTimeout(s.ctx, request.Wait+holdTimeout)
 	s.cancelHold = cancel
