holder: Take a refused start as a sign of another holder

Cause: a hold that a worker refuses since it obeys another holder delays all starts until that holder's leases have expired or all workers are fenced. A start refused for the same reason did not, so its task moved at once to a worker that the other holder had not reached, while that one might start it too.

Evidence: TestStartRefusedForItsTokenDelaysOthers failed, a start on the other worker. Change: both signs are treated alike. After: the test passes.

--- a/internal/placement/holder/session.go
+++ b/internal/placement/holder/session.go
@@ -344,7 +344,7 @@
 		if a.report.Verdict == platform.Fenced && s.token == request.Token {
 			// The next hold shows which holder the worker obeys. Its token must be one with which
 			// no start has been sent.
-			p.RequireFence(s.target.ID, now)
+			p.OtherHolderSeen(s.target.ID, now)
 			s.raiseToken("a start was refused")
 		}
 		p.HandleStartOutcome(s.target.ID, request.Task, request.Run, outcome, now)
