plan: Spill no job over that an earlier holder may run

Cause: a new holder waits with starts until every worker has listed its runs to it, or the leases of the earlier holder have expired. A job that a client sent again could be moved to another group meanwhile, which does not know those workers and starts it.

Evidence: TestJobThatAnEarlierHolderMayRunDoesNotSpillOver failed, one job moved. Change: no job of the service spills over during that wait. After: the test passes.

--- a/internal/placement/plan/spillover.go
+++ b/internal/placement/plan/spillover.go
@@ -1,6 +1,8 @@
 package plan
 
 import (
+	"slices"
+
 	"github.com/radishgate/radishgate/internal/placement/spillover"
 	"github.com/radishgate/radishgate/internal/work/batch"
 )
@@ -46,7 +48,7 @@
 		return
 	}
 	for _, j := range jobs {
-		if j.SpilledOver || j.startedBefore || j.started || len(j.pending) != len(j.tasks) || j.result.State.Ended() {
+		if j.SpilledOver || j.startedBefore || j.started || len(j.pending) != len(j.tasks) || j.result.State.Ended() || p.mayRunUnlisted(j.Service) {
 			continue
 		}
 		if group := p.otherFreeSlots.Take(len(j.tasks)); group != "" {
@@ -54,3 +56,16 @@
 		}
 	}
 }
+
+// mayRunUnlisted reports whether an earlier holder may have started jobs of a service on a worker
+// that has not told this holder of them yet. Jobs that are sent again by a client do not say
+// that they may have been started, and another group cannot find their runs.
+func (p *Plan) mayRunUnlisted(service string) bool {
+	if !p.otherLeasesActive() {
+		return false
+	}
+	if p.now.Before(p.options.WorkersIncompleteUntil) {
+		return true
+	}
+	return slices.ContainsFunc(p.workerList, func(w *worker) bool { return w.Service == service && w.state == fencing })
+}
