plan, holder: Give a restarted worker no work before it registers

What callers would see: a worker gets more than it has room for (LIMIT).

A new incarnation may be of another kind. The same class: what is known of one incarnation is applied to another.

Evidence: TestRestartedWorkerWaitsForItsRegistration failed in both cases, the worker of half a core got a task of a whole one. Change: plan.Worker.Unregistered, from the report until the registration of that incarnation is read; where registrations state no start it is not set. Two cases of TestRestartKeepsRunsUntilListed register the worker before they order the task, since it would wait otherwise, and one is new, in which a registration follows a start that no report has shown. After: all pass, with -race.

--- a/internal/placement/holder/restart_test.go
+++ b/internal/placement/holder/restart_test.go
@@ -288,6 +288,18 @@
 			time.Sleep(10 * time.Millisecond)
 			b.workers["w1"].setSilent(false)
 		}, 1},
+		{"the new incarnation takes a start and registers before any report of it", func(b *restartBench, order func()) {
+			b.workers["w1"].setSilent(true)
+			time.Sleep(450 * time.Millisecond)
+			b.workers["w1"].restart()
+			order()
+			time.Sleep(10 * time.Millisecond)
+			b.AddWorker(b.workers["w2"].registration("w2"))
+			time.Sleep(10 * time.Millisecond)
+			b.AddWorker(b.workers["w1"].registration("w1"))
+			time.Sleep(10 * time.Millisecond)
+			b.AddWorker(b.workers["w1"].registration("w1"))
+		}, 1},
 		{"a start takes effect between the report of the restart and the next token", func(b *restartBench, order func()) {
 			b.workers["w1"].setSilent(true)
 			time.Sleep(450 * time.Millisecond)
@@ -302,6 +314,7 @@
 			old := b.workers["w1"].report(platform.HoldRequest{Token: 1 << 60})
 			b.workers["w1"].restart()
 			time.Sleep(500 * time.Millisecond)
+			b.AddWorker(b.workers["w1"].registration("w1"))
 			order()
 			time.Sleep(10 * time.Millisecond)
 			b.AddWorker(b.workers["w2"].registration("w2"))
@@ -464,3 +477,40 @@
 		})
 	}
 }
+
+// TestRestartedWorkerWaitsForItsRegistration guards against a start beyond the capacity of a
+// worker that has become smaller with its restart.
+func TestRestartedWorkerWaitsForItsRegistration(t *testing.T) {
+	tests := []struct {
+		name     string
+		capacity int64 // of the new incarnation, in thousandths of a core
+		starts   int   // on the worker
+	}{
+		{"it is as large as before", 1000, 1},
+		{"it is too small for the task", 500, 0},
+	}
+	for _, c := range tests {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				b := newRestartBench(ctx)
+				b.workers["w1"].restart()
+				time.Sleep(500 * time.Millisecond) // the next hold tells of the restart
+				b.admit()
+				time.Sleep(100 * time.Millisecond)
+				if first, _ := b.starts(); first != 0 {
+					t.Errorf("%d starts before the new incarnation has registered, want none", first)
+				}
+				r := b.workers["w1"].registration("w1")
+				r.Capacity.MilliCores = c.capacity
+				b.AddWorker(r)
+				time.Sleep(100 * time.Millisecond)
+				if first, _ := b.starts(); first != c.starts {
+					t.Errorf("%d starts after the new incarnation has registered, want %d", first, c.starts)
+				}
+				cancel()
+				b.Wait()
+			})
+		})
+	}
+}
--- a/internal/placement/holder/session.go
+++ b/internal/placement/holder/session.go
@@ -275,7 +275,9 @@
 func (s *session) handleRestart(p *plan.Plan, now time.Time, startUnixMilli int64) {
 	s.holder.options.Log.Info("worker has started again", "worker", s.target.ID, "born", startUnixMilli, "before", s.startUnixMilli)
 	s.seenSequence = 0
-	p.RestartWorker(planWorker(s.registration), now)
+	w := planWorker(s.registration)
+	w.Unregistered = s.registration.StartUnixMilli != 0
+	p.RestartWorker(w, now)
 }
 
 // planReport converts a report for the plan and leaves out endings that the plan
--- a/internal/placement/plan/plan.go
+++ b/internal/placement/plan/plan.go
@@ -20,6 +20,9 @@
 	Labels   []string
 	Capacity resources.Resources
 	Draining bool
+	// Unregistered says that it has started again and not registered since. It may be of another
+	// kind, with another capacity, so it gets no work.
+	Unregistered bool
 }
 
 // OrderKind is the kind of an Order.
--- a/internal/placement/plan/refuse.go
+++ b/internal/placement/plan/refuse.go
@@ -97,7 +97,7 @@
 // holder that has just taken over would otherwise refuse all the jobs that come first.
 func (p *Plan) capacityAndLoad(service string) (capacity, load float64) {
 	for _, w := range p.workerList {
-		if w.Service != service || w.unanswered || w.Draining {
+		if w.Service != service || w.unanswered || w.Draining || w.Unregistered {
 			continue
 		}
 		capacity += float64(w.Capacity.MilliCores) * packingShare
--- a/internal/placement/plan/worker.go
+++ b/internal/placement/plan/worker.go
@@ -65,7 +65,7 @@
 
 // usable reports whether new runs may start on the worker.
 func (w *worker) usable() bool {
-	if w.state != ready || w.Draining {
+	if w.state != ready || w.Draining || w.Unregistered {
 		return false
 	}
 	for _, r := range w.runs {
@@ -91,7 +91,7 @@
 	if w.retired {
 		w.retired, w.state = false, fencing
 	}
-	changed := w.Worker.Draining != registration.Draining || w.Worker.Capacity != registration.Capacity || !known
+	changed := w.Worker.Draining != registration.Draining || w.Worker.Unregistered != registration.Unregistered || w.Worker.Capacity != registration.Capacity || !known
 	w.Worker = registration
 	if !known {
 		p.updateEjectionLimit()
