holder: Call an ended worker no more while its registration outlives it

Cause: a worker at whose address another one answers was dropped, and added again as soon as the registrations were read, since its own stays for some seconds. Each round forgot what was learned of the worker.

Evidence: TestEndedWorkerIsNotCalledAgain failed for an unchanged registration, two calls instead of one. Change: the holder remembers the incarnation that has ended, and leaves its registration alone unless its start or address changes, it goes and comes back, or 10 s have passed. After: the test passes, with -race.

--- a/internal/placement/holder/holder.go
+++ b/internal/placement/holder/holder.go
@@ -56,7 +56,8 @@
 	mu           sync.Mutex
 	plan         *plan.Plan
 	sessions     map[string]*session
-	startTimeout answerTimeout // adapts to the answer times of start orders
+	ended        map[string]endedWorker // by worker ID
+	startTimeout answerTimeout          // adapts to the answer times of start orders
 	released     bool
 
 	ctx        context.Context
@@ -71,7 +72,7 @@
 		options.TakeoverSuspected = func() bool { return false }
 	}
 	h := &Holder{
-		options: options, sessions: map[string]*session{},
+		options: options, sessions: map[string]*session{}, ended: map[string]endedWorker{},
 		plan: plan.New(plan.Options{
 			Lease: options.Lease, ClientRetryAfter: options.ClientRetryAfter, FirstClaim: options.FirstClaim, WorkersIncompleteUntil: options.WorkersIncompleteUntil,
 		}, now),
@@ -160,6 +161,7 @@
 	h.update(func(p *plan.Plan, now time.Time) {
 		s, known := h.sessions[r.ID]
 		switch {
+		case !known && h.hasEnded(r, now):
 		case !known:
 			p.AddWorker(planWorker(r), now)
 			h.startSession(r)
@@ -175,6 +177,29 @@
 	})
 }
 
+// endedWorker is a worker at whose address another one answered. Its registration may stay for
+// some seconds.
+type endedWorker struct {
+	address        string
+	startUnixMilli int64
+	checkAt        time.Time // when it is called again if it is still registered
+}
+
+// endedCheckDelay is the time after which a worker that has ended is called again if it is still
+// registered. It is longer than the heartbeats that a registration outlives its worker.
+const endedCheckDelay = 10 * time.Second
+
+// hasEnded reports whether a registration is of an incarnation that has ended. The caller holds
+// the lock.
+func (h *Holder) hasEnded(r platform.Registration, now time.Time) bool {
+	e, found := h.ended[r.ID]
+	if found && e.address == r.Address && e.startUnixMilli == r.StartUnixMilli && now.Before(e.checkAt) {
+		return true
+	}
+	delete(h.ended, r.ID)
+	return false
+}
+
 // startSession starts a session with a worker. The caller holds the lock.
 func (h *Holder) startSession(r platform.Registration) {
 	s := newSession(h, r)
@@ -194,6 +219,7 @@
 // lost once their lease has expired.
 func (h *Holder) RemoveWorker(id, reason string) {
 	h.update(func(p *plan.Plan, now time.Time) {
+		delete(h.ended, id)
 		if s, known := h.sessions[id]; known {
 			s.end(reason)
 			delete(h.sessions, id)
@@ -208,6 +234,7 @@
 		if h.sessions[s.target.ID] == s {
 			s.end(reason)
 			delete(h.sessions, s.target.ID)
+			h.ended[s.target.ID] = endedWorker{address: s.target.Address, startUnixMilli: s.registration.StartUnixMilli, checkAt: now.Add(endedCheckDelay)}
 			p.RemoveWorker(s.target.ID, now)
 		}
 	})
--- a/internal/placement/holder/restart_test.go
+++ b/internal/placement/holder/restart_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -514,3 +515,43 @@
 		})
 	}
 }
+
+// TestEndedWorkerIsNotCalledAgain guards against a worker that is dropped and added by turns
+// while its registration outlives it and another worker answers at its address.
+func TestEndedWorkerIsNotCalledAgain(t *testing.T) {
+	tests := []struct {
+		name   string
+		change func(r *platform.Registration) // of the registration that is read next
+		after  time.Duration                  // when it is read
+		calls  int64
+	}{
+		{"the same registration", func(*platform.Registration) {}, time.Second, 1},
+		{"the same registration after some time", func(*platform.Registration) {}, endedCheckDelay, 2},
+		{"a later start", func(r *platform.Registration) { r.StartUnixMilli++ }, time.Second, 2},
+		{"another address", func(r *platform.Registration) { r.Address = "elsewhere" }, time.Second, 2},
+	}
+	for _, c := range tests {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				var calls atomic.Int64
+				h := newHolder(ctx, WorkerCalls{Hold: func(context.Context, platform.Target, platform.HoldRequest) (platform.Report, error) {
+					calls.Add(1)
+					return platform.Report{Verdict: platform.OtherIncarnation}, nil
+				}}, nil)
+				r := newRestartingWorker().registration("w1")
+				h.AddWorker(r)
+				time.Sleep(10 * time.Millisecond)
+				time.Sleep(c.after)
+				c.change(&r)
+				h.AddWorker(r)
+				time.Sleep(10 * time.Millisecond)
+				if got := calls.Load(); got != c.calls {
+					t.Errorf("%d calls, want %d", got, c.calls)
+				}
+				cancel()
+				h.Wait()
+			})
+		})
+	}
+}
