standin/worker: Tell the incarnations of a worker apart

RunMonitor knew a run by the ID of its worker. A worker that starts again under its ID runs nothing of before, so its runs are now known by ID, start time and run number, and the slots of a worker are counted over all its incarnations. A task with several runs at once is counted for each of them after the first, as before; a run that is no longer the latest one of its task is still seen.

A crash ends pending holds at once, as a broken process does; they used to wait until their time was over. What a crashed worker would have rejected can be asked, and the monitor records endings that a worker has forgotten, as acknowledged, before it listed them to anybody.

--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -15,38 +15,65 @@
 // RunMonitor records the runs of all workers and detects violations. The zero
 // value is ready for use.
 type RunMonitor struct {
-	mu          sync.Mutex
-	running     map[string]string // worker ID by task
-	Overlapping []string          // tasks with two runs at the same time
-	Overloaded  []string          // workers that got a task while all their slots were taken
-	Starts      map[string]int    // number of starts by task
-	Succeeded   map[string]bool   // tasks with a successful run
+	mu            sync.Mutex
+	running       map[string]map[monitoredRun]bool // by task
+	runningAt     map[string]int                   // number of runs by worker ID, on all incarnations
+	Overlapping   []string                         // tasks with two runs at the same time
+	Overloaded    []string                         // workers that got a task while all their slots were taken
+	UnseenEndings []string                         // tasks whose ending a worker forgot before any of its responses listed it
+	Starts        map[string]int                   // number of starts by task
+	Succeeded     map[string]bool                  // tasks with a successful run
 }
 
-func (m *RunMonitor) recordStart(task, worker string) {
+// monitoredRun identifies a run of a task. A worker that has started again under its ID is
+// another incarnation: its run numbers say nothing about the runs of the one before.
+type monitoredRun struct {
+	worker    string
+	startedAt time.Time // start of the incarnation
+	number    int
+}
+
+func (m *RunMonitor) recordStart(task string, r monitoredRun, slots int) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.running == nil {
-		m.running, m.Starts, m.Succeeded = map[string]string{}, map[string]int{}, map[string]bool{}
+		m.running, m.runningAt, m.Starts, m.Succeeded = map[string]map[monitoredRun]bool{}, map[string]int{}, map[string]int{}, map[string]bool{}
 	}
 	m.Starts[task]++
-	if _, exists := m.running[task]; exists {
+	if len(m.running[task]) > 0 {
 		m.Overlapping = append(m.Overlapping, task)
+	} else {
+		m.running[task] = map[monitoredRun]bool{}
+	}
+	if m.runningAt[r.worker] >= slots {
+		m.Overloaded = append(m.Overloaded, r.worker)
 	}
-	m.running[task] = worker
+	m.running[task][r] = true
+	m.runningAt[r.worker]++
 }
 
-func (m *RunMonitor) recordEnd(task, worker, outcome string) {
+func (m *RunMonitor) recordEnd(task string, r monitoredRun, outcome string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if outcome == "done" {
 		m.Succeeded[task] = true
 	}
-	if m.running[task] == worker {
+	if !m.running[task][r] {
+		return
+	}
+	m.runningAt[r.worker]--
+	delete(m.running[task], r)
+	if len(m.running[task]) == 0 {
 		delete(m.running, task)
 	}
 }
 
+func (m *RunMonitor) recordUnseenEnding(task string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.UnseenEndings = append(m.UnseenEndings, task)
+}
+
 // TaskRuns returns the number of starts of a task and whether one of its runs succeeded.
 func (m *RunMonitor) TaskRuns(task string) (starts int, succeeded bool) {
 	m.mu.Lock()
@@ -61,6 +88,13 @@
 	return append([]string(nil), m.Overlapping...), append([]string(nil), m.Overloaded...)
 }
 
+// Unseen returns the tasks in UnseenEndings.
+func (m *RunMonitor) Unseen() []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return append([]string(nil), m.UnseenEndings...)
+}
+
 type run struct {
 	task      string
 	number    int
@@ -73,6 +107,7 @@
 	task     string
 	number   int
 	outcome  string
+	listed   bool // in a response
 }
 
 // Options configures a worker. PlanRun returns the outcome and the duration of a
@@ -106,6 +141,9 @@
 	crashed      bool
 }
 
+// StartUnixMilli returns the time of the worker's start as its reports state it.
+func (w *Worker) StartUnixMilli() int64 { return w.startedAt.UnixMilli() }
+
 // New returns a worker that runs nothing.
 func New(options Options) *Worker {
 	if options.PlanRun == nil {
@@ -203,12 +241,7 @@
 	}
 	w.renewLease(o.LeaseEndMillis)
 	outcome, runtime := w.options.PlanRun(o.Task)
-	w.options.Monitor.recordStart(o.Task, w.options.ID)
-	if len(w.runs) >= w.options.Slots {
-		w.options.Monitor.mu.Lock()
-		w.options.Monitor.Overloaded = append(w.options.Monitor.Overloaded, w.options.ID)
-		w.options.Monitor.mu.Unlock()
-	}
+	w.options.Monitor.recordStart(o.Task, w.monitored(o.Run), w.options.Slots)
 	now := time.Now()
 	started := &run{task: o.Task, number: o.Run, startedAt: now, endsAt: now.Add(runtime)}
 	w.runs[o.Task] = started
@@ -254,26 +287,59 @@
 
 func (w *Worker) endRun(r *run, outcome string) {
 	delete(w.runs, r.task)
-	w.options.Monitor.recordEnd(r.task, w.options.ID, outcome)
+	w.options.Monitor.recordEnd(r.task, w.monitored(r.number), outcome)
 	w.highestRuns[r.task] = max(w.highestRuns[r.task], r.number)
 	w.lastSequence++
-	w.endedRuns = append(w.endedRuns, endedRun{w.lastSequence, r.task, r.number, outcome})
+	w.endedRuns = append(w.endedRuns, endedRun{sequence: w.lastSequence, task: r.task, number: r.number, outcome: outcome})
+	w.wakeHolds()
+}
+
+func (w *Worker) monitored(number int) monitoredRun {
+	return monitoredRun{w.options.ID, w.startedAt, number}
+}
+
+// wakeHolds ends the waits of all pending holds.
+func (w *Worker) wakeHolds() {
 	close(w.runEnded)
 	w.runEnded = make(chan struct{})
 }
 
-// Crash ends all runs and makes the worker drop all further orders without an answer.
+// Crashed reports whether Crash was called.
+func (w *Worker) Crashed() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.crashed
+}
+
+// Crash ends all runs and makes the worker drop all pending and further orders without an answer.
 func (w *Worker) Crash() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for _, r := range w.runs {
-		w.endRun(r, "lost")
+		w.options.Monitor.recordEnd(r.task, w.monitored(r.number), "lost")
 	}
+	clear(w.runs)
 	w.crashed = true
+	w.wakeHolds()
+}
+
+// Rejects reports whether the worker has seen a higher fencing token than that of an order,
+// or has ended or stopped the run that it would start. Crash changes neither.
+func (w *Worker) Rejects(body []byte) bool {
+	var o order
+	if json.Unmarshal(body, &o) != nil {
+		return true
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return o.Token < w.highestToken || o.Task != "" && o.Run <= w.highestRuns[o.Task]
 }
 
 func (w *Worker) dropAcknowledged(sequence int64) {
 	for len(w.endedRuns) > 0 && w.endedRuns[0].sequence <= sequence {
+		if e := w.endedRuns[0]; !e.listed {
+			w.options.Monitor.recordUnseenEnding(e.task)
+		}
 		w.endedRuns = w.endedRuns[1:]
 	}
 }
@@ -305,7 +371,8 @@
 		percent := int(100 * time.Since(r.startedAt) / max(1, r.endsAt.Sub(r.startedAt)))
 		response.Running = append(response.Running, []any{r.task, r.number, "", min(99, percent)})
 	}
-	for _, e := range w.endedRuns {
+	for i, e := range w.endedRuns {
+		w.endedRuns[i].listed = true
 		response.Finished = append(response.Finished, []any{e.sequence, e.task, e.number, e.outcome, ""})
 	}
 	return response
