trial/history: Restart workers under their IDs

The random schedules could not find it: a worker that crashed came back under another ID, its registration was read at once by all entries and stated no start time.

A worker, or several, may now crash and start again under the same ID after 0 to 900 ms, sometimes at another address. Until then calls to it hang or break.

A call is not carried over if the crashed incarnation would have rejected it, or later than that: its run may then have been given up with good reason, and no holder could prevent the second one. The checks are as they were. -endings adds one, off by default: an ending must not be acknowledged before it was listed.

--- a/internal/trial/history/entry_test.go
+++ b/internal/trial/history/entry_test.go
@@ -28,10 +28,13 @@
 	claims       *election.ClaimTable
 	workerClient *platform.WorkerClient
 
-	lock       sync.Mutex // guards the fields below; mu belongs to the embedded world
-	holder     *holder.Holder
-	leaving    bool
-	heartbeats map[string]heartbeat
+	passing sync.Mutex // held while registrations are passed to the holder, which keeps the order in which they were read
+
+	lock          sync.Mutex // guards the fields below; mu belongs to the embedded world
+	holder        *holder.Holder
+	leaving       bool
+	heartbeats    map[string]heartbeat
+	registrations []platform.Registration // as last read
 }
 
 // heartbeat is the latest heartbeat received from another entry.
@@ -42,7 +45,7 @@
 }
 
 func (w *world) startEntry(index int) {
-	e := &entry{world: w, id: fmt.Sprintf("e%d", index), incarnation: uint64(w.randomInt(1<<30)) + 1, startedAt: time.Now(), heartbeats: map[string]heartbeat{}}
+	e := &entry{world: w, id: fmt.Sprintf("e%d", index), incarnation: uint64(w.randomInt(1<<30)) + 1, startedAt: time.Now(), heartbeats: map[string]heartbeat{}, registrations: w.registrations()}
 	e.ctx, e.cancel = context.WithCancel(context.Background())
 	e.workerClient = platform.NewWorkerClientOver(workerTransport{w, e.id})
 	e.claims = election.New(election.Options{Self: e.candidate(true), TakeoverDelay: 2500 * time.Millisecond, Known: func(id string) bool {
@@ -61,6 +64,26 @@
 	w.mu.Unlock()
 	w.goroutines.Go(func() { e.tracker.Run(e.ctx) })
 	w.goroutines.Go(e.runHeartbeats)
+	w.goroutines.Go(e.readRegistrations)
+}
+
+// readRegistrations periodically reads the list of registrations. It passes the list to the
+// holder after each read, and again until the next one.
+func (e *entry) readRegistrations() {
+	interval := time.Duration(10+e.randomInt(maxReadMillis-10)) * time.Millisecond
+	var readAt time.Time
+	for e.ctx.Err() == nil {
+		if time.Since(readAt) >= interval {
+			list := e.world.registrations()
+			readAt = time.Now()
+			time.Sleep(time.Duration(1+e.randomInt(20)) * time.Millisecond) // the response is on its way
+			e.lock.Lock()
+			e.registrations = list
+			e.lock.Unlock()
+		}
+		e.updateWorkers()
+		time.Sleep(max(time.Millisecond, min(passInterval, interval-time.Since(readAt))))
+	}
 }
 
 func (e *entry) candidate(ready bool) election.Candidate {
@@ -162,18 +185,19 @@
 	}
 }
 
+// updateWorkers passes the registrations as last read to the holder.
 func (e *entry) updateWorkers() {
+	e.passing.Lock()
+	defer e.passing.Unlock()
 	e.lock.Lock()
-	h := e.holder
+	h, registrations := e.holder, e.registrations
 	e.lock.Unlock()
 	if h == nil {
 		return
 	}
-	for _, r := range e.registrations() {
+	for _, r := range registrations {
 		for incarnation := 1; ; incarnation++ {
-			var index int
-			_, _ = fmt.Sscanf(r.Address, "w%d", &index)
-			if id := workerID(index, incarnation); id != r.ID {
+			if id := workerID(workerIndex(r.Address), incarnation); id != r.ID {
 				h.RemoveWorker(id, "its registration has gone")
 				continue
 			}
--- a/internal/trial/history/history_test.go
+++ b/internal/trial/history/history_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"flag"
 	"fmt"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -15,6 +16,8 @@
 var (
 	seedCount = flag.Uint64("seeds", 40, "number of schedules to run")
 	firstSeed = flag.Uint64("from", 1, "first seed")
+	endings   = flag.Bool("endings", false, "also fail if a worker forgets an ending, as acknowledged, that none of its responses has listed")
+	faultWord = flag.String("faults", "", "play only faults whose name contains this")
 )
 
 // Parameters of a schedule.
@@ -136,6 +139,23 @@
 		w.answersLostUntil[fmt.Sprintf("w%d", index)] = time.Now().Add(duration)
 	}},
 	{"a worker crashes", func(w *world) { w.startWorker(w.randomInt(workerCount)) }},
+	// The new incarnation registers late, and runs nothing that the old one ran.
+	{"a worker starts again under its ID", func(w *world) { w.restartSoon(w.randomInt(workerCount)) }},
+	{"workers start again under their IDs", func(w *world) {
+		var group sync.WaitGroup
+		for i := range workerCount {
+			if w.randomChance(0.6) {
+				group.Go(func() { w.restartSoon(i) })
+			}
+		}
+		group.Wait()
+	}},
+	{"a worker's answers are late", func(w *world) {
+		index, duration := w.randomInt(workerCount), w.randomDuration(1500)
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		w.answersLateUntil[fmt.Sprintf("w%d", index)] = time.Now().Add(duration)
+	}},
 	{"orders are executed late", func(w *world) {
 		w.mu.Lock()
 		w.lateOrderChance = 0.05
@@ -147,6 +167,22 @@
 	}},
 }
 
+// restartSoon restarts a worker under its ID after a random downtime, often none. Before
+// that its answers may be late, so that they arrive after those of the new incarnation.
+func (w *world) restartSoon(index int) {
+	if w.randomChance(0.5) {
+		w.mu.Lock()
+		w.answersLateUntil[fmt.Sprintf("w%d", index)] = time.Now().Add(200 * time.Millisecond)
+		w.mu.Unlock()
+		time.Sleep(time.Duration(50+w.randomInt(150)) * time.Millisecond)
+	}
+	downtime := time.Duration(0)
+	if w.randomChance(0.7) {
+		downtime = time.Duration(w.randomInt(900)) * time.Millisecond
+	}
+	w.restartWorker(index, downtime)
+}
+
 func (w *world) randomDuration(maxMillis int) time.Duration {
 	return time.Duration(50+w.randomInt(maxMillis)) * time.Millisecond
 }
@@ -192,6 +228,9 @@
 	faultGroup.Go(func() {
 		for time.Now().Before(faultsEnd.Add(-3 * time.Second)) {
 			f := faults[w.randomInt(len(faults))]
+			if !strings.Contains(f.name, *faultWord) {
+				continue
+			}
 			injected = append(injected, fmt.Sprintf("%5d ms %s", time.Since(startedAt).Milliseconds(), f.name))
 			faultGroup.Go(func() { f.begin(w) })
 			time.Sleep(w.randomDuration(900))
@@ -209,7 +248,8 @@
 	fail := func(word, format string, args ...any) {
 		t.Errorf(format, args...)
 		t.Logf("injected faults: %q", injected)
-		t.Log(w.matchingLogLines(word, "group taken", "group given up", "another holder"))
+		t.Log(w.matchingLogLines(word, "group taken", "group given up", "another holder", "started again", "worker dropped", "fenced anew",
+			"worker crashes", "worker starts", "registration published"))
 	}
 	overlapping, overloaded := w.monitor.Violations()
 	switch {
@@ -219,6 +259,9 @@
 		// "started again" selects the log lines of holders about restarted workers.
 		fail("started again", "overloaded workers: %v, want none", overloaded)
 	}
+	if unseen := w.monitor.Unseen(); *endings && len(unseen) > 0 {
+		fail(unseen[0], "tasks whose endings were forgotten unseen: %v, want none", unseen)
+	}
 	for _, c := range clients {
 		if reason := c.violation(w, faultsEnd.Add(recoveryTime/2)); reason != "" {
 			fail(c.id, "job %s, sent after %d ms: %s, %+v", c.id, c.sentAt.Sub(startedAt).Milliseconds(), reason, c.results)
