holder: Learn of a restart from the answer to a start as well

Cause: the new incarnation takes a start, and its answer states its start time, which was not looked at. A late answer of the old incarnation to a hold is then followed by a hold that acknowledges the old one's ends to the new one.

Evidence: TestStartAnswerTellsOfARestart failed, the session went on with the old incarnation. Change: an answer to a start that states another start raises the token, as a report does.

--- a/internal/placement/holder/restart_test.go
+++ b/internal/placement/holder/restart_test.go
@@ -70,7 +70,7 @@
 	w.current.highestToken = o.Token
 	w.current.running[o.Task] = fakeRun{task: o.Task, run: o.Run, ends: time.Now().Add(w.runtime)}
 	w.starts = append(w.starts, o.Task)
-	return platform.Report{Verdict: platform.Accepted}, ctx.Err()
+	return platform.Report{Verdict: platform.Accepted, StartUnixMilli: w.current.startedAt.UnixMilli()}, ctx.Err()
 }
 
 // runs reports whether the current incarnation runs a task.
@@ -555,3 +555,33 @@
 		})
 	}
 }
+
+// TestStartAnswerTellsOfARestart guards against an end that is acknowledged unseen: the first
+// answer of a new incarnation may be one to a start, and a hold of the old one that is
+// answered afterwards would be followed by one that acknowledges its ends.
+func TestStartAnswerTellsOfARestart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		b := newRestartBench(ctx)
+		w := b.workers["w1"]
+		w.setSilent(true)
+		time.Sleep(450 * time.Millisecond)
+		w.restart()
+		b.admit()
+		time.Sleep(10 * time.Millisecond)
+		s := b.session("w1")
+		b.mu.Lock()
+		if want := w.registration("w1").StartUnixMilli; s.startUnixMilli != want {
+			t.Errorf("the session knows the incarnation of %d, want that of %d", s.startUnixMilli, want)
+		}
+		b.mu.Unlock()
+		if r := b.result(); r.State != batch.Completed {
+			t.Errorf("job: %s %s, want completed", r.State, r.Reason)
+		}
+		if first, _ := b.starts(); first != 1 {
+			t.Errorf("%d starts, want 1", first)
+		}
+		cancel()
+		b.Wait()
+	})
+}
--- a/internal/placement/holder/session.go
+++ b/internal/placement/holder/session.go
@@ -239,13 +239,11 @@
 		if s.token != token {
 			return // a higher token is set; only a report under that one is final
 		}
-		otherStart := s.startUnixMilli != 0 && report.StartUnixMilli != 0 && report.StartUnixMilli != s.startUnixMilli
 		switch {
-		case otherStart && (!fencing || s.tokenAccepted):
-			p.RequireFence(s.target.ID, now)
-			s.raiseToken("a report states another start of the worker")
+		case s.statesOtherStart(report) && (!fencing || s.tokenAccepted):
+			s.suspectRestart(p, now)
 			return
-		case otherStart:
+		case s.statesOtherStart(report):
 			s.handleRestart(p, now, report.StartUnixMilli)
 		case report.ClockMilli < s.workerClock:
 			return // an older report, overtaken by one on the other connection
@@ -270,6 +268,19 @@
 	s.missedHolds = 0
 }
 
+// statesOtherStart reports whether an answer is of another incarnation than the one that the
+// session knows.
+func (s *session) statesOtherStart(answer platform.Report) bool {
+	return s.startUnixMilli != 0 && answer.StartUnixMilli != 0 && answer.StartUnixMilli != s.startUnixMilli
+}
+
+// suspectRestart keeps work off a worker until an answer to a new token tells which incarnation
+// it is. The caller holds the lock.
+func (s *session) suspectRestart(p *plan.Plan, now time.Time) {
+	p.RequireFence(s.target.ID, now)
+	s.raiseToken("an answer states another start of the worker")
+}
+
 // handleRestart resets what the session knows of an earlier incarnation of the worker. The
 // report of the new one, which follows, says which runs there are. The caller holds the lock.
 func (s *session) handleRestart(p *plan.Plan, now time.Time, startUnixMilli int64) {
@@ -349,6 +360,9 @@
 			p.OtherHolderSeen(s.target.ID, now)
 			s.raiseToken("a start was refused")
 		}
+		if a.err == nil && s.token == request.Token && s.statesOtherStart(a.report) {
+			s.suspectRestart(p, now)
+		}
 		p.HandleStartOutcome(s.target.ID, request.Task, request.Run, outcome, now)
 	})
 }
