plan, holder: Fail a job under whose task two workers have crashed

Cause: the plan did not count crashes. A run that was lost with its worker made its task pending again, as often as the client's time allowed.

The deadly start gets no answer, as the worker crashes on it. A worker is back 3.0 to 3.5 s after its crash, under a new ID at the same address; the holder sees the hold break within 50 ms, then connections refused, and 421 after 3.0 to 4.2 s. Most of the lost worth is that of other jobs, refused, given up or late since a quarter of the workers are away.

Ruled out: counting workers that do not answer, expired leases or missing registrations, since a network partition looks the same; an end that comes from draining.

Change: a crash counts for each task whose run the ended incarnation had, detached or not, once another worker answers at the address (plan.WorkerReplaced) or the first fenced report of a new incarnation does not list the run (plan.RestartWorker marks it). With the second crash the job fails at once, also when it is sent again within the time that results are kept. A start that was sent but not answered counts, since the deadly ones are of that kind; so does one sent in the 50 ms until the crash is noticed. Two crashes take down the odd task that only ran beside others; such a job is not missed.

The count is not handed over. A holder that dies cannot hand it over, entries know only which tasks have succeeded, and the next holder fails the job after two crashes of its own.

--- a/internal/placement/holder/holder.go
+++ b/internal/placement/holder/holder.go
@@ -197,6 +197,17 @@
 	})
 }
 
+// replaceWorker ends a session, since another worker answers at its address, and removes its
+// worker from the plan as one that may have crashed.
+func (h *Holder) replaceWorker(s *session) {
+	h.update(func(p *plan.Plan, now time.Time) {
+		if h.sessions[s.target.ID] == s {
+			p.WorkerReplaced(s.target.ID, now)
+			h.endSession(s, p, now, "another incarnation answers at its address")
+		}
+	})
+}
+
 // endSession ends a session and removes its worker from the plan. The caller holds
 // the lock.
 func (h *Holder) endSession(s *session, p *plan.Plan, now time.Time, reason string) {
--- a/internal/placement/holder/session.go
+++ b/internal/placement/holder/session.go
@@ -139,7 +139,7 @@
 	case report.Verdict == platform.Fenced:
 		s.handleFenced(request.Token)
 	case report.Verdict == platform.OtherIncarnation:
-		holder.RemoveWorker(s.target.ID, "another incarnation answers at its address")
+		holder.replaceWorker(s)
 	case report.Verdict != platform.Accepted:
 		s.noteMissedHold(&verdictError{report.Verdict})
 	default:
--- a/internal/placement/plan/job.go
+++ b/internal/placement/plan/job.go
@@ -16,6 +16,7 @@
 	lastRunNumber  int             // the next run gets the next higher number
 	failures       int             // runs that failed
 	stalls         int             // runs stopped for lack of progress
+	crashes        int             // workers that are known to have crashed while they ran it
 	done           bool            // it has succeeded
 	runtimeRatio   float64         // run time over the expected one, once it has succeeded; 0 if unknown
 	avoidedWorkers map[string]bool // workers that failed it or refused it as unhealthy
@@ -66,6 +67,9 @@
 		j.Batch = b
 	}
 	p.postponeAbandon(j)
+	if p.failCrashing(j) {
+		return
+	}
 	if j.unfinished == 0 {
 		p.deliver(j, batch.Result{State: batch.Completed})
 		return
--- a/internal/placement/plan/report.go
+++ b/internal/placement/plan/report.go
@@ -71,6 +71,9 @@
 		shouldBeListed := (r.phase == running || r.phase == stopping) && !r.startedAt.IsZero() && r.startedAt.Before(report.Sent)
 		if shouldBeListed || report.Fenced || r.phase == unaccounted {
 			p.loseRun(r)
+			if report.Fenced {
+				p.noteCrash(r)
+			}
 		}
 	}
 	// Jobs may have waited for this worker to accept the token, and a task that is
@@ -89,7 +92,7 @@
 		p.addUnaccountedRun(w, key, percent)
 		return
 	}
-	r.percent = percent
+	r.percent, r.crashSuspected = percent, false
 	if r.phase == unaccounted {
 		p.matchRun(r)
 		return
--- a/internal/placement/plan/worker.go
+++ b/internal/placement/plan/worker.go
@@ -45,6 +45,9 @@
 	stopSentAt  time.Time // when the last stop was sent
 	percent     int       // progress in the last report
 	learned     bool      // its slow progress counts in the worker's slowdown factor
+	// crashSuspected reports whether the worker's incarnation that the run was started on has
+	// ended, while the next one has not said yet whether it runs it.
+	crashSuspected bool
 }
 
 // worker is a registered worker with its runs and what is known of its state.
@@ -125,6 +128,9 @@
 // a start may have reached either incarnation.
 func (p *Plan) RestartWorker(registration Worker, now time.Time) {
 	p.RequireFence(registration.ID, now)
+	if w, known := p.workers[registration.ID]; known {
+		w.suspectCrash()
+	}
 	p.estimator.Forget(registration.ID)
 	p.AddWorker(registration, now)
 }
