plan: Start no task a third time before its first two losses are settled

Cause: a task lost with a worker starts again when the lease has expired, after 1.08 s. The proof of the first crash comes after 3.0 to 4.2 s, that is after three or four starts. A longer pause until the worker is back also breaks the users' bound, three starts after three crashes.

Ruled out: giving such a job up, since silence is no proof; a wait after the first loss, which would delay each task that loses its worker.

Change: a task does not start while the workers that crashed under it and those that have not answered since it was lost with them are two or more. An answer, the end of their registration or the proof of the crash ends the wait. Tasks with a single loss start as before.

TestTaskWaitsForProofOfCrashes failed before in the two cases that want no third start.

--- a/internal/placement/plan/crash.go
+++ b/internal/placement/plan/crash.go
@@ -78,3 +78,17 @@
 	}
 	return nil
 }
+
+// mayHaveCrashed returns the number of workers that have crashed while they ran the task, or
+// have not answered since. Once they are as many as may crash, the task does not start before
+// one of them has answered: without the wait it would start on the next worker with each lease
+// that expires, long before the first crash is proved.
+func (t *task) mayHaveCrashed() int {
+	count := t.crashes
+	for _, r := range t.detachedRuns {
+		if r.worker.runs[r.runKey] == r {
+			count++
+		}
+	}
+	return count
+}
--- a/internal/placement/plan/crash_test.go
+++ b/internal/placement/plan/crash_test.go
@@ -169,6 +169,43 @@
 	}
 }
 
+// TestTaskWaitsForProofOfCrashes has a task's first two workers fall silent. A third start would
+// take down a third worker if the task crashes them. It must wait until one of the two is known
+// not to have crashed, or has been forgotten, and must not wait after a single loss.
+func TestTaskWaitsForProofOfCrashes(t *testing.T) {
+	tests := []struct {
+		name   string
+		learn  func(c *crashTest, first, second string)
+		starts int
+	}{
+		{"nothing is learnt", func(*crashTest, string, string) {}, 2},
+		{"one answers again", func(c *crashTest, first, _ string) {
+			c.plan.HandleReport(Report{Worker: first, Sent: c.now, Fenced: true}, c.now)
+		}, 3},
+		{"one is replaced", func(c *crashTest, first, _ string) { c.plan.WorkerReplaced(first, c.now) }, 2},
+		{"one is replaced, the other one answers again", func(c *crashTest, first, second string) {
+			c.plan.WorkerReplaced(first, c.now)
+			c.plan.HandleReport(Report{Worker: second, Sent: c.now, Fenced: true}, c.now)
+		}, 3},
+		{"the registration of one has gone", func(c *crashTest, _, second string) { c.plan.RemoveWorker(second, c.now) }, 3},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := newCrashTest(testWorker("w1", 4), testWorker("w2", 4), testWorker("w3", 4))
+			first := c.silence(StartAccepted)
+			if len(c.started) != 2 {
+				t.Fatalf("%d starts after one loss, want 2", len(c.started))
+			}
+			second := c.silence(StartAccepted)
+			test.learn(c, first, second)
+			c.wait(100 * time.Millisecond)
+			if got := len(c.started); got != test.starts {
+				t.Fatalf("%d starts, want %d", got, test.starts)
+			}
+		})
+	}
+}
+
 // TestEndedRunIsNoVictim replaces a worker that listed the end of a task's run before. The crash
 // must not count for that task, which runs elsewhere again.
 func TestEndedRunIsNoVictim(t *testing.T) {
--- a/internal/placement/plan/job.go
+++ b/internal/placement/plan/job.go
@@ -17,6 +17,7 @@
 	failures       int             // runs that failed
 	stalls         int             // runs stopped for lack of progress
 	crashes        int             // workers that are known to have crashed while they ran it
+	detachedRuns   []*run          // runs whose lease has expired
 	done           bool            // it has succeeded
 	runtimeRatio   float64         // run time over the expected one, once it has succeeded; 0 if unknown
 	avoidedWorkers map[string]bool // workers that failed it or refused it as unhealthy
--- a/internal/placement/plan/worker.go
+++ b/internal/placement/plan/worker.go
@@ -284,6 +284,7 @@
 	p.unaccountedRuns[r.runKey.task] = r
 	if t != nil && t.activeRun == r {
 		t.activeRun = nil
+		t.detachedRuns = append(t.detachedRuns, r)
 		p.requeue(t)
 	}
 }
