plan: Count no negative free slots for a worker that has shrunk

What callers saw: nothing yet.

Cause: a worker whose runs use more cores than it has left reported a negative number of free slots, which was subtracted from those of the other workers of its zone. One that lacks memory only reported its free cores, though nothing could start there. Other zones then sent too few jobs or too many.

Evidence: TestShrunkWorkerHidesNoFreeSlots failed with 2 free slots for 8.

Ruled out: that a task starts on a worker that has shrunk below what it runs. TestShrunkWorkerGetsNoTask (cores, memory and accelerators one at a time, tasks that need nothing of what is short, runs that are being stopped) and TestShrunkWorkerGetsTasksOnceRunsEnd passed before; tasks that wait start in the call that reports the growth. Capacity counts in queueDelay and refuseTooLate as registered and is never negative.

--- a/internal/placement/plan/spillover.go
+++ b/internal/placement/plan/spillover.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/radishgate/radishgate/internal/placement/spillover"
 	"github.com/radishgate/radishgate/internal/work/batch"
+	"github.com/radishgate/radishgate/internal/work/resources"
 )
 
 // taskSizeWeight is the weight of a new task in meanTaskSize.
@@ -24,8 +25,9 @@
 	}
 	slots := 0
 	for _, w := range p.workers {
-		if w.usable() && !p.outliers.IsEjected(w.ID) {
-			slots += int(float64(w.free().MilliCores) / p.meanTaskSize)
+		// A worker that has shrunk may lack resources that its runs use.
+		if free := w.free(); w.usable() && !p.outliers.IsEjected(w.ID) && (resources.Resources{}).FitsIn(free) {
+			slots += int(float64(free.MilliCores) / p.meanTaskSize)
 		}
 	}
 	for _, j := range p.waiting {
