--- a/internal/placement/holder/holder.go
+++ b/internal/placement/holder/holder.go
@@ -188,36 +188,30 @@
 	return w
 }
 
-// RemoveWorker ends the session with a worker and removes it from the plan.
+// RemoveWorker ends the session with a worker that is no longer registered. Its runs count as
+// lost once their lease has expired.
 func (h *Holder) RemoveWorker(id, reason string) {
 	h.update(func(p *plan.Plan, now time.Time) {
 		if s, known := h.sessions[id]; known {
-			h.endSession(s, p, now, reason)
+			s.end(reason)
+			delete(h.sessions, id)
+			p.RetireWorker(id, now)
 		}
 	})
 }
 
-// replaceWorker ends a session, since another worker answers at its address, and removes its
-// worker from the plan as one that may have crashed.
-func (h *Holder) replaceWorker(s *session) {
+// removeEnded ends a session whose worker has ended: another one answers at its address. Its
+// runs count as crashed.
+func (h *Holder) removeEnded(s *session, reason string) {
 	h.update(func(p *plan.Plan, now time.Time) {
 		if h.sessions[s.target.ID] == s {
+			s.end(reason)
+			delete(h.sessions, s.target.ID)
 			p.WorkerReplaced(s.target.ID, now)
-			h.endSession(s, p, now, "another incarnation answers at its address")
 		}
 	})
 }
 
-// endSession ends a session and removes its worker from the plan. The caller holds
-// the lock.
-func (h *Holder) endSession(s *session, p *plan.Plan, now time.Time, reason string) {
-	s.end(reason)
-	if h.sessions[s.target.ID] == s {
-		delete(h.sessions, s.target.ID)
-		p.RemoveWorker(s.target.ID, now)
-	}
-}
-
 // AllWorkersReady reports whether all workers answer and have accepted the token.
 func (h *Holder) AllWorkersReady() bool {
 	h.mu.Lock()
--- a/internal/placement/holder/restart_test.go
+++ b/internal/placement/holder/restart_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -21,6 +22,7 @@
 	highestToken int64
 	running      map[string]fakeRun
 	ended        []platform.EndedTask
+	lastSequence int64
 }
 
 // restartingWorker is a worker that may start again under its ID. Its tasks all take the
@@ -88,7 +90,8 @@
 func (i *incarnation) end(task string, outcome platform.Outcome) {
 	if r, found := i.running[task]; found {
 		delete(i.running, task)
-		i.ended = append(i.ended, platform.EndedTask{Task: task, Run: r.run, Sequence: int64(len(i.ended) + 1), Outcome: outcome})
+		i.lastSequence++
+		i.ended = append(i.ended, platform.EndedTask{Task: task, Run: r.run, Sequence: i.lastSequence, Outcome: outcome})
 	}
 }
 
@@ -114,8 +117,8 @@
 	return w.report(o), ctx.Err()
 }
 
-// report returns the lists of the current incarnation. It leaves out the ends that the
-// request acknowledges.
+// report returns the lists of the current incarnation, which forgets the ends that the request
+// acknowledges.
 func (w *restartingWorker) report(o platform.HoldRequest) platform.Report {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -132,11 +135,8 @@
 		}
 		r.Running = append(r.Running, platform.RunningTask{Task: task, Run: run.run, Percent: 50})
 	}
-	for _, e := range i.ended {
-		if e.Sequence > o.AckSequence {
-			r.Ended = append(r.Ended, e)
-		}
-	}
+	i.ended = slices.DeleteFunc(i.ended, func(e platform.EndedTask) bool { return e.Sequence <= o.AckSequence })
+	r.Ended = slices.Clone(i.ended)
 	return r
 }
 
@@ -155,6 +155,7 @@
 	*Holder
 	workers     map[string]*restartingWorker
 	results     chan batch.Result
+	jobs        int
 	overlapping []string // tasks that ran on both workers at a time
 }
 
@@ -183,14 +184,29 @@
 
 // admit adds a job of one task, which fills a worker.
 func (b *restartBench) admit() {
+	b.jobs++
 	now := time.Now()
 	b.Admit(&batch.Batch{
 		QueueSettings: batch.QueueSettings{Queue: "q", Service: "listing", MaxAttempts: 1, Stretch: 1.6, Slack: time.Second},
-		ID:            fmt.Sprintf("%016x", 1), ArrivedAt: now, ExpiresAt: now.Add(time.Minute),
+		ID:            fmt.Sprintf("%016x", b.jobs), ArrivedAt: now, ExpiresAt: now.Add(time.Minute),
 		Steps: []batch.Step{{Count: 1, Resources: resources.Resources{MilliCores: 1000, MemoryMB: 10}, Hint: 200 * time.Millisecond}},
 	}, nil)
 }
 
+// result returns the result of the job that was admitted last, for which it keeps asking as an
+// entry does, or none after some seconds.
+func (b *restartBench) result() batch.Result {
+	for until := time.Now().Add(5 * time.Second); time.Now().Before(until); {
+		select {
+		case r := <-b.results:
+			return r
+		case <-time.After(250 * time.Millisecond):
+			b.KeepAlive([]string{fmt.Sprintf("%016x", b.jobs)})
+		}
+	}
+	return batch.Result{}
+}
+
 // starts returns how often any task has started, by worker.
 func (b *restartBench) starts() (first, second int) {
 	count := func(id string) int {
@@ -240,7 +256,7 @@
 				register("w2", true)
 				time.Sleep(10 * time.Millisecond)
 				register("w1", c.second)
-				if r := <-b.results; r.State != batch.Completed {
+				if r := b.result(); r.State != batch.Completed {
 					t.Errorf("job: %s %s, want completed", r.State, r.Reason)
 				}
 				if first, second := b.starts(); first+second != 1 {
@@ -310,6 +326,17 @@
 			b.AddWorker(b.workers["w2"].registration("w2"))
 			b.AddWorker(b.workers["w1"].registration("w1"))
 		}, 1},
+		{"an answer to the session before comes after the registration", func(b *restartBench, order func()) {
+			s := b.session("w1")
+			old := b.workers["w1"].report(platform.HoldRequest{Token: s.token})
+			b.workers["w1"].restart()
+			b.AddWorker(b.workers["w1"].registration("w1"))
+			time.Sleep(20 * time.Millisecond)
+			order()
+			time.Sleep(10 * time.Millisecond)
+			b.AddWorker(b.workers["w2"].registration("w2"))
+			s.applyReport(old, false, s.token, time.Now())
+		}, 1},
 		{"the run has ended with the old incarnation", func(b *restartBench, order func()) {
 			order()
 			time.Sleep(10 * time.Millisecond)
@@ -326,7 +353,7 @@
 				c.learn(b, b.admit)
 				time.Sleep(10 * time.Millisecond)
 				b.AddWorker(b.workers["w2"].registration("w2"))
-				if r := <-b.results; r.State != batch.Completed {
+				if r := b.result(); r.State != batch.Completed {
 					t.Errorf("job: %s %s, want completed", r.State, r.Reason)
 				}
 				if first, second := b.starts(); first+second != c.starts {
@@ -354,3 +381,86 @@
 	defer b.mu.Unlock()
 	return b.sessions[id]
 }
+
+// TestEndsAreAcknowledgedToTheirIncarnation guards against a second run of a task that is done:
+// the new incarnation of a worker numbers its ends from 1 and forgets those that are
+// acknowledged, so it must not get the number of an end of the old one.
+func TestEndsAreAcknowledgedToTheirIncarnation(t *testing.T) {
+	tests := []struct {
+		name  string
+		learn func(b *restartBench)
+	}{
+		{"by the hold that follows a lost one", func(*restartBench) {}},
+		{"by a request for a report", func(b *restartBench) { b.session("w1").requestReport() }},
+		{"by a new registration", func(b *restartBench) { b.AddWorker(b.workers["w1"].registration("w1")) }},
+	}
+	for _, c := range tests {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				b := newRestartBench(ctx)
+				b.admit()
+				b.result()
+				time.Sleep(10 * time.Millisecond) // the next hold acknowledges the end
+				w := b.workers["w1"]
+				w.setSilent(true)
+				time.Sleep(450 * time.Millisecond)
+				w.restart()
+				w.runtime = 20 * time.Millisecond
+				b.admit()
+				time.Sleep(30 * time.Millisecond)
+				c.learn(b)
+				w.setSilent(false)
+				if r := b.result(); r.State != batch.Completed {
+					t.Errorf("job: %s %s, want completed", r.State, r.Reason)
+				}
+				if first, _ := b.starts(); first != 2 {
+					t.Errorf("%d starts of two tasks, want one each", first)
+				}
+				cancel()
+				b.Wait()
+			})
+		})
+	}
+}
+
+// TestUnregisteredWorkerKeepsRuns guards against a second start of a task whose worker is alive
+// although its registration has gone.
+func TestUnregisteredWorkerKeepsRuns(t *testing.T) {
+	tests := []struct {
+		name     string
+		register bool // the worker is registered again while the run goes on
+		starts   int  // on both workers
+	}{
+		{"the registration stays away", false, 2},
+		{"the registration is back", true, 1},
+	}
+	for _, c := range tests {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				b := newRestartBench(ctx)
+				b.admit()
+				time.Sleep(10 * time.Millisecond)
+				b.AddWorker(b.workers["w2"].registration("w2"))
+				time.Sleep(10 * time.Millisecond)
+				b.RemoveWorker("w1", "its registration has gone")
+				time.Sleep(50 * time.Millisecond)
+				if c.register {
+					b.AddWorker(b.workers["w1"].registration("w1"))
+				}
+				if r := b.result(); r.State != batch.Completed {
+					t.Errorf("job: %s %s, want completed", r.State, r.Reason)
+				}
+				if first, second := b.starts(); first+second != c.starts {
+					t.Errorf("%d starts on the unregistered worker and %d on the other, want %d in all", first, second, c.starts)
+				}
+				if len(b.overlapping) > 0 {
+					t.Errorf("two runs at a time of %v", b.overlapping)
+				}
+				cancel()
+				b.Wait()
+			})
+		})
+	}
+}
--- a/internal/placement/holder/session.go
+++ b/internal/placement/holder/session.go
@@ -58,6 +58,16 @@
 	s.holder.options.Log.Info("worker dropped", "worker", s.target.ID, "reason", reason)
 }
 
+// update changes the plan, unless the session has ended: another one may have begun with the
+// same worker.
+func (s *session) update(change func(p *plan.Plan, now time.Time)) {
+	s.holder.update(func(p *plan.Plan, now time.Time) {
+		if s.ctx.Err() == nil {
+			change(p, now)
+		}
+	})
+}
+
 // isOutdated reports whether a registration is of an incarnation before the one that the
 // session knows.
 func (s *session) isOutdated(r platform.Registration) bool {
@@ -100,14 +110,15 @@
 
 // hold sends one hold, which renews the lease and waits for a run to end, and passes
 // the worker's report to the plan. A worker that has not accepted the token yet, or
-// did not answer the last hold, is asked for its report at once and gets no lease.
+// did not answer the last hold, is asked for its report at once and gets no lease. Nor are its
+// ends acknowledged: it may have restarted and count them anew.
 func (s *session) hold() {
 	holder := s.holder
 	holder.mu.Lock()
-	request := platform.HoldRequest{Token: s.token, AckSequence: s.seenSequence}
+	request := platform.HoldRequest{Token: s.token}
 	fencing := !s.tokenAccepted
 	if !fencing && s.missedHolds == 0 {
-		request.LeaseEnd, request.Wait = s.leaseUntil(), holdWait
+		request.AckSequence, request.LeaseEnd, request.Wait = s.seenSequence, s.leaseUntil(), holdWait
 	}
 	ctx, cancel := context.WithTimeout(s.ctx, request.Wait+holdTimeout)
 	s.cancelHold = cancel
@@ -139,7 +150,7 @@
 	case report.Verdict == platform.Fenced:
 		s.handleFenced(request.Token)
 	case report.Verdict == platform.OtherIncarnation:
-		holder.replaceWorker(s)
+		holder.removeEnded(s, "another incarnation answers at its address")
 	case report.Verdict != platform.Accepted:
 		s.noteMissedHold(&verdictError{report.Verdict})
 	default:
@@ -152,11 +163,12 @@
 // Errors are ignored: only holds decide whether the worker answers. A hold returns as
 // soon as a run ends, so an ending that is found here means that the answer to the
 // pending hold was lost. That hold is then cancelled, so that a new one replaces it at once
-// and further endings need not wait for its timeout.
+// and further endings need not wait for its timeout. It acknowledges no end, since the worker
+// may have restarted meanwhile.
 func (s *session) requestReport() {
 	holder := s.holder
 	holder.mu.Lock()
-	request, tokenAccepted := platform.HoldRequest{Token: s.token, AckSequence: s.seenSequence}, s.tokenAccepted
+	request, tokenAccepted := platform.HoldRequest{Token: s.token}, s.tokenAccepted
 	cancelHold := s.cancelHold
 	holder.mu.Unlock()
 	if !tokenAccepted {
@@ -186,7 +198,7 @@
 		s.holder.options.Log.Warn("worker does not answer", "worker", s.target.ID, "error", err)
 	}
 	if s.missedHolds >= unresponsiveAfterMisses {
-		s.holder.update(func(p *plan.Plan, now time.Time) { p.MarkUnresponsive(s.target.ID, now) })
+		s.update(func(p *plan.Plan, now time.Time) { p.MarkUnresponsive(s.target.ID, now) })
 	}
 	delay := min(maxRetryDelay, minRetryDelay<<min(s.missedHolds-1, 4))
 	wait.For(s.ctx, delay/2+rand.N(delay/2))
@@ -200,7 +212,7 @@
 // and retakes the worker if OnConflict allows it.
 func (s *session) handleFenced(token int64) {
 	holder := s.holder
-	holder.update(func(p *plan.Plan, now time.Time) { p.OtherHolderSeen(s.target.ID, now) })
+	s.update(func(p *plan.Plan, now time.Time) { p.OtherHolderSeen(s.target.ID, now) })
 	holder.options.Log.Warn("another holder at worker", "worker", s.target.ID, "token", token)
 	// It takes some heartbeats until both holders know each other's claim and so
 	// which of them must give way.
@@ -219,8 +231,7 @@
 // two incarnations may overtake each other, so only an answer to the present token tells which
 // of them the worker is: no other report changes what is known to run there.
 func (s *session) applyReport(report platform.Report, fencing bool, token int64, sent time.Time) (hasEndings bool) {
-	holder := s.holder
-	holder.update(func(p *plan.Plan, now time.Time) {
+	s.update(func(p *plan.Plan, now time.Time) {
 		s.answeringUntil = now.Add(answeringSpan)
 		if s.token != token {
 			return // a higher token is set; only a report under that one is final
@@ -293,7 +304,7 @@
 func (s *session) sendStart(request platform.StartRequest) {
 	holder := s.holder
 	if request.LeaseEnd == 0 {
-		holder.update(func(p *plan.Plan, now time.Time) {
+		s.update(func(p *plan.Plan, now time.Time) {
 			p.HandleStartOutcome(s.target.ID, request.Task, request.Run, plan.StartRejected, now)
 		})
 		return
@@ -318,7 +329,7 @@
 		holder.options.Log.Warn("start not taken", "task", request.Task, "run", request.Run, "worker", s.target.ID,
 			"verdict", string(a.report.Verdict), "copies", a.copies, "error", a.err)
 	}
-	holder.update(func(p *plan.Plan, now time.Time) {
+	s.update(func(p *plan.Plan, now time.Time) {
 		if a.err == nil {
 			holder.startTimeout.observe(a.took)
 		} else {
--- a/internal/placement/plan/crash_test.go
+++ b/internal/placement/plan/crash_test.go
@@ -97,7 +97,7 @@
 		{"both are replaced", replaced, replaced, batch.Failed},
 		{"one is replaced", replaced, func(*crashTest, string) {}, batch.Running},
 		{"both are silent", func(*crashTest, string) {}, func(*crashTest, string) {}, batch.Running},
-		{"both are silent, their registrations go", func(c *crashTest, w string) { c.plan.RemoveWorker(w, c.now) }, func(c *crashTest, w string) { c.plan.RemoveWorker(w, c.now) }, batch.Running},
+		{"both are silent, their registrations go", func(c *crashTest, w string) { c.plan.RetireWorker(w, c.now) }, func(c *crashTest, w string) { c.plan.RetireWorker(w, c.now) }, batch.Running},
 		{"both restart under their IDs", restarted, restarted, batch.Failed},
 		{"one restarts, the other one is replaced", restarted, replaced, batch.Failed},
 		{"one is replaced, the other one is registered as restarted", replaced, func(c *crashTest, w string) {
@@ -187,7 +187,7 @@
 			c.plan.WorkerReplaced(first, c.now)
 			c.plan.HandleReport(Report{Worker: second, Sent: c.now, Fenced: true}, c.now)
 		}, 3},
-		{"the registration of one has gone", func(c *crashTest, _, second string) { c.plan.RemoveWorker(second, c.now) }, 3},
+		{"the registration of one has gone", func(c *crashTest, _, second string) { c.plan.RetireWorker(second, c.now) }, 3},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
