--- a/internal/placement/holder/session.go
+++ b/internal/placement/holder/session.go
@@ -80,13 +80,13 @@
 	return sameStart && r.Address == s.target.Address
 }
 
-// leaseUntil returns the end of a lease that is renewed now, on the worker's clock
+// leaseUntil returns the end of a lease that is renewed at a time, on the worker's clock
 // in milliseconds. It returns 0 while that clock is unknown.
-func (s *session) leaseUntil() int64 {
+func (s *session) leaseUntil(renewedAt time.Time) int64 {
 	if s.clockReadAt.IsZero() {
 		return 0
 	}
-	return s.workerClock + time.Since(s.clockReadAt).Milliseconds() + s.holder.options.Lease.Milliseconds()
+	return s.workerClock + renewedAt.Sub(s.clockReadAt).Milliseconds() + s.holder.options.Lease.Milliseconds()
 }
 
 // raiseToken sets a higher token, which the worker must accept before it gets further
@@ -116,13 +116,16 @@
 	holder := s.holder
 	holder.mu.Lock()
 	request := platform.HoldRequest{Token: s.token}
-	fencing := !s.tokenAccepted
+	fencing, sent := !s.tokenAccepted, time.Now()
 	if !fencing && s.missedHolds == 0 {
-		request.AckSequence, request.LeaseEnd, request.Wait = s.seenSequence, s.leaseUntil(), holdWait
+		request.AckSequence, request.Wait = s.seenSequence, holdWait
+		// The next holder, if there is one, waits for leases granted before its takeover only.
+		if !holder.options.TakeoverSuspected() {
+			request.LeaseEnd = s.leaseUntil(sent)
+		}
 	}
 	ctx, cancel := context.WithTimeout(s.ctx, request.Wait+holdTimeout)
 	s.cancelHold = cancel
-	sent := time.Now()
 	if request.LeaseEnd > 0 {
 		holder.plan.RenewalSent(s.target.ID, sent)
 	}
@@ -341,7 +344,7 @@
 		if a.report.Verdict == platform.Fenced && s.token == request.Token {
 			// The next hold shows which holder the worker obeys. Its token must be one with which
 			// no start has been sent.
-			p.RequireFence(s.target.ID, now)
+			p.OtherHolderSeen(s.target.ID, now)
 			s.raiseToken("a start was refused")
 		}
 		p.HandleStartOutcome(s.target.ID, request.Task, request.Run, outcome, now)
