--- a/internal/placement/holder/holder.go
+++ b/internal/placement/holder/holder.go
@@ -228,14 +228,15 @@
 	})
 }
 
-// removeEnded ends a session whose worker has ended: another one answers at its address.
+// removeEnded ends a session whose worker has ended: another one answers at its address. Its
+// runs count as crashed.
 func (h *Holder) removeEnded(s *session, reason string) {
 	h.update(func(p *plan.Plan, now time.Time) {
 		if h.sessions[s.target.ID] == s {
 			s.end(reason)
 			delete(h.sessions, s.target.ID)
 			h.ended[s.target.ID] = endedWorker{address: s.target.Address, startUnixMilli: s.registration.StartUnixMilli, checkAt: now.Add(endedCheckDelay)}
-			p.RemoveWorker(s.target.ID, now)
+			p.WorkerReplaced(s.target.ID, now)
 		}
 	})
 }
