holder: Leave a worker that obeys another holder its token

What callers would see: two holders that take a worker from each other, so that tasks of either are stopped.

Cause: a start refused for its token raised the token, so that the next fencing hold had one with which no start had been sent. Where two holders have the same epoch, which differs in the low bits only, that took the worker back without the consent that OnConflict gives. TestRefusedStartIsAMeeting failed in that case.

Change: the token stays, and the session notes the token of its last start. A report of another incarnation under that token is not final. After: the test passes, as do those of restart_test.go.

--- a/internal/placement/holder/session.go
+++ b/internal/placement/holder/session.go
@@ -33,6 +33,7 @@
 
 	token          int64
 	tokenAccepted  bool  // the worker has accepted the token
+	startToken     int64 // of the last start; a new incarnation may still carry that start out
 	workerClock    int64 // ms on the worker's clock at clockReadAt, from its last report
 	clockReadAt    time.Time
 	startUnixMilli int64 // when the worker's incarnation started, by its reports or its registration; 0 if neither states it
@@ -240,7 +241,7 @@
 			return // a higher token is set; only a report under that one is final
 		}
 		switch {
-		case s.statesOtherStart(report) && (!fencing || s.tokenAccepted):
+		case s.statesOtherStart(report) && (!fencing || s.tokenAccepted || s.startToken == token):
 			s.suspectRestart(p, now)
 			return
 		case s.statesOtherStart(report):
@@ -354,11 +355,9 @@
 		if outcome == plan.OutcomeUnknown && s.token != request.Token {
 			return // the first report under the token set meanwhile settles the outcome
 		}
-		if a.report.Verdict == platform.Fenced && s.token == request.Token {
-			// The next hold shows which holder the worker obeys. Its token must be one with which
-			// no start has been sent.
+		if a.report.Verdict == platform.Fenced && s.token == request.Token && s.tokenAccepted {
+			s.tokenAccepted = false // the pending hold or the next one shows which holder the worker obeys
 			p.OtherHolderSeen(s.target.ID, now)
-			s.raiseToken("a start was refused")
 		}
 		if a.err == nil && s.token == request.Token && s.statesOtherStart(a.report) {
 			s.suspectRestart(p, now)
