holder: Follow a worker whose clock was set back before its restart

What callers would see: a worker whose session is replaced with each reading of the registrations.

Cause: a registration that states a later start than the reports of the worker was taken for a further restart each time, though the session had begun with it. TestRestartWithAnEarlierStartTime failed. Change: the registration that the worker had before it started again is out of date, whatever its time. After: the test passes.

--- a/internal/placement/holder/session.go
+++ b/internal/placement/holder/session.go
@@ -70,9 +70,13 @@
 }
 
 // isOutdated reports whether a registration is of an incarnation before the one that the
-// session knows.
+// session knows: it states an earlier start, or is the one that the worker had before it started
+// again. The clock of the worker's VM may have been set back in between.
 func (s *session) isOutdated(r platform.Registration) bool {
-	return r.StartUnixMilli != 0 && r.StartUnixMilli < s.startUnixMilli
+	if r.StartUnixMilli == 0 || r.StartUnixMilli == s.startUnixMilli {
+		return false
+	}
+	return r.StartUnixMilli < s.startUnixMilli || r.StartUnixMilli == s.registration.StartUnixMilli
 }
 
 // describes reports whether a registration may be of the incarnation that the session knows.
