plan: Wait for each run that may still be running, not only the last one found

What callers would see: a third run of a task beside another one. It needs two runs to begin with.

Cause: of the runs that belong to no task of this holder, one was kept by task name. Once that one had ended, the task started again although another worker still listed a run.

Evidence: TestTaskWaitsForEachUnaccountedRun failed. Change: all of them are kept.

--- a/internal/placement/plan/job.go
+++ b/internal/placement/plan/job.go
@@ -139,23 +139,26 @@
 // adopt attaches a run that an earlier holder started to its task and reports whether it
 // did. A run on a worker that is not ready, or one that is being stopped, is not adopted.
 func (p *Plan) adopt(t *task) bool {
-	r, found := p.unaccountedRuns[t.name]
-	if !found {
-		return false
+	adoptable := -1
+	runs := p.unaccountedRuns[t.name]
+	for i, r := range runs {
+		t.lastRunNumber = max(t.lastRunNumber, r.runKey.run)
+		t.job.started = true
+		if r.worker.state == ready && r.stopSentAt.IsZero() {
+			adoptable = i
+		}
 	}
-	t.lastRunNumber = max(t.lastRunNumber, r.runKey.run)
-	t.job.started = true
-	if r.worker.state != ready || !r.stopSentAt.IsZero() {
+	if adoptable < 0 {
 		return false
 	}
-	p.attachRun(r, t)
+	p.attachRun(runs[adoptable], t)
 	return true
 }
 
 // attachRun makes an unaccounted run the active run of a task. Its resources become those
 // that the task's step needs.
 func (p *Plan) attachRun(r *run, t *task) {
-	delete(p.unaccountedRuns, t.name)
+	p.dropUnaccounted(r)
 	r.worker.used = r.worker.used.Sub(r.resources)
 	r.task, r.phase, r.resources = t, running, t.job.Steps[t.step].Resources
 	r.worker.used = r.worker.used.Add(r.resources)
--- a/internal/placement/plan/place.go
+++ b/internal/placement/plan/place.go
@@ -224,8 +224,7 @@
 // hasUnaccountedRun reports whether a run of the task that is not its active one may still be
 // running.
 func (p *Plan) hasUnaccountedRun(t *task) bool {
-	r, found := p.unaccountedRuns[t.name]
-	return found && !p.leaseLapsed(r.worker)
+	return slices.ContainsFunc(p.unaccountedRuns[t.name], func(r *run) bool { return !p.leaseLapsed(r.worker) })
 }
 
 // dependenciesDone reports whether all tasks of the steps that the task's step depends on
--- a/internal/placement/plan/plan.go
+++ b/internal/placement/plan/plan.go
@@ -107,7 +107,7 @@
 	requeued          bool // a task has become pending again while a report is handled
 	takeoverSuspected bool // another holder may have taken over without this one knowing
 	earlyCompletions  map[string]earlyCompletion
-	unaccountedRuns   map[string]*run // runs that belong to no task of this holder, by task name
+	unaccountedRuns   map[string][]*run // runs that belong to no task of this holder, by task name
 	orders            []Order
 	now               time.Time // time of the event being handled
 	tickedAt          time.Time // time of the last tick
@@ -142,7 +142,7 @@
 	}
 	p := &Plan{
 		options: options, estimator: runtimes.New(), now: tookOverAt, tickedAt: tookOverAt, restarts: firstRestarts,
-		arrivals: map[string]*arrivalRate{}, nextReturn: map[string]time.Time{}, workers: map[string]*worker{}, jobs: map[string]*job{}, earlyCompletions: map[string]earlyCompletion{}, unaccountedRuns: map[string]*run{}, minFactor: map[string]float64{}, meanFactor: map[string]float64{},
+		arrivals: map[string]*arrivalRate{}, nextReturn: map[string]time.Time{}, workers: map[string]*worker{}, jobs: map[string]*job{}, earlyCompletions: map[string]earlyCompletion{}, unaccountedRuns: map[string][]*run{}, minFactor: map[string]float64{}, meanFactor: map[string]float64{},
 	}
 	// After a loss of all entries no job can still be running anywhere, provided that
 	// leases expire before clients send their jobs again.
--- a/internal/placement/plan/worker.go
+++ b/internal/placement/plan/worker.go
@@ -230,10 +230,18 @@
 		return
 	}
 	delete(r.worker.runs, r.runKey)
-	if p.unaccountedRuns[r.runKey.task] == r {
+	p.dropUnaccounted(r)
+	r.worker.used = r.worker.used.Sub(r.resources)
+}
+
+// dropUnaccounted removes a run from those that belong to no task, if it is one of them.
+func (p *Plan) dropUnaccounted(r *run) {
+	rest := slices.DeleteFunc(p.unaccountedRuns[r.runKey.task], func(other *run) bool { return other == r })
+	if len(rest) == 0 {
 		delete(p.unaccountedRuns, r.runKey.task)
+		return
 	}
-	r.worker.used = r.worker.used.Sub(r.resources)
+	p.unaccountedRuns[r.runKey.task] = rest
 }
 
 // addRun adds a run to its worker and reserves its resources.
@@ -320,7 +328,7 @@
 func (p *Plan) detachRun(r *run) {
 	t := r.task
 	r.task, r.phase = nil, unaccounted
-	p.unaccountedRuns[r.runKey.task] = r
+	p.unaccountedRuns[r.runKey.task] = append(p.unaccountedRuns[r.runKey.task], r)
 	if t != nil && t.activeRun == r {
 		t.activeRun = nil
 		t.detachedRuns = append(t.detachedRuns, r)
