plan, holder: Test what mutants of the restart handling survived

The review undid hunks one at a time: without RequireFence in RestartWorker, the new state of a worker that registers again, isOutdated, and the session check of removeEnded, no test failed. TestStartAnswerTellsOfARestart has answers that state it.

--- a/internal/placement/holder/restart_test.go
+++ b/internal/placement/holder/restart_test.go
@@ -29,12 +29,13 @@
 // restartingWorker is a worker that may start again under its ID. Its tasks all take the
 // same time.
 type restartingWorker struct {
-	mu       sync.Mutex
-	runtime  time.Duration
-	current  *incarnation
-	restarts chan struct{} // closed at the next restart
-	silent   bool          // waiting holds get no answer, but do not break either
-	starts   []string      // tasks that it has started
+	mu          sync.Mutex
+	runtime     time.Duration
+	current     *incarnation
+	restarts    chan struct{} // closed at the next restart
+	silent      bool          // waiting holds get no answer, but do not break either
+	starts      []string      // tasks that it has started
+	statesStart bool          // answers to starts state when the incarnation started, as reports do
 	// delayStart holds start orders back before they are executed, by whichever
 	// incarnation is alive then.
 	delayStart time.Duration
@@ -70,7 +71,11 @@
 	w.current.highestToken = o.Token
 	w.current.running[o.Task] = fakeRun{task: o.Task, run: o.Run, ends: time.Now().Add(w.runtime)}
 	w.starts = append(w.starts, o.Task)
-	return platform.Report{Verdict: platform.Accepted, StartUnixMilli: w.current.startedAt.UnixMilli()}, ctx.Err()
+	r := platform.Report{Verdict: platform.Accepted}
+	if w.statesStart {
+		r.StartUnixMilli = w.current.startedAt.UnixMilli()
+	}
+	return r, ctx.Err()
 }
 
 // runs reports whether the current incarnation runs a task.
@@ -564,6 +569,7 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		b := newRestartBench(ctx)
 		w := b.workers["w1"]
+		w.statesStart = true
 		w.setSilent(true)
 		time.Sleep(450 * time.Millisecond)
 		w.restart()
@@ -585,3 +591,42 @@
 		b.Wait()
 	})
 }
+
+// TestSessionOutlivesOldNews guards against a session that is replaced, or whose worker is
+// removed, on news of an incarnation that is not the one it knows.
+func TestSessionOutlivesOldNews(t *testing.T) {
+	tests := []struct {
+		name string
+		news func(b *restartBench, first platform.Registration, before *session)
+	}{
+		{"the registration from before the restart", func(b *restartBench, first platform.Registration, _ *session) { b.AddWorker(first) }},
+		{"the registration that it began with", func(b *restartBench, _ platform.Registration, _ *session) {
+			b.AddWorker(b.workers["w1"].registration("w1"))
+		}},
+		{"another worker at the address of the session before", func(b *restartBench, _ platform.Registration, before *session) {
+			b.removeEnded(before, "another incarnation answers at its address")
+		}},
+	}
+	for _, c := range tests {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				b := newRestartBench(ctx)
+				first, before := b.workers["w1"].registration("w1"), b.session("w1")
+				b.workers["w1"].restart()
+				b.AddWorker(b.workers["w1"].registration("w1"))
+				present := b.session("w1")
+				if present == before {
+					t.Error("the registration of the new incarnation has begun no session")
+				}
+				c.news(b, first, before)
+				time.Sleep(20 * time.Millisecond)
+				if b.session("w1") != present {
+					t.Error("the session has been replaced or removed")
+				}
+				cancel()
+				b.Wait()
+			})
+		})
+	}
+}
