--- a/internal/placement/holder/review_test.go
+++ b/internal/placement/holder/incarnation_test.go
@@ -2,9 +2,6 @@
 
 import (
 	"context"
-	"fmt"
-	"io"
-	"log/slog"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -12,47 +9,9 @@
 
 	"github.com/radishgate/radishgate/internal/work/batch"
 	"github.com/radishgate/radishgate/internal/work/resources"
-	"github.com/radishgate/radishgate/internal/worker/fence"
 	"github.com/radishgate/radishgate/platform"
 )
 
-// newChangedBench returns a bench like that of newRestartBench, with other options.
-func newChangedBench(ctx context.Context, change func(o *Options)) *restartBench {
-	b := &restartBench{workers: map[string]*restartingWorker{"w1": newRestartingWorker(), "w2": newRestartingWorker()}, results: make(chan batch.Result, 1)}
-	o := Options{
-		Group: "a/0", Epoch: 1, FirstClaim: true, Tokens: fence.New(1, 1), Lease: time.Second, ClientRetryAfter: 1300 * time.Millisecond,
-		Log: slog.New(slog.NewTextHandler(io.Discard, nil)), OnResult: func(_ *batch.Batch, r batch.Result) { b.results <- r },
-		OnConflict: func() bool { return true }, CountCall: func(string) {},
-		Calls: WorkerCalls{
-			Start: func(ctx context.Context, to platform.Target, o platform.StartRequest) (platform.Report, error) {
-				return b.workers[to.ID].start(ctx, o)
-			},
-			Stop: func(_ context.Context, to platform.Target, task string, _ int, _ int64) (platform.Report, error) {
-				return b.workers[to.ID].stop(task), nil
-			},
-			Hold: func(ctx context.Context, to platform.Target, o platform.HoldRequest) (platform.Report, error) {
-				return b.workers[to.ID].hold(ctx, o)
-			},
-		},
-	}
-	change(&o)
-	b.Holder = New(ctx, o)
-	b.AddWorker(b.workers["w1"].registration("w1"))
-	time.Sleep(20 * time.Millisecond)
-	return b
-}
-
-// admitTask adds a job of one task.
-func (b *restartBench) admitTask(step batch.Step) {
-	b.jobs++
-	now := time.Now()
-	step.Count, step.Hint = 1, 200*time.Millisecond
-	b.Admit(&batch.Batch{
-		QueueSettings: batch.QueueSettings{Queue: "q", Service: "listing", MaxAttempts: 1, Stretch: 1.6, Slack: time.Second},
-		ID:            fmt.Sprintf("%016x", b.jobs), ArrivedAt: now, ExpiresAt: now.Add(time.Minute), Steps: []batch.Step{step},
-	}, nil)
-}
-
 // TestRefusedStartIsAMeeting guards against a worker that is taken back from another holder
 // without consent: two holders with the same epoch have tokens that differ in their low bits, so
 // that the next count of either is above the token of the other.
--- a/internal/placement/holder/session_test.go
+++ b/internal/placement/holder/session_test.go
@@ -79,11 +79,15 @@
 
 // newHolder returns a holder without workers, under the first claim on its group.
 func newHolder(ctx context.Context, calls WorkerCalls, results chan<- batch.Result) *Holder {
-	return New(ctx, Options{
+	return New(ctx, testOptions(calls, results))
+}
+
+func testOptions(calls WorkerCalls, results chan<- batch.Result) Options {
+	return Options{
 		Group: "a/0", Epoch: 1, FirstClaim: true, Tokens: fence.New(1, 1), Lease: time.Second, ClientRetryAfter: 1300 * time.Millisecond, Calls: calls,
 		Log: slog.New(slog.NewTextHandler(io.Discard, nil)), OnResult: func(_ *batch.Batch, r batch.Result) { results <- r },
 		OnConflict: func() bool { return true }, CountCall: func(string) {},
-	})
+	}
 }
 
 // newHolderWithWorker returns a holder of one worker, which has accepted its token.
