--- a/internal/placement/holder/holder.go
+++ b/internal/placement/holder/holder.go
@@ -178,29 +178,6 @@
 	})
 }
 
-// endedWorker is a worker at whose address another one answered. Its registration may stay for
-// some seconds.
-type endedWorker struct {
-	address        string
-	startUnixMilli int64
-	checkAt        time.Time // when it is called again if it is still registered
-}
-
-// endedCheckDelay is the time after which a worker that has ended is called again if it is still
-// registered. It is longer than the heartbeats that a registration outlives its worker.
-const endedCheckDelay = 10 * time.Second
-
-// hasEnded reports whether a registration is of an incarnation that has ended. The caller holds
-// the lock.
-func (h *Holder) hasEnded(r platform.Registration, now time.Time) bool {
-	e, found := h.ended[r.ID]
-	if found && e.address == r.Address && e.startUnixMilli == r.StartUnixMilli && now.Before(e.checkAt) {
-		return true
-	}
-	delete(h.ended, r.ID)
-	return false
-}
-
 // startSession starts a session with a worker. The caller holds the lock.
 func (h *Holder) startSession(r platform.Registration) {
 	s := newSession(h, r)
--- a/internal/placement/holder/session.go
+++ b/internal/placement/holder/session.go
@@ -69,22 +69,6 @@
 	})
 }
 
-// isOutdated reports whether a registration is of an incarnation before the one that the
-// session knows: it states an earlier start, or is the one that the worker had before it started
-// again. The clock of the worker's VM may have been set back in between.
-func (s *session) isOutdated(r platform.Registration) bool {
-	if r.StartUnixMilli == 0 || r.StartUnixMilli == s.startUnixMilli {
-		return false
-	}
-	return r.StartUnixMilli < s.startUnixMilli || r.StartUnixMilli == s.registration.StartUnixMilli
-}
-
-// describes reports whether a registration may be of the incarnation that the session knows.
-func (s *session) describes(r platform.Registration) bool {
-	sameStart := r.StartUnixMilli == 0 || s.startUnixMilli == 0 || r.StartUnixMilli == s.startUnixMilli
-	return sameStart && r.Address == s.target.Address
-}
-
 // leaseUntil returns the end of a lease that is renewed at a time, on the worker's clock
 // in milliseconds. It returns 0 while that clock is unknown.
 func (s *session) leaseUntil(renewedAt time.Time) int64 {
@@ -273,29 +257,6 @@
 	s.missedHolds = 0
 }
 
-// statesOtherStart reports whether an answer is of another incarnation than the one that the
-// session knows.
-func (s *session) statesOtherStart(answer platform.Report) bool {
-	return s.startUnixMilli != 0 && answer.StartUnixMilli != 0 && answer.StartUnixMilli != s.startUnixMilli
-}
-
-// suspectRestart keeps work off a worker until an answer to a new token tells which incarnation
-// it is. The caller holds the lock.
-func (s *session) suspectRestart(p *plan.Plan, now time.Time) {
-	p.RequireFence(s.target.ID, now)
-	s.raiseToken("an answer states another start of the worker")
-}
-
-// handleRestart resets what the session knows of an earlier incarnation of the worker. The
-// report of the new one, which follows, says which runs there are. The caller holds the lock.
-func (s *session) handleRestart(p *plan.Plan, now time.Time, startUnixMilli int64) {
-	s.holder.options.Log.Info("worker has started again", "worker", s.target.ID, "born", startUnixMilli, "before", s.startUnixMilli)
-	s.seenSequence = 0
-	w := planWorker(s.registration)
-	w.Unregistered = s.registration.StartUnixMilli != 0
-	p.RestartWorker(w, now)
-}
-
 // planReport converts a report for the plan and leaves out endings that the plan
 // already has. The caller holds the lock.
 func (s *session) planReport(report platform.Report, fencing bool, sent time.Time) plan.Report {
