--- a/internal/placement/holder/ended.go
+++ b/internal/placement/holder/ended.go
@@ -15,7 +15,7 @@
 }
 
 // endedCheckDelay is the time after which a worker that has ended is called again if it is still
-// registered. It is longer than the heartbeats that a registration outlives its worker.
+// registered. A registration outlives its worker by a few heartbeats, which is less.
 const endedCheckDelay = 10 * time.Second
 
 // hasEnded reports whether a registration is of an incarnation that has ended. The caller holds
