plan, holder: Say in the line of a start how the run before it was lost

The lines of two overlapping runs did not tell a lease that was counted too short from a run that was taken for gone: neither named the last renewal of the lease. "start ordered" has "previous" now: the run before, its worker, and how it was lost, with the age of the renewal if its lease had expired. No decision changes.

--- a/internal/placement/holder/holder.go
+++ b/internal/placement/holder/holder.go
@@ -140,8 +140,8 @@
 		case plan.Start:
 			start := platform.StartRequest{Task: o.Task, Run: o.Run, Spec: o.Batch.Spec, LeaseEnd: s.leaseUntil(now), Token: s.token}
 			s.startToken = s.token
-			h.options.Log.Info("start ordered", "task", o.Task, "run", o.Run, "worker", o.Worker, "token", s.token,
-				"expected_ms", o.ExpectedTime.Milliseconds(), "free", o.FreeMilliCores, "waiting", o.WaitingJobs, "group", h.options.Group)
+			h.options.Log.Info("start ordered", "task", o.Task, "run", o.Run, "worker", o.Worker, "token", s.token, "expected_ms", o.ExpectedTime.Milliseconds(),
+				"free", o.FreeMilliCores, "waiting", o.WaitingJobs, "group", h.options.Group, "previous", o.Previous)
 			h.goroutines.Go(func() { s.sendStart(start) })
 		case plan.Stop:
 			token := s.token
--- a/internal/placement/plan/job.go
+++ b/internal/placement/plan/job.go
@@ -18,6 +18,7 @@
 	stalls         int             // runs stopped for lack of progress
 	crashes        int             // workers that are known to have crashed while they ran it
 	detachedRuns   []*run          // runs whose lease has expired
+	previous       string          // how the last run was lost, for the log
 	done           bool            // it has succeeded
 	runtimeRatio   float64         // run time over the expected one, once it has succeeded; 0 if unknown
 	avoidedWorkers map[string]bool // workers that failed it or refused it as unhealthy
--- a/internal/placement/plan/plan.go
+++ b/internal/placement/plan/plan.go
@@ -49,12 +49,14 @@
 	Batch  *batch.Batch
 	Result batch.Result
 	Reason string
-	// ExpectedTime, FreeMilliCores and WaitingJobs explain a start in the log: the run time
-	// expected on the worker, the thousandths of a core that stay free there after the
-	// start, and the number of jobs with tasks that wait.
+	// ExpectedTime, FreeMilliCores, WaitingJobs and Previous explain a start in the log: the
+	// run time expected on the worker, the thousandths of a core that stay free there after
+	// the start, the number of jobs with tasks that wait, and how the last run of the task
+	// was lost; "" if it had none.
 	ExpectedTime   time.Duration
 	FreeMilliCores int64
 	WaitingJobs    int
+	Previous       string
 }
 
 // Options configure a plan.
--- a/internal/placement/plan/report.go
+++ b/internal/placement/plan/report.go
@@ -159,6 +159,7 @@
 	}
 	if t.activeRun == r {
 		t.activeRun = nil
+		t.previous = r.describeLoss("ended")
 	}
 	switch e.Outcome {
 	case Succeeded:
--- a/internal/placement/plan/worker.go
+++ b/internal/placement/plan/worker.go
@@ -1,6 +1,7 @@
 package plan
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
@@ -180,10 +181,16 @@
 	p.removeRun(r)
 	if t := r.task; t != nil && t.activeRun == r {
 		t.activeRun = nil
+		t.previous = r.describeLoss("gone with its worker, not listed or refused")
 		p.requeue(t)
 	}
 }
 
+// describeLoss returns a text for the log about a run and how it was lost.
+func (r *run) describeLoss(how string) string {
+	return fmt.Sprintf("run %d on %s: %s", r.runKey.run, r.worker.ID, how)
+}
+
 // removeRun removes a run from its worker and frees its resources.
 func (p *Plan) removeRun(r *run) {
 	if _, found := r.worker.runs[r.runKey]; !found {
@@ -292,6 +299,7 @@
 	if t != nil && t.activeRun == r {
 		t.activeRun = nil
 		t.detachedRuns = append(t.detachedRuns, r)
+		t.previous = r.describeLoss(fmt.Sprintf("lease expired, renewed %d ms ago", p.now.Sub(r.worker.renewedAt).Milliseconds()))
 		p.requeue(t)
 	}
 }
