plan: Count on no expired lease where another holder may renew it

Callers could see two runs of a task at the same time. Cause: a holder takes the runs of a silent worker for ended once its own last renewal has expired. Another holder of the group, in a partition between entries, reaches the worker, renews the lease and may adopt the run.

Once another holder has been seen at any worker, the leases of that worker and of all that do not answer no longer expire; a worker that falls silent within a lease's time after that counts as well. An answer under the own token ends it, and so does the loss of the registration, after which a worker counts as gone for everybody. A task that waits for such a run ends with its client's time, outcome unknown.

Ruled out: releasing all workers on a conflict (a holder that has resumed from a pause meets another one at every worker, and is told by the next heartbeat).

TestRunAtAnotherHolderOutlastsOwnLease, known red until now, passes: before "1 further starts, want 0".

--- a/internal/placement/plan/plan.go
+++ b/internal/placement/plan/plan.go
@@ -116,6 +116,7 @@
 	// otherLeasesEnd is the time by which every lease that another holder may have granted
 	// has expired.
 	otherLeasesEnd time.Time
+	conflictEnd    time.Time // until when another holder that was seen at a worker may be taking over others
 	otherFreeSlots spillover.Slots
 	arrivals       map[string]*arrivalRate // by service
 	nextReturn     map[string]time.Time    // when the next refused client may send again, by service
--- a/internal/placement/plan/report.go
+++ b/internal/placement/plan/report.go
@@ -51,7 +51,7 @@
 	}
 	p.requeued, w.unanswered, w.reportedAt = false, false, now
 	if report.Fenced || w.state == unresponsive {
-		w.state = ready
+		w.state, w.foreign = ready, false
 	}
 	for _, e := range report.Ended {
 		p.handleEndedRun(w, e)
--- a/internal/placement/plan/restart.go
+++ b/internal/placement/plan/restart.go
@@ -13,7 +13,8 @@
 	if !known {
 		return
 	}
-	w.state, w.retired = unresponsive, true
+	// A worker that has been missing from the registrations counts as gone for every holder.
+	w.state, w.retired, w.foreign = unresponsive, true, false
 	p.removeRetired()
 	p.placeAll()
 }
--- a/internal/placement/plan/worker.go
+++ b/internal/placement/plan/worker.go
@@ -60,6 +60,7 @@
 	factor            float64             // learned slowdown factor: run time of a task here as a multiple of its base time
 	runs              map[runKey]*run
 	renewedAt         time.Time // when the last renewal that may have reached it was sent
+	foreign           bool      // another holder may renew its lease
 	registrationDue   time.Time // when it gets work again although it has not registered since its restart
 	retired           bool      // it is removed once the lease of its runs has expired
 	unanswered        bool      // it did not answer the last call
@@ -148,6 +149,7 @@
 	}
 	if w.state == ready {
 		w.state = unresponsive
+		w.foreign = now.Before(p.conflictEnd)
 	}
 }
 
@@ -162,10 +164,16 @@
 
 // OtherHolderSeen records that a worker has accepted the fencing token of another holder.
 // Until all workers of its service have accepted a token of this holder, or the leases of
-// the other one have expired, no job starts.
+// the other one have expired, no job starts. Runs on the worker, and on those that do not
+// answer, are not taken for ended: the other holder may reach these workers and renew their
+// leases.
 func (p *Plan) OtherHolderSeen(id string, now time.Time) {
 	p.RequireFence(id, now)
 	p.otherLeasesEnd = p.leaseEnd(now)
+	p.conflictEnd = p.otherLeasesEnd
+	for _, w := range p.workers {
+		w.foreign = w.foreign || w.ID == id || w.state != ready
+	}
 }
 
 // RenewalSent records that a renewal of a worker's lease is being sent. Whether or not it
@@ -285,9 +293,9 @@
 }
 
 // leaseLapsed reports whether the lease of a worker that is not ready has expired, so that
-// nothing can be running there.
+// nothing can be running there. Leases that another holder may renew do not expire.
 func (p *Plan) leaseLapsed(w *worker) bool {
-	return w.state != ready && !p.now.Before(p.leaseEnd(w.renewedAt))
+	return w.state != ready && !w.foreign && !p.now.Before(p.leaseEnd(w.renewedAt))
 }
 
 // detachRun lets the task of a run whose lease has expired start elsewhere. The resources of
