node: Take the list of workers for incomplete while it cannot be read

Callers could see two runs of a task at the same time. Cause: an entry that alone is cut off from the store goes on with its last list of workers. If it takes a group over, it takes the list for complete and starts jobs as soon as the workers on it have accepted its token; a job that a client has sent again through another entry, and whose first run is on a worker that registered meanwhile, starts beside that run.

While reading fails the list counts as incomplete now, so that a new holder waits for the leases of the earlier one (1.08 s) before it starts what may be running.

Ruled out: jobs that an entry hands over again; they wait for those leases in any case. The cost: after the loss of a holder during an outage of the store, jobs of its zone wait for up to 1.08 s although all workers may be known; an entry cannot tell an outage for everybody from its own.

TestOutdatedWorkerListCountsAsIncomplete, known red until now ("the list counts as complete while it cannot be read"), passes, and checks the recovery as well.

--- a/internal/gateway/node/groups.go
+++ b/internal/gateway/node/groups.go
@@ -69,7 +69,7 @@
 func (n *Node) clearRegistry() {
 	n.registry.Clear()
 	n.mu.Lock()
-	n.registryReadAt, n.firstReadFailed = time.Time{}, false
+	n.registryReadAt, n.firstReadFailed, n.registryOutdated = time.Time{}, false, false
 	n.mu.Unlock()
 }
 
@@ -168,17 +168,18 @@
 const reregistrationWindow = 3 * time.Second
 
 // workersIncompleteUntil returns the time until which the registry may lack live workers,
-// or the zero time if it is complete. It may be incomplete if this entry started during a
-// store outage: it has never seen the registrations that lapsed meanwhile. The caller
-// holds n.mu.
+// or the zero time if it is complete. It may be incomplete while it cannot be read: other
+// entries may know workers that have registered since. It may also be incomplete if this entry
+// started during a store outage: it has never seen the registrations that lapsed meanwhile.
+// The caller holds n.mu.
 func (n *Node) workersIncompleteUntil() time.Time {
-	if !n.firstReadFailed {
-		return time.Time{}
-	}
-	if n.registryReadAt.IsZero() {
+	switch {
+	case n.registryOutdated || n.firstReadFailed && n.registryReadAt.IsZero():
 		return time.Now().Add(reregistrationWindow)
+	case n.firstReadFailed:
+		return n.registryReadAt.Add(reregistrationWindow)
 	}
-	return n.registryReadAt.Add(reregistrationWindow)
+	return time.Time{}
 }
 
 // onRegistryUnavailable records that the registry cannot be read.
@@ -186,7 +187,7 @@
 	n.instruments.setDependency("workers", false)
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.firstReadFailed = n.firstReadFailed || n.registryReadAt.IsZero()
+	n.firstReadFailed, n.registryOutdated = n.firstReadFailed || n.registryReadAt.IsZero(), true
 }
 
 // onRegistryAvailable records that the registry can be read again.
@@ -194,6 +195,7 @@
 	n.instruments.setDependency("workers", true)
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	n.registryOutdated = false
 	if n.registryReadAt.IsZero() {
 		n.registryReadAt = time.Now()
 	}
--- a/internal/gateway/node/node.go
+++ b/internal/gateway/node/node.go
@@ -73,9 +73,10 @@
 	mu      sync.Mutex
 	holders map[string]*holder.Holder // by group
 	// registryReadAt is when the registry was first read; firstReadFailed reports
-	// whether an attempt before that failed.
-	registryReadAt  time.Time
-	firstReadFailed bool
+	// whether an attempt before that failed, registryOutdated whether the last attempt did.
+	registryReadAt   time.Time
+	firstReadFailed  bool
+	registryOutdated bool
 
 	ctx    context.Context
 	cancel context.CancelFunc
--- a/internal/gateway/node/proof_test.go
+++ b/internal/gateway/node/proof_test.go
@@ -22,4 +22,8 @@
 	if !incomplete() {
 		t.Fatal("the list counts as complete while it cannot be read")
 	}
+	n.onRegistryAvailable()
+	if incomplete() {
+		t.Fatal("the list counts as incomplete although it has been read again")
+	}
 }
