holder: Repeat no acknowledgement that the worker has answered

A task that is done could run once more. Cause: each hold acknowledged all ends that had been seen, also those that the worker had forgotten long ago. Such a hold that is executed late, after the worker has restarted under its ID, makes the new incarnation forget its own ends with the same numbers before it has listed them, if they belong to a start that reached it before the restart was known: the run counts as lost and its task starts again.

An end is acknowledged until an answer has confirmed it, and not again. What is left is the one acknowledgement that is under way when the worker restarts.

--- a/internal/placement/holder/session.go
+++ b/internal/placement/holder/session.go
@@ -40,8 +40,9 @@
 	answeringUntil time.Time
 	cancelHold     context.CancelFunc // cancels the pending hold
 
-	seenSequence int64 // the plan has the endings up to this sequence number
-	missedHolds  int   // holds in a row without an answer; only holdLoop uses it
+	seenSequence  int64 // the plan has the endings up to this sequence number
+	ackedSequence int64 // the worker has answered an acknowledgement of the endings up to this sequence number
+	missedHolds   int   // holds in a row without an answer; only holdLoop uses it
 }
 
 func newSession(h *Holder, r platform.Registration) *session {
@@ -100,14 +101,18 @@
 // hold sends one hold, which renews the lease and waits for a run to end, and passes
 // the worker's report to the plan. A worker that has not accepted the token yet, or
 // did not answer the last hold, is asked for its report at once and gets no lease. Nor are its
-// ends acknowledged: it may have restarted and count them anew.
+// ends acknowledged: it may have restarted and count them anew. For the same reason an
+// acknowledgement is not repeated once it has been answered.
 func (s *session) hold() {
 	holder := s.holder
 	holder.mu.Lock()
 	request := platform.HoldRequest{Token: s.token}
 	fencing, sent := !s.tokenAccepted, time.Now()
 	if !fencing && s.missedHolds == 0 {
-		request.AckSequence, request.Wait = s.seenSequence, holdWait
+		request.Wait = holdWait
+		if s.seenSequence > s.ackedSequence {
+			request.AckSequence = s.seenSequence
+		}
 		// The next holder, if there is one, waits for leases granted before its takeover only.
 		if !holder.options.TakeoverSuspected() {
 			request.LeaseEnd = s.leaseUntil(sent)
@@ -148,6 +153,7 @@
 	default:
 		s.noteAnswer()
 		s.applyReport(report, fencing, request.Token, sent)
+		s.noteAcknowledged(request, report)
 	}
 }
 
@@ -249,6 +255,16 @@
 	return hasEndings
 }
 
+// noteAcknowledged records that the worker has answered an acknowledgement, if the answer is of
+// the incarnation whose endings it named.
+func (s *session) noteAcknowledged(request platform.HoldRequest, report platform.Report) {
+	s.holder.mu.Lock()
+	defer s.holder.mu.Unlock()
+	if s.token == request.Token && !s.statesOtherStart(report) {
+		s.ackedSequence = max(s.ackedSequence, request.AckSequence)
+	}
+}
+
 // noteAnswer records that the worker answers.
 func (s *session) noteAnswer() {
 	if s.missedHolds > 0 {
