holder: Learn of a restart from the clock in the answer to a start

A task that is done could run once more, or be lost sight of, when a worker restarts under its ID and takes a start before the holder knows of the restart. Cause: of the answer to a start only the stated start time was compared, and workers need not state it there. Each answer with a body states the worker's clock, which never goes back within an incarnation: one that is behind the last reading before the start was issued is of a later incarnation. The holder raises its token then, after which late orders of the earlier token are void.

TestDelayedAcknowledgementForgetsNoEnds fails without the change ("acknowledgement delayed by 100ms: 3 starts of two tasks, want one each"): the acknowledgement of an end, under way during the restart, makes the new incarnation forget the end of its first run. The stand-in of the holder's tests states its clock in answers to starts now, as the protocol has it.

What is left: the answer to the start is lost as well, and the run ends before the copy of the start, 25 ms later, has been answered. Such a run can start again; it cannot run twice at the same time.

--- a/internal/placement/holder/holder.go
+++ b/internal/placement/holder/holder.go
@@ -142,7 +142,8 @@
 			s.startToken = s.token
 			h.options.Log.Info("start ordered", "task", o.Task, "run", o.Run, "worker", o.Worker, "token", s.token, "expected_ms", o.ExpectedTime.Milliseconds(),
 				"free", o.FreeMilliCores, "waiting", o.WaitingJobs, "group", h.options.Group, "previous", o.Previous)
-			h.goroutines.Go(func() { s.sendStart(start) })
+			clockMilli := s.workerClock
+			h.goroutines.Go(func() { s.sendStart(start, clockMilli) })
 		case plan.Stop:
 			token := s.token
 			h.goroutines.Go(func() { s.sendStop(o, token) })
--- a/internal/placement/holder/incarnation.go
+++ b/internal/placement/holder/incarnation.go
@@ -29,6 +29,13 @@
 	return s.startUnixMilli != 0 && answer.StartUnixMilli != 0 && answer.StartUnixMilli != s.startUnixMilli
 }
 
+// clockRestarted reports whether an answer is of a later incarnation than the one whose clock
+// showed clockMilli before the call was made: the clock of an incarnation never goes back.
+// Answers without a body state no time.
+func clockRestarted(answer platform.Report, clockMilli int64) bool {
+	return answer.ClockMilli > 0 && answer.ClockMilli < clockMilli
+}
+
 // suspectRestart keeps work off a worker until an answer to a new token tells which incarnation
 // it is. The caller holds the lock.
 func (s *session) suspectRestart(p *plan.Plan, now time.Time) {
--- a/internal/placement/holder/incarnation_test.go
+++ b/internal/placement/holder/incarnation_test.go
@@ -222,6 +222,55 @@
 	}
 }
 
+// TestDelayedAcknowledgementForgetsNoEnds guards against a second run of a task that is done: the
+// first acknowledgement of an end is under way when its worker restarts, and is executed by the
+// new incarnation, which has taken a start by then. The answer to that start does not state when
+// the incarnation started, only its clock.
+func TestDelayedAcknowledgementForgetsNoEnds(t *testing.T) {
+	for _, delay := range []time.Duration{0, 100 * time.Millisecond} {
+		synctest.Test(t, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(t.Context())
+			sent := make(chan struct{}, 100) // receives a value with each acknowledgement
+			b := newChangedBench(ctx, func(o *Options) {
+				hold := o.Calls.Hold
+				o.Calls.Hold = func(ctx context.Context, to platform.Target, o platform.HoldRequest) (platform.Report, error) {
+					if o.AckSequence > 0 {
+						sent <- struct{}{}
+					}
+					if o.AckSequence == 0 || delay == 0 {
+						return hold(ctx, to, o)
+					}
+					go func() {
+						time.Sleep(delay)
+						_, _ = hold(context.Background(), to, o)
+					}()
+					<-ctx.Done()
+					return platform.Report{}, ctx.Err()
+				}
+			})
+			b.admit()
+			b.result()
+			<-sent
+			time.Sleep(50 * time.Millisecond)
+			w := b.workers["w1"]
+			w.restart()
+			w.runtime = 20 * time.Millisecond
+			b.admit()
+			time.Sleep(400 * time.Millisecond)
+			b.AddWorker(w.registration("w1"))
+			if r := b.result(); r.State != batch.Completed {
+				t.Errorf("job: %s %s, want completed", r.State, r.Reason)
+			}
+			if first, _ := b.starts(); first != 2 {
+				t.Errorf("acknowledgement delayed by %v: %d starts of two tasks, want one each", delay, first)
+			}
+			cancel()
+			b.Wait()
+			time.Sleep(time.Second) // the delayed acknowledgements have been executed
+		})
+	}
+}
+
 // answers returns until when the worker counts as answering, which moves with each answer.
 func (s *session) answers(b *restartBench) time.Time {
 	b.mu.Lock()
--- a/internal/placement/holder/restartbench_test.go
+++ b/internal/placement/holder/restartbench_test.go
@@ -46,6 +46,9 @@
 	return &incarnation{startedAt: time.Now(), running: map[string]fakeRun{}}
 }
 
+// clockMilli returns the time on the clock of the incarnation, which begins at 1 ms.
+func (i *incarnation) clockMilli() int64 { return time.Since(i.startedAt).Milliseconds() + 1 }
+
 // restart ends all runs and starts a new incarnation at once.
 func (w *restartingWorker) restart() {
 	w.mu.Lock()
@@ -68,7 +71,7 @@
 	w.current.highestToken = o.Token
 	w.current.running[o.Task] = fakeRun{task: o.Task, run: o.Run, ends: time.Now().Add(w.runtime)}
 	w.starts = append(w.starts, o.Task)
-	r := platform.Report{Verdict: platform.Accepted}
+	r := platform.Report{Verdict: platform.Accepted, ClockMilli: w.current.clockMilli()}
 	if w.statesStart {
 		r.StartUnixMilli = w.current.startedAt.UnixMilli()
 	}
@@ -130,7 +133,7 @@
 		return platform.Report{Verdict: platform.Fenced}
 	}
 	i.highestToken = o.Token
-	r := platform.Report{Verdict: platform.Accepted, ClockMilli: time.Since(i.startedAt).Milliseconds(), StartUnixMilli: i.startedAt.UnixMilli()}
+	r := platform.Report{Verdict: platform.Accepted, ClockMilli: i.clockMilli(), StartUnixMilli: i.startedAt.UnixMilli()}
 	for task, run := range i.running {
 		if !run.ends.After(time.Now()) {
 			i.end(task, platform.Done)
--- a/internal/placement/holder/session.go
+++ b/internal/placement/holder/session.go
@@ -298,8 +298,9 @@
 	return translated
 }
 
-// sendStart sends one start order and passes its answer to the plan.
-func (s *session) sendStart(request platform.StartRequest) {
+// sendStart sends one start order and passes its answer to the plan. clockMilli is the last known
+// time on the worker's clock when the order was issued.
+func (s *session) sendStart(request platform.StartRequest, clockMilli int64) {
 	holder := s.holder
 	if request.LeaseEnd == 0 {
 		s.update(func(p *plan.Plan, now time.Time) {
@@ -340,7 +341,7 @@
 			s.tokenAccepted = false // the pending hold or the next one shows which holder the worker obeys
 			p.OtherHolderSeen(s.target.ID, now)
 		}
-		if a.err == nil && s.token == request.Token && s.statesOtherStart(a.report) {
+		if a.err == nil && s.token == request.Token && (s.statesOtherStart(a.report) || clockRestarted(a.report, clockMilli)) {
 			s.suspectRestart(p, now)
 		}
 		p.HandleStartOutcome(s.target.ID, request.Task, request.Run, outcome, now)
