holder: Void a lost renewal of the lease before the worker gets further work

Two runs of a task at the same time were possible. Cause: a hold that renews the lease and gets no answer was followed by holds and starts under the same token. The worker may execute it seconds later. It then prolongs the lease of runs that have begun in between, and if the worker is cut off by then the holder starts their tasks elsewhere too early. The absolute deadline of the hold limits that on the incarnation whose clock it names, not on the next one, nor where a worker counts the time from the arrival.

It costs one more round trip after a lost hold.

A worker that restarts and states no start time came to be ignored for good, as its clock looked like that of an older report; the first answer to a higher token shows the restart now.

--- a/internal/placement/holder/proof_test.go
+++ b/internal/placement/holder/proof_test.go
@@ -287,3 +287,49 @@
 		h.Wait()
 	})
 }
+
+// TestLostRenewalIsVoidBeforeTheNextStart guards against a run that outlasts the lease that the plan
+// counts with: a renewal that got no answer is executed seconds later, when another run has begun
+// and the worker can no longer be reached.
+func TestLostRenewalIsVoidBeforeTheNextStart(t *testing.T) {
+	for _, interrupted := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(t.Context())
+			r := &recorder{}
+			var mu sync.Mutex
+			lost := int64(0) // token of the renewal that gets no answer
+			h := newHolder(ctx, WorkerCalls{Start: r.start, Stop: r.stop, Hold: func(ctx context.Context, to platform.Target, o platform.HoldRequest) (platform.Report, error) {
+				mu.Lock()
+				first := lost == 0 && o.LeaseEnd > 0
+				if first {
+					lost = o.Token
+				}
+				mu.Unlock()
+				if first {
+					<-ctx.Done()
+					return platform.Report{}, ctx.Err()
+				}
+				return r.hold(ctx, to, o)
+			}}, make(chan batch.Result, 1))
+			h.AddWorker(registeredWorker("w1"))
+			time.Sleep(100 * time.Millisecond)
+			if interrupted {
+				h.mu.Lock()
+				h.sessions["w1"].cancelHold() // as requestReport does
+				h.mu.Unlock()
+			}
+			time.Sleep(time.Second)
+			h.Admit(oneTask("0000000000000001", time.Second), nil)
+			time.Sleep(100 * time.Millisecond)
+			got := r.sent()
+			if len(got) != 1 {
+				t.Fatalf("%d starts, want 1", len(got))
+			}
+			if got[0].Token <= lost {
+				t.Errorf("hold interrupted %v: the start has the token %d, that of the lost renewal", interrupted, got[0].Token)
+			}
+			cancel()
+			h.Wait()
+		})
+	}
+}
--- a/internal/placement/holder/restart_test.go
+++ b/internal/placement/holder/restart_test.go
@@ -404,3 +404,33 @@
 		})
 	}
 }
+
+// TestRestartWithoutAStatedStart guards against a worker that is called without a pause and never
+// used again: it restarts under its ID and states no start time, so that its clock, which has
+// begun anew, seems to be that of an older report.
+func TestRestartWithoutAStatedStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		b := newRestartBench(ctx)
+		w := b.workers["w1"]
+		w.mu.Lock()
+		w.startless = true
+		w.mu.Unlock()
+		r := w.registration("w1")
+		r.StartUnixMilli = 0
+		b.RemoveWorker("w1", "test")
+		b.AddWorker(r)
+		time.Sleep(time.Minute)
+		w.restart()
+		time.Sleep(500 * time.Millisecond)
+		b.admit()
+		if r := b.result(); r.State != batch.Completed {
+			t.Errorf("job: %s %s, want completed", r.State, r.Reason)
+		}
+		if first, _ := b.starts(); first != 1 {
+			t.Errorf("%d starts, want 1", first)
+		}
+		cancel()
+		b.Wait()
+	})
+}
--- a/internal/placement/holder/restartbench_test.go
+++ b/internal/placement/holder/restartbench_test.go
@@ -33,6 +33,7 @@
 	silent      bool          // waiting holds get no answer, but do not break either
 	starts      []string      // tasks that it has started
 	statesStart bool          // answers to starts state when the incarnation started, as reports do
+	startless   bool          // neither reports nor registrations state it
 	// delayStart holds start orders back before they are executed, by whichever
 	// incarnation is alive then.
 	delayStart time.Duration
@@ -134,6 +135,9 @@
 	}
 	i.highestToken = o.Token
 	r := platform.Report{Verdict: platform.Accepted, ClockMilli: i.clockMilli(), StartUnixMilli: i.startedAt.UnixMilli()}
+	if w.startless {
+		r.StartUnixMilli = 0
+	}
 	for task, run := range i.running {
 		if !run.ends.After(time.Now()) {
 			i.end(task, platform.Done)
--- a/internal/placement/holder/session.go
+++ b/internal/placement/holder/session.go
@@ -33,6 +33,7 @@
 
 	token          int64
 	tokenAccepted  bool  // the worker has accepted the token
+	renewalLost    bool  // a renewal of the lease under the token got no answer
 	startToken     int64 // of the last start; a new incarnation may still carry that start out
 	workerClock    int64 // ms on the worker's clock at clockReadAt, from its last report
 	clockReadAt    time.Time
@@ -83,7 +84,7 @@
 // work, and cancels the pending hold, so that the next one brings the token. The caller
 // holds the lock.
 func (s *session) raiseToken(reason string) {
-	s.token, s.tokenAccepted = s.holder.options.Tokens.Next(s.target.ID), false
+	s.token, s.tokenAccepted, s.renewalLost = s.holder.options.Tokens.Next(s.target.ID), false, false
 	if s.cancelHold != nil {
 		s.cancelHold()
 	}
@@ -108,7 +109,7 @@
 	holder.mu.Lock()
 	request := platform.HoldRequest{Token: s.token}
 	fencing, sent := !s.tokenAccepted, time.Now()
-	if !fencing && s.missedHolds == 0 {
+	if !fencing && s.missedHolds == 0 && !s.renewalLost {
 		request.Wait = holdWait
 		if s.seenSequence > s.ackedSequence {
 			request.AckSequence = s.seenSequence
@@ -141,9 +142,11 @@
 	holder.options.CountCall("hold")
 	switch {
 	case s.ctx.Err() != nil:
-	case err != nil && interrupted:
 	case err != nil:
-		s.noteMissedHold(err)
+		s.noteLostRenewal(request)
+		if !interrupted {
+			s.noteMissedHold(err)
+		}
 	case report.Verdict == platform.Fenced:
 		s.handleFenced(request.Token)
 	case report.Verdict == platform.OtherIncarnation:
@@ -157,6 +160,16 @@
 	}
 }
 
+// noteLostRenewal records a hold without an answer. If it renews the lease, it may be executed late
+// and would keep runs alive that begin in the meantime, beyond the lease that the plan counts
+// with. Once the worker answers again, a higher token makes it void; before that the worker may
+// obey another holder, from which a higher token would take it.
+func (s *session) noteLostRenewal(request platform.HoldRequest) {
+	s.holder.mu.Lock()
+	defer s.holder.mu.Unlock()
+	s.renewalLost = s.renewalLost || request.LeaseEnd > 0 && s.token == request.Token
+}
+
 // requestReport requests the worker's report on another connection while a hold is pending.
 // Errors are ignored: only holds decide whether the worker answers. A hold returns as
 // soon as a run ends, so an ending that is found here means that the answer to the
@@ -234,11 +247,18 @@
 		if s.token != token {
 			return // a higher token is set; only a report under that one is final
 		}
-		switch {
-		case s.statesOtherStart(report) && (!fencing || s.tokenAccepted || s.startToken == token):
+		if s.renewalLost {
+			p.RequireFence(s.target.ID, now)
+			s.raiseToken("a renewal of the lease got no answer")
+			return
+		}
+		// The call was made after the token was set, and so after the clock was read.
+		firstAnswer := fencing && !s.tokenAccepted
+		switch restarted := s.statesOtherStart(report) || firstAnswer && clockRestarted(report, s.workerClock); {
+		case restarted && (!firstAnswer || s.startToken == token):
 			s.suspectRestart(p, now)
 			return
-		case s.statesOtherStart(report):
+		case restarted:
 			s.handleRestart(p, now, report.StartUnixMilli)
 		case report.ClockMilli < s.workerClock:
 			return // an older report, overtaken by one on the other connection
