holder: Count the lease of a start from its last copy

Two runs of a task at the same time were possible. Cause: the lease of a worker counted from the time at which a start was ordered. A start without an answer is sent up to three times more, for 0.1 to 0.4 s. If the worker restarts under its ID meanwhile, its new incarnation may take a late copy: the deadline is on the clock of the old one, so the worker shortens the lease to its full length from then on. Cut off after that, the run outlasts the lease by up to 0.3 s, while the task starts elsewhere.

Every copy that was sent counts as a renewal now. The cost: after a loss of the worker without a sign, tasks of an unanswered start begin elsewhere up to 0.075 s later (0.3 s while no worker has answered yet); a crash that closes the connections sends its copies at once and costs nothing.

TestLeaseOfARepeatedStartCountsFromItsLastCopy fails without the change ("second start 790ms after the last copy of the first one, within its lease").

--- a/internal/placement/holder/proof_test.go
+++ b/internal/placement/holder/proof_test.go
@@ -333,3 +333,47 @@
 		})
 	}
 }
+
+// TestLeaseOfARepeatedStartCountsFromItsLastCopy guards against a second start beside a run that a
+// new incarnation has taken from a late copy: the deadline of the copy lies in the future of its
+// clock, which has begun anew, so that the lease lasts its full length from the arrival.
+func TestLeaseOfARepeatedStartCountsFromItsLastCopy(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		r := &recorder{}
+		r.silentAt = func(worker string) bool { return worker == "w1" && len(r.holds) > 1 } // once it has accepted the token
+		start := func(ctx context.Context, to platform.Target, o platform.StartRequest) (platform.Report, error) {
+			report, err := r.start(ctx, to, o)
+			if to.ID == "w1" {
+				<-ctx.Done()
+				return platform.Report{}, ctx.Err()
+			}
+			return report, err
+		}
+		h := newHolder(ctx, WorkerCalls{Start: start, Stop: r.stop, Hold: r.hold}, make(chan batch.Result, 1))
+		h.AddWorker(registeredWorker("w1"))
+		time.Sleep(10 * time.Millisecond)
+		h.Admit(oneTask("0000000000000001", time.Second), nil)
+		h.AddWorker(registeredWorker("w2"))
+		for range 20 {
+			time.Sleep(100 * time.Millisecond)
+			h.KeepAlive([]string{"0000000000000001"})
+		}
+		var lastCopy, second time.Time
+		for _, s := range r.sent() {
+			if s.worker == "w1" {
+				lastCopy = s.at
+			} else if second.IsZero() {
+				second = s.at
+			}
+		}
+		if second.IsZero() {
+			t.Fatal("no start on the second worker")
+		}
+		if between := second.Sub(lastCopy); between < time.Second {
+			t.Errorf("second start %v after the last copy of the first one, within its lease", between)
+		}
+		cancel()
+		h.Wait()
+	})
+}
--- a/internal/placement/holder/repeat.go
+++ b/internal/placement/holder/repeat.go
@@ -13,6 +13,7 @@
 	err    error         // of the last copy that failed, if none was answered
 	took   time.Duration // from sending the answered copy to its answer
 	copies int           // number of copies sent
+	lastAt time.Time     // when the last copy was sent
 }
 
 // sendRepeatedly sends a call to a worker and returns its first answer, or an error when ctx
@@ -25,9 +26,11 @@
 	defer cancel()
 	answers := make(chan answer, limit)
 	sent, pending := 0, 0
+	var lastAt time.Time
 	sendCopy := func() {
 		sent++
 		pending++
+		lastAt = time.Now()
 		s.holder.goroutines.Go(func() {
 			sentAt := time.Now()
 			report, err := send(ctx)
@@ -41,7 +44,7 @@
 		select {
 		case a := <-answers:
 			pending--
-			a.copies = sent
+			a.copies, a.lastAt = sent, lastAt
 			if a.err == nil || ctx.Err() != nil {
 				return a
 			}
@@ -59,7 +62,7 @@
 			}
 			timer.Reset(interval)
 		case <-ctx.Done():
-			return answer{err: ctx.Err(), copies: sent}
+			return answer{err: ctx.Err(), copies: sent, lastAt: lastAt}
 		}
 	}
 }
--- a/internal/placement/holder/session.go
+++ b/internal/placement/holder/session.go
@@ -336,6 +336,10 @@
 	a := s.sendRepeatedly(ctx, copies, interval, func(ctx context.Context) (platform.Report, error) {
 		return holder.options.Calls.Start(ctx, s.target, request)
 	}, func() bool { return s.hasToken(request.Token) })
+	// A new incarnation may have taken any copy, with a lease that counts from its arrival.
+	holder.mu.Lock()
+	holder.plan.RenewalSent(s.target.ID, a.lastAt)
+	holder.mu.Unlock()
 	if s.ctx.Err() != nil {
 		return
 	}
--- a/internal/placement/plan/worker.go
+++ b/internal/placement/plan/worker.go
@@ -176,11 +176,11 @@
 	}
 }
 
-// RenewalSent records that a renewal of a worker's lease is being sent. Whether or not it
+// RenewalSent records that a renewal of a worker's lease was sent at a time. Whether or not it
 // arrives, the lease counts as renewed.
-func (p *Plan) RenewalSent(id string, now time.Time) {
-	if w, known := p.workers[id]; known {
-		w.renewedAt = now
+func (p *Plan) RenewalSent(id string, at time.Time) {
+	if w, known := p.workers[id]; known && at.After(w.renewedAt) {
+		w.renewedAt = at
 	}
 }
 
