plan: Wait until a living earlier holder has abandoned a job

Two runs of a task at the same time were possible. Cause: a job that comes over from another holder waited for the leases which that one had granted before. A holder that is cut off from the entries that have replaced it goes on renewing them, on workers that the new holder does not reach, until it abandons the job: 1.2 s after its entry has asked for it last, 0.12 s after the new holder began.

While a worker of the service has not accepted the new holder's token, such a job waits for 1.3 s now, the time after which a client may send it again; that an earlier holder has abandoned the job by then is a promise already. Where all workers have accepted the token nothing changes (1.08 s).

A case of TestJobOfAnEarlierHolderWaitsForEveryWorker wanted a start after 1.2 s beside a worker that has not accepted the token; it took the earlier holder for gone. It wants no start then, and one after 1.3 s.

--- a/internal/placement/plan/job.go
+++ b/internal/placement/plan/job.go
@@ -37,7 +37,8 @@
 	abandoned      bool            // no entry waits for it
 	withdrawn      bool            // its client has left
 	abandonAt      time.Time       // when it is abandoned unless its entry asks for it again
-	earlierRunsEnd time.Time       // when runs started by an earlier holder have ended, at the latest
+	earlierRunsEnd time.Time       // when runs started by an earlier holder that has given up the group have ended, at the latest
+	earlierJobEnd  time.Time       // when an earlier holder that has not noticed its replacement has abandoned the job
 	forgetAt       time.Time       // when its result is forgotten
 	objective      time.Time       // when it should be completed
 	inWaiting      bool            // it is in Plan.waiting
@@ -99,7 +100,8 @@
 // newJob adds a job. Tasks that have succeeded already are done, and those that run are
 // adopted.
 func (p *Plan) newJob(b *batch.Batch, completed []string) *job {
-	j := &job{Batch: b, result: batch.Result{ID: b.ID, State: batch.Pending}, started: b.MaybeStarted, startedBefore: b.MaybeStarted, earlierRunsEnd: p.leaseEnd(p.now)}
+	j := &job{Batch: b, result: batch.Result{ID: b.ID, State: batch.Pending}, started: b.MaybeStarted, startedBefore: b.MaybeStarted}
+	p.awaitEarlierRuns(j)
 	p.jobs[b.ID] = j
 	completedNames := map[string]bool{}
 	for _, name := range completed {
@@ -171,7 +173,8 @@
 // reopen continues a job that was abandoned, withdrawn, refused or given up, when a message
 // arrives to which its result does not apply, see resultApplies.
 func (p *Plan) reopen(j *job, b *batch.Batch) {
-	j.Batch, j.abandoned, j.withdrawn, j.started, j.startedBefore, j.earlierRunsEnd = b, false, false, true, b.MaybeStarted, p.leaseEnd(p.now)
+	j.Batch, j.abandoned, j.withdrawn, j.started, j.startedBefore = b, false, false, true, b.MaybeStarted
+	p.awaitEarlierRuns(j)
 	j.result = batch.Result{ID: b.ID, State: batch.Pending}
 	for _, t := range j.tasks {
 		if !t.done && t.activeRun == nil {
--- a/internal/placement/plan/plan.go
+++ b/internal/placement/plan/plan.go
@@ -199,9 +199,18 @@
 func (p *Plan) SetTakeoverSuspected(suspected bool) { p.takeoverSuspected = suspected }
 
 // mayRunElsewhere reports whether tasks of a job that an earlier holder may have started
-// may be running on a worker that this holder does not know yet: entries read registrations
-// up to a second apart. Runs on known workers are adopted when they are listed.
-func (p *Plan) mayRunElsewhere(j *job) bool { return j.startedBefore && p.now.Before(j.earlierRunsEnd) }
+// may be running on a worker that this holder does not know yet, since entries read registrations
+// up to a second apart, or on one that it does not reach. There an earlier holder that has not
+// noticed its replacement renews leases until it abandons the job. Runs on other workers are
+// adopted when they are listed.
+func (p *Plan) mayRunElsewhere(j *job) bool {
+	return j.startedBefore && (p.now.Before(j.earlierRunsEnd) || p.now.Before(j.earlierJobEnd) && !p.allFenced(j.Service))
+}
+
+// awaitEarlierRuns sets until when runs of an earlier holder keep the tasks of a job from starting.
+func (p *Plan) awaitEarlierRuns(j *job) {
+	j.earlierRunsEnd, j.earlierJobEnd = p.leaseEnd(p.now), p.now.Add(p.options.ClientRetryAfter)
+}
 
 // allFenced reports whether the list of workers is complete, the service has workers, and
 // all of them have accepted this holder's fencing token.
--- a/internal/placement/plan/takeover_test.go
+++ b/internal/placement/plan/takeover_test.go
@@ -11,7 +11,8 @@
 // TestJobOfAnEarlierHolderWaitsForEveryWorker resubmits a job that an earlier holder may have
 // started on a worker which has not yet accepted this holder's token. This can happen long
 // after the takeover, when a network partition of the zone heals. The job must not start
-// before the leases of the earlier holder have expired, or it could run twice.
+// before the leases of the earlier holder have expired, nor before an earlier holder that has not
+// noticed its replacement has abandoned it, or it could run twice.
 func TestJobOfAnEarlierHolderWaitsForEveryWorker(t *testing.T) {
 	tests := []struct {
 		name   string
@@ -21,7 +22,8 @@
 	}{
 		{"at once, a worker has not accepted the token", false, 0, 0},
 		{"within the lease", false, 1000, 0},
-		{"after the lease", false, 1200, 1},
+		{"after the lease, a living earlier holder has not abandoned the job yet", false, 1200, 0},
+		{"after a living earlier holder has abandoned the job", false, 1300, 1},
 		{"every known worker has accepted the token", true, 0, 0},
 		{"every known worker has, after the lease", true, 1200, 1},
 	}
