plan, holder, member, node: Let no lease expire while an entry of the zone is unheard

Callers could see two runs of a task at the same time.

Cause: the last renewal that a holder sent is taken for the end of the lease, although another holder may renew it. The old holder meets no conflict, since either side reaches its own workers only.

While a member of the zone is not heard and may be running, i.e. was neither leaving nor refuses connections, no lease of a silent worker expires. Workers whose registration has gone are excepted, as before. A task that waits ends with its client's time, outcome unknown; it starts at once when all members are heard again and no claim has come.

Ruled out: a majority of the entries as the condition. A minority with two entries claims the group as well.

TestLeaseBesideAnotherHolderDoesNotExpire has three cases more, TestUnheard is new.

--- a/internal/gateway/node/groups.go
+++ b/internal/gateway/node/groups.go
@@ -154,6 +154,7 @@
 		Calls: holder.WorkerCalls{Start: n.workers.Start, Stop: n.workers.Stop, Hold: n.workers.Hold},
 		Log:   n.log, OnResult: n.deliverResult, CountCall: n.instruments.countOrder,
 		TakeoverSuspected: func() bool { return n.pauseDetector.takeoverSuspected(time.Now()) },
+		MayBeReplaced:     n.members.Unheard,
 		OnConflict: func() bool {
 			now := time.Now()
 			n.claims.NoteConflict(n.hearsPeers(), n.members.HasMajority(), now)
--- a/internal/gateway/node/heartbeats.go
+++ b/internal/gateway/node/heartbeats.go
@@ -154,8 +154,12 @@
 		n.members.NoteContact(id, err == nil)
 	}
 	if err != nil {
-		if id != "" && peer.IsConnectionRefused(err) {
+		switch {
+		case !peer.IsConnectionRefused(err):
+		case id != "":
 			n.members.NoteRefused(id)
+		default:
+			n.members.NoteAddressRefused(address)
 		}
 		return
 	}
--- a/internal/placement/holder/holder.go
+++ b/internal/placement/holder/holder.go
@@ -23,7 +23,7 @@
 }
 
 // Options configures a Holder. OnResult and OnConflict are called without the
-// holder's lock; TakeoverSuspected and CountCall may be called while it is held.
+// holder's lock; the other functions may be called while it is held.
 type Options struct {
 	Group            string
 	Epoch            uint64 // epoch of the claim
@@ -45,6 +45,10 @@
 	// unnoticed, for example while this process was paused. No task starts then. Nil
 	// means never.
 	TakeoverSuspected func() bool
+	// MayBeReplaced reports whether another entry may have taken the group over on the other
+	// side of a partition. Runs on workers that do not answer are not taken for ended then.
+	// Nil means never.
+	MayBeReplaced func() bool
 	// CountCall counts a call to a worker, named after its kind and answer, for metrics.
 	CountCall func(kind string)
 }
@@ -71,6 +75,9 @@
 	if options.TakeoverSuspected == nil {
 		options.TakeoverSuspected = func() bool { return false }
 	}
+	if options.MayBeReplaced == nil {
+		options.MayBeReplaced = func() bool { return false }
+	}
 	h := &Holder{
 		options: options, sessions: map[string]*session{}, ended: map[string]endedWorker{},
 		plan: plan.New(plan.Options{
@@ -109,6 +116,7 @@
 		return
 	}
 	h.plan.SetTakeoverSuspected(h.options.TakeoverSuspected())
+	h.plan.SetMayBeReplaced(h.options.MayBeReplaced())
 	now := time.Now()
 	change(h.plan, now)
 	results := h.dispatch(h.plan.Orders(), now)
--- a/internal/placement/holder/proof_test.go
+++ b/internal/placement/holder/proof_test.go
@@ -189,7 +189,7 @@
 			h := &Holder{
 				options: Options{
 					Tokens: fence.New(1, 1), Lease: time.Second, Calls: WorkerCalls{Start: r.start, Stop: r.stop, Hold: r.hold}, Log: slog.New(slog.NewTextHandler(io.Discard, nil)),
-					TakeoverSuspected: func() bool { return false }, CountCall: func(string) {}, OnResult: func(*batch.Batch, batch.Result) {},
+					TakeoverSuspected: func() bool { return false }, MayBeReplaced: func() bool { return false }, CountCall: func(string) {}, OnResult: func(*batch.Batch, batch.Result) {},
 				},
 				sessions: map[string]*session{}, plan: plan.New(plan.Options{FirstClaim: true}, time.Now()), ctx: ctx, cancel: cancel,
 			}
--- a/internal/placement/plan/conflict_test.go
+++ b/internal/placement/plan/conflict_test.go
@@ -30,6 +30,21 @@
 			p.HandleReport(Report{Worker: "w3", Sent: after(5300), Fenced: true}, after(5300))
 			p.MarkUnresponsive("w1", after(6400))
 		}, 1},
+		{"another holder may have taken over before the lease expires", func(p *Plan) {
+			p.MarkUnresponsive("w1", after(5400))
+			p.SetMayBeReplaced(true)
+		}, 0},
+		{"all other entries are heard again", func(p *Plan) {
+			p.SetMayBeReplaced(true)
+			p.MarkUnresponsive("w1", after(5400))
+			p.Tick(after(6150))
+			p.SetMayBeReplaced(false)
+		}, 1},
+		{"the worker is no longer registered, another holder may have taken over", func(p *Plan) {
+			p.SetMayBeReplaced(true)
+			p.MarkUnresponsive("w1", after(5400))
+			p.RetireWorker("w1", after(6100))
+		}, 1},
 		{"the worker is no longer registered", func(p *Plan) {
 			p.OtherHolderSeen("w3", after(5100))
 			p.MarkUnresponsive("w1", after(5400))
--- a/internal/placement/plan/plan.go
+++ b/internal/placement/plan/plan.go
@@ -108,6 +108,7 @@
 	waitingSorted     bool
 	requeued          bool // a task has become pending again while a report is handled
 	takeoverSuspected bool // another holder may have taken over without this one knowing
+	mayBeReplaced     bool // another holder may have taken over on the other side of a partition
 	earlyCompletions  map[string]earlyCompletion
 	unaccountedRuns   map[string][]*run // runs that belong to no task of this holder, by task name
 	orders            []Order
@@ -198,6 +199,11 @@
 // before its takeover to expire, so no new ones may follow.
 func (p *Plan) SetTakeoverSuspected(suspected bool) { p.takeoverSuspected = suspected }
 
+// SetMayBeReplaced sets whether another holder may have taken over on the other side of a
+// partition. While it is set no lease expires: the other holder may renew those of workers that
+// this one does not reach.
+func (p *Plan) SetMayBeReplaced(may bool) { p.mayBeReplaced = may }
+
 // mayRunElsewhere reports whether tasks of a job that an earlier holder may have started
 // may be running on a worker that this holder does not know yet, since entries read registrations
 // up to a second apart, or on one that it does not reach. There an earlier holder that has not
--- a/internal/placement/plan/worker.go
+++ b/internal/placement/plan/worker.go
@@ -293,9 +293,11 @@
 }
 
 // leaseLapsed reports whether the lease of a worker that is not ready has expired, so that
-// nothing can be running there. Leases that another holder may renew do not expire.
+// nothing can be running there. Leases that another holder may renew do not expire, except on
+// workers that count as gone for every holder.
 func (p *Plan) leaseLapsed(w *worker) bool {
-	return w.state != ready && !w.foreign && !p.now.Before(p.leaseEnd(w.renewedAt))
+	renewable := w.foreign || p.mayBeReplaced && !w.retired
+	return w.state != ready && !renewable && !p.now.Before(p.leaseEnd(w.renewedAt))
 }
 
 // detachRun lets the task of a run whose lease has expired start elsewhere. The resources of
--- a/member/detect.go
+++ b/member/detect.go
@@ -94,6 +94,18 @@
 	}
 }
 
+// NoteAddressRefused records that nothing listens at the address of a member that is dead, so
+// that its process is known to have ended.
+func (t *Table) NoteAddressRefused(address string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, v := range t.views {
+		if v.record.PeerAddress == address && v.state == Dead {
+			v.refusedCount++
+		}
+	}
+}
+
 // markDead sets a member's state to Dead and queues the news for relay.
 func (t *Table) markDead(v *view) {
 	v.state = Dead
--- a/member/table.go
+++ b/member/table.go
@@ -319,6 +319,20 @@
 	return states
 }
 
+// Unheard reports whether any member of the local zone is not heard at present, although it may
+// be running, on another side of a partition. Members that were leaving, or whose address refuses
+// connections, do not count.
+func (t *Table) Unheard() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, v := range t.views {
+		if v.record.Zone == t.self.Zone && v.state != Alive && !v.record.Leaving && v.refusedCount < maxRefusals {
+			return true
+		}
+	}
+	return false
+}
+
 // HasMajority reports whether this entry hears more than half of the known
 // members, itself included. Of two equal halves, the one with the lowest ID has
 // the majority. Dead members that were leaving or whose address refuses
--- a/member/table_test.go
+++ b/member/table_test.go
@@ -24,7 +24,7 @@
 	c := &testCluster{stopped: map[string]bool{}, blocked: func(Record, Record) bool { return false }}
 	for i := range members {
 		c.tables = append(c.tables, New(Options{Self: Record{
-			ID: fmt.Sprintf("e%03d", i), Zone: fmt.Sprintf("z%d", i%zones), Incarnation: uint64(i + 1), Weight: 1,
+			ID: fmt.Sprintf("e%03d", i), PeerAddress: fmt.Sprintf("e%03d", i), Zone: fmt.Sprintf("z%d", i%zones), Incarnation: uint64(i + 1), Weight: 1,
 		}, SuspectAfter: 4 * heartbeatInterval, DeadAfter: 6 * heartbeatInterval}))
 	}
 	for _, t := range c.tables {
@@ -235,6 +235,51 @@
 	}
 }
 
+// A member that is not heard may be running on the other side of a partition, unless it was
+// leaving or nothing listens at its address. Only members of the local zone count.
+func TestUnheard(t *testing.T) {
+	tests := []struct {
+		name            string
+		members, zones  int
+		cutOff, stopped []string
+		want            map[string]bool
+	}{
+		{"all are heard", 6, 2, nil, nil, map[string]bool{"e000": false}},
+		{"one of the zone is cut off", 6, 2, []string{"e002"}, nil, map[string]bool{"e000": true, "e002": true, "e001": false}},
+		{"another zone is cut off", 6, 2, []string{"e001", "e003", "e005"}, nil, map[string]bool{"e000": false, "e001": false}},
+		{"one of the zone has stopped", 3, 1, nil, []string{"e002"}, map[string]bool{"e000": false, "e001": false}},
+		{"one has stopped, one is cut off", 4, 1, []string{"e003"}, []string{"e002"}, map[string]bool{"e000": true, "e001": true}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newTestCluster(test.members, test.zones)
+				c.tickUntilAgreed(t, 40, test.members)
+				c.blocked = func(a, b Record) bool {
+					return slices.Contains(test.cutOff, a.ID) != slices.Contains(test.cutOff, b.ID)
+				}
+				for _, id := range test.stopped {
+					c.stopped[id] = true
+				}
+				for range 40 {
+					c.tick()
+				}
+				for _, table := range c.tables {
+					for _, id := range test.stopped {
+						table.NoteAddressRefused(c.find(id).Self().PeerAddress)
+						table.NoteAddressRefused(c.find(id).Self().PeerAddress)
+					}
+				}
+				for id, want := range test.want {
+					if got := c.find(id).Unheard(); got != want {
+						t.Errorf("%s: unheard members %v, want %v", id, got, want)
+					}
+				}
+			})
+		})
+	}
+}
+
 // A member that did not run for 10 s must not declare the others dead when it
 // continues.
 func TestOwnPauseDoesNotExpireOthers(t *testing.T) {
