election, node: Claim no group at the start while others may be running unheard

Callers could see two runs of a task at the same time.

Cause: an entry that had heard no other one took that for the proof that all entries had just started. It waits for the takeover delay (2.5 s) now, unless it hears another entry or nothing listens at any known address of one. By then the runs of an earlier holder have ended.

The cost: an entry that starts alone, while the others are silent rather than stopped, serves after 2.5 s instead of 0.15 s.

TestRestartedEntryWaitsForOthers fails without the change ("claimed true, want false"); TestRefusingContactsAreNotAwaited is new.

--- a/internal/gateway/node/heartbeats.go
+++ b/internal/gateway/node/heartbeats.go
@@ -16,9 +16,33 @@
 type contacts struct {
 	mu        sync.Mutex
 	addresses map[string]bool
+	refusing  map[string]bool // nothing listened there at the last attempt
 	offset    int
 }
 
+// noteAttempt records whether an address refused the last connection to it.
+func (c *contacts) noteAttempt(address string, refused bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if refused && c.addresses[address] {
+		c.refusing[address] = true
+		return
+	}
+	delete(c.refusing, address)
+}
+
+// mayRun reports whether an entry may be running at any address but the own one.
+func (c *contacts) mayRun(own string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for a := range c.addresses {
+		if a != own && !c.refusing[a] {
+			return true
+		}
+	}
+	return false
+}
+
 func (c *contacts) add(addresses ...string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -153,9 +177,11 @@
 	if id != "" {
 		n.members.NoteContact(id, err == nil)
 	}
+	refused := peer.IsConnectionRefused(err)
+	n.contacts.noteAttempt(address, refused)
 	if err != nil {
 		switch {
-		case !peer.IsConnectionRefused(err):
+		case !refused:
 		case id != "":
 			n.members.NoteRefused(id)
 		default:
--- a/internal/gateway/node/heartbeats_test.go
+++ b/internal/gateway/node/heartbeats_test.go
@@ -37,3 +37,31 @@
 		})
 	}
 }
+
+// TestRefusingContactsAreNotAwaited guards against an entry that waits for others, before it claims
+// a group, although nothing listens at any of their addresses.
+func TestRefusingContactsAreNotAwaited(t *testing.T) {
+	const own, first, second = "10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1"
+	tests := []struct {
+		name      string
+		addresses []string
+		attempt   func(c *contacts)
+		want      bool
+	}{
+		{"no others are configured", []string{own}, func(*contacts) {}, false},
+		{"none has been tried", []string{own, first}, func(*contacts) {}, true},
+		{"one of two refuses", []string{own, first, second}, func(c *contacts) { c.noteAttempt(first, true) }, true},
+		{"both refuse", []string{own, first, second}, func(c *contacts) { c.noteAttempt(first, true); c.noteAttempt(second, true) }, false},
+		{"one refused before and is silent now", []string{own, first}, func(c *contacts) { c.noteAttempt(first, true); c.noteAttempt(first, false) }, true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := contacts{addresses: map[string]bool{}, refusing: map[string]bool{}}
+			c.add(test.addresses...)
+			test.attempt(&c)
+			if got := c.mayRun(own); got != test.want {
+				t.Fatalf("others may be running: %v, want %v", got, test.want)
+			}
+		})
+	}
+}
--- a/internal/gateway/node/node.go
+++ b/internal/gateway/node/node.go
@@ -91,7 +91,7 @@
 		store: platform.NewStore(s.Store), workers: platform.NewWorkerClient(),
 		client: peer.NewClient(nil, &counted.Counter{}, nil),
 		routes: routes.New(), registry: registry.New(), holders: map[string]*holder.Holder{},
-		contacts:      contacts{addresses: map[string]bool{}},
+		contacts:      contacts{addresses: map[string]bool{}, refusing: map[string]bool{}},
 		registryState: registryState{changed: make(chan struct{}, 1)},
 		pauseDetector: pauseDetector{threshold: suspectHeartbeats * s.HeartbeatInterval},
 		freeSlots:     freeSlotsTable{groups: map[string]groupFreeSlots{}},
@@ -111,6 +111,7 @@
 		Self:          election.Candidate{ID: s.VM, Incarnation: n.incarnation, Zone: s.Zone, Weight: s.Processors},
 		TakeoverDelay: takeoverDelay,
 		Known:         func(id string) bool { _, _, known := n.members.Find(id); return known },
+		MayHavePeers:  func() bool { return n.contacts.mayRun(s.AdvertisedAddress) },
 	})
 	n.instruments = newInstruments(n, options.DroppedLogLines)
 	n.outbox = newOutbox(n)
--- a/internal/placement/election/election.go
+++ b/internal/placement/election/election.go
@@ -40,11 +40,13 @@
 //
 // TakeoverDelay is how long an entry that receives no heartbeats waits before it
 // takes over a group, since it may be the one that is partitioned off. Known
-// reports whether any heartbeat has mentioned an entry, alive or gone.
+// reports whether any heartbeat has mentioned an entry, alive or gone. MayHavePeers reports
+// whether another entry may be running although none has been heard; nil means never.
 type Options struct {
 	Self          Candidate
 	TakeoverDelay time.Duration
 	Known         func(id string) bool
+	MayHavePeers  func() bool
 }
 
 // ClaimTable holds the newest known claim on each group and decides when the own
@@ -64,6 +66,9 @@
 
 // New returns an empty ClaimTable.
 func New(options Options) *ClaimTable {
+	if options.MayHavePeers == nil {
+		options.MayHavePeers = func() bool { return false }
+	}
 	return &ClaimTable{options: options, claims: map[string]Claim{}, vacantSince: map[string]time.Time{}, firstEpochs: map[string]uint64{}, outweighedSince: map[string]time.Time{}}
 }
 
@@ -123,8 +128,8 @@
 // ClaimIfVacant claims the group for the own entry if the group has no live holder
 // and the own entry ranks first among the ready candidates. hasPeers says whether any
 // other live entry is known. Without one the entry waits TakeoverDelay before it
-// replaces the claim of another, and claims nothing after a conflict. It reports
-// whether a claim was made.
+// replaces the claim of another, or makes the first claim that it knows of although others
+// may be running, and claims nothing after a conflict. It reports whether a claim was made.
 func (t *ClaimTable) ClaimIfVacant(group, zone string, live []Candidate, hasPeers bool, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -141,7 +146,8 @@
 		since = now
 		t.vacantSince[group] = now
 	}
-	if !hasPeers && (claimed && now.Sub(since) < t.options.TakeoverDelay || !t.isolatedSince.IsZero()) {
+	mayBeHeld := claimed || t.options.MayHavePeers()
+	if !hasPeers && (mayBeHeld && now.Sub(since) < t.options.TakeoverDelay || !t.isolatedSince.IsZero()) {
 		return false
 	}
 	if claimed && !t.options.Known(c.Holder) && now.Sub(since) < unknownHolderGrace {
--- a/internal/placement/election/election_test.go
+++ b/internal/placement/election/election_test.go
@@ -74,6 +74,38 @@
 	}
 }
 
+// TestRestartedEntryWaitsForOthers guards against a lease that a restarted holder renews although
+// another entry has replaced it: it starts again in a partition, hears nobody and knows no claim,
+// and the runs on its workers, which it does not know, go on.
+func TestRestartedEntryWaitsForOthers(t *testing.T) {
+	a1 := candidate("a1", "a")
+	tests := []struct {
+		name         string
+		mayHavePeers bool
+		hasPeers     bool
+		waits        time.Duration
+		claimed      bool
+	}{
+		{"others may be running", true, false, 1900 * time.Millisecond, false},
+		{"others may be running, the takeover delay has passed", true, false, 3 * time.Second, true},
+		{"another entry is heard", true, true, 0, true},
+		{"no other entry can be running", false, false, 0, true},
+	}
+	for _, c := range tests {
+		t.Run(c.name, func(t *testing.T) {
+			table := newTable(a1)
+			table.options.MayHavePeers = func() bool { return c.mayHavePeers }
+			got := table.ClaimIfVacant("a/0", "a", []Candidate{a1}, c.hasPeers, now)
+			if c.waits > 0 {
+				got = got || table.ClaimIfVacant("a/0", "a", []Candidate{a1}, c.hasPeers, now.Add(c.waits))
+			}
+			if got != c.claimed {
+				t.Fatalf("claimed %v, want %v", got, c.claimed)
+			}
+		})
+	}
+}
+
 // TestClaimsWhileAllEntriesStart guards against groups that change holders while all
 // entries start one after the other, as after a power failure: each change stops the
 // group for a second. Heartbeats may then bring a claim before the state of its
