history: Simulate one-way links, stores that are away, clocks and lost starts

The world could not express links that work one way or reach some workers only, an entry that is cut off from the store, registrations that are missing, clocks that step or run slow, orders of one kind that are late, connections of clients that break, and starts that are lost. No task outlasted a lease, so that a wrong assumption on leases could not show. Entries use the real registry and isolation detector now, and clients send a job again whose outcome is unknown.

--- /dev/null
+++ b/internal/trial/history/calls_test.go
@@ -0,0 +1,101 @@
+package history
+
+import (
+	"context"
+	"time"
+
+	"github.com/radishgate/radishgate/internal/gateway/submission"
+	"github.com/radishgate/radishgate/internal/placement/holder"
+	"github.com/radishgate/radishgate/internal/work/batch"
+)
+
+// entryCallTimeout is the timeout of a call to another entry.
+const entryCallTimeout = 400 * time.Millisecond
+
+// findHolder returns the current holder of the group, and false if it is not known or not live.
+func (e *entry) findHolder(string) (submission.GroupHolder, bool) {
+	c, claimed := e.claims.Holder(group)
+	if !claimed {
+		return submission.GroupHolder{}, false
+	}
+	if c.Holder == e.id {
+		return submission.GroupHolder{Group: group, Epoch: c.Epoch, ID: c.Holder, Local: true}, c.Incarnation == e.incarnation && e.claims.MaySchedule(group, time.Now())
+	}
+	e.lock.Lock()
+	defer e.lock.Unlock()
+	h, known := e.heartbeats[c.Holder]
+	if !known || time.Since(h.receivedAt) >= deadAfter || h.candidate.Incarnation != c.Incarnation {
+		return submission.GroupHolder{}, false
+	}
+	return submission.GroupHolder{Group: group, Epoch: c.Epoch, ID: c.Holder}, true
+}
+
+// callHolder calls the holder of a group over the simulated network. It reports whether the entry
+// holds the group at this epoch; without an answer the call may have been executed.
+func (e *entry) callHolder(ctx context.Context, to submission.GroupHolder, call func(h *holder.Holder)) (bool, error) {
+	for _, o := range e.liveEntries() {
+		if o.id != to.ID {
+			continue
+		}
+		ctx, cancel := context.WithTimeout(ctx, entryCallTimeout)
+		defer cancel()
+		if o != e {
+			if err := e.transmit(ctx, e.id, o.id); err != nil {
+				return false, err
+			}
+		}
+		o.lock.Lock()
+		h := o.holder
+		o.lock.Unlock()
+		held := h != nil && h.Epoch() == to.Epoch && o.ctx.Err() == nil
+		if held {
+			call(h)
+		}
+		if o != e {
+			if err := e.transmit(ctx, o.id, e.id); err != nil {
+				return false, err
+			}
+		}
+		return held, nil
+	}
+	return false, errUnreachable
+}
+
+func (e *entry) placeAt(ctx context.Context, to submission.GroupHolder, b *batch.Batch, completed []string) (bool, error) {
+	return e.callHolder(ctx, to, func(h *holder.Holder) { h.Admit(b, completed) })
+}
+
+func (e *entry) keepAliveAt(ctx context.Context, to submission.GroupHolder, ids []string) (results []batch.Result, unknown []string, held bool, err error) {
+	held, err = e.callHolder(ctx, to, func(h *holder.Holder) { results, unknown = h.KeepAlive(ids) })
+	if err != nil {
+		return nil, nil, false, err
+	}
+	return results, unknown, held, nil
+}
+
+func (e *entry) withdrawAt(ctx context.Context, to submission.GroupHolder, b *batch.Batch) {
+	_, err := e.callHolder(ctx, to, func(h *holder.Holder) { h.Withdraw(b.ID, b.Attempt) })
+	if err != nil {
+		e.log(e.id).Info("job not withdrawn", "job", b.ID, "error", err)
+	}
+}
+
+// deliverResult sends a result to the entry that waits for it.
+func (e *entry) deliverResult(b *batch.Batch, r batch.Result) {
+	for _, o := range e.liveEntries() {
+		if o.id != b.WaitingEntry {
+			continue
+		}
+		if o == e {
+			o.tracker.DeliverResults([]batch.Result{r})
+			return
+		}
+		e.goroutines.Go(func() {
+			ctx, cancel := context.WithTimeout(e.ctx, entryCallTimeout)
+			defer cancel()
+			if e.transmit(ctx, e.id, o.id) == nil && o.ctx.Err() == nil {
+				o.tracker.DeliverResults([]batch.Result{r})
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/trial/history/client_test.go
@@ -0,0 +1,114 @@
+package history
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/radishgate/radishgate/internal/work/batch"
+)
+
+// maxSends is how often a client sends its job.
+const maxSends = 4
+
+// client submits a job until it gets an answer that tells its outcome, and records the answers.
+type client struct {
+	id         string
+	tasks      int
+	long       bool
+	sentAt     time.Time
+	lostAnswer bool // a request got no answer, since its entry ended or its connection broke
+	results    []batch.Result
+}
+
+func (c *client) run(w *world) {
+	for range maxSends {
+		if c.send(w) {
+			return
+		}
+		time.Sleep(resendAfter)
+	}
+}
+
+// send sends the job to an entry and reports whether an answer tells its outcome.
+func (c *client) send(w *world) bool {
+	alive := w.liveEntries()
+	if len(alive) == 0 {
+		return false
+	}
+	e := alive[w.randomInt(len(alive))]
+	b := w.newBatch(c.id, c.tasks, c.long)
+	ctx, breakConnection := context.WithCancel(context.Background())
+	if w.takesEffect(clientsBreak) {
+		ctx, breakConnection = context.WithTimeout(ctx, w.randomDuration(600))
+	}
+	result := make(chan batch.Result, 1)
+	// An entry that is killed no longer answers, but what it has sent to other
+	// entries and workers stays in effect.
+	w.goroutines.Go(func() {
+		defer breakConnection()
+		r := e.tracker.Submit(ctx, b)
+		if e.ctx.Err() == nil {
+			result <- r
+		}
+	})
+	select {
+	case r := <-result:
+		if r.State != batch.Cancelled {
+			c.results = append(c.results, r)
+			return r.State != batch.Unknown
+		}
+	case <-e.ctx.Done():
+	}
+	c.lostAnswer = true
+	return false
+}
+
+// violation compares the answers that the client got with the runs on the workers. It
+// returns a description of the first contradiction, or "".
+func (c *client) violation(w *world, faultFreeFrom time.Time) string {
+	first := batch.Unknown
+	if len(c.results) > 0 {
+		first = c.results[0].State
+	}
+	succeeded, started, hopeless := 0, 0, false
+	for i := range c.tasks {
+		name := batch.TaskName(c.id, 0, 0, i)
+		starts, ok := w.monitor.TaskRuns(name)
+		failed, lost := w.monitor.TaskFaults(name)
+		hopeless = hopeless || failed >= maxAttempts || lost >= maxCrashes
+		if starts > 0 {
+			started++
+		}
+		if ok {
+			succeeded++
+		}
+	}
+	for _, r := range c.results {
+		switch {
+		case r.State == batch.Completed && succeeded < c.tasks:
+			return "reported as completed, but not all of its tasks have succeeded"
+		case r.State == batch.Failed && !hopeless:
+			return "reported as failed, but no task of it has failed or crashed that often"
+		}
+	}
+	switch {
+	case first == batch.Refused && started > 0 && !c.lostAnswer:
+		return "refused, but a task has started"
+	case c.sentAt.After(faultFreeFrom) && first != batch.Completed && first != batch.Failed:
+		return "not served although no fault was active"
+	}
+	return ""
+}
+
+// faultsOf describes what happened to the tasks of the job.
+func (c *client) faultsOf(w *world) string {
+	text := ""
+	for i := range c.tasks {
+		name := batch.TaskName(c.id, 0, 0, i)
+		starts, ok := w.monitor.TaskRuns(name)
+		failed, lost := w.monitor.TaskFaults(name)
+		text += fmt.Sprintf(" %s: %d starts, %d failed, %d lost in crashes, succeeded: %t;", name, starts, failed, lost, ok)
+	}
+	return text
+}
--- a/internal/trial/history/entry_test.go
+++ b/internal/trial/history/entry_test.go
@@ -2,21 +2,26 @@
 
 import (
 	"context"
-	"fmt"
 	"sync"
 	"time"
 
+	"github.com/radishgate/radishgate/internal/gateway/isolation"
 	"github.com/radishgate/radishgate/internal/gateway/submission"
 	"github.com/radishgate/radishgate/internal/placement/election"
 	"github.com/radishgate/radishgate/internal/placement/holder"
 	"github.com/radishgate/radishgate/internal/work/batch"
 	"github.com/radishgate/radishgate/internal/worker/fence"
+	"github.com/radishgate/radishgate/internal/worker/registry"
 	"github.com/radishgate/radishgate/platform"
 )
 
+// reregistrationWindow is the time after the first read of the registrations within which
+// those that expired in an outage of the store return, as in package node.
+const reregistrationWindow = 3 * time.Second
+
 // entry simulates one incarnation of an entry. It uses the real job tracker, claim
-// table and holder; the exchange of heartbeats and claims between entries is a
-// simplified version of the one in package node.
+// table, registry, isolation detector and holder; the exchange of heartbeats and claims between
+// entries is a simplified version of the one in package node.
 type entry struct {
 	*world
 	id           string
@@ -26,15 +31,19 @@
 	cancel       context.CancelFunc
 	tracker      *submission.Tracker
 	claims       *election.ClaimTable
+	registry     *registry.Registry
+	isolation    isolation.Detector
 	workerClient *platform.WorkerClient
 
 	passing sync.Mutex // held while registrations are passed to the holder, which keeps the order in which they were read
 
-	lock          sync.Mutex // guards the fields below; mu belongs to the embedded world
-	holder        *holder.Holder
-	leaving       bool
-	heartbeats    map[string]heartbeat
-	registrations []platform.Registration // as last read
+	lock            sync.Mutex // guards the fields below; mu belongs to the embedded world
+	holder          *holder.Holder
+	leaving         bool
+	heartbeats      map[string]heartbeat
+	clockOffset     time.Duration // error of the time of day
+	registryReadAt  time.Time     // when the registry was first read
+	firstReadFailed bool          // an attempt before that failed
 }
 
 // heartbeat is the latest heartbeat received from another entry.
@@ -45,7 +54,13 @@
 }
 
 func (w *world) startEntry(index int) {
-	e := &entry{world: w, id: fmt.Sprintf("e%d", index), incarnation: uint64(w.randomInt(1<<30)) + 1, startedAt: time.Now(), heartbeats: map[string]heartbeat{}, registrations: w.registrations()}
+	e := &entry{
+		world: w, id: entryName(index), incarnation: uint64(w.randomInt(1<<30)) + 1, startedAt: time.Now(), heartbeats: map[string]heartbeat{},
+		registry: registry.New(),
+	}
+	if w.takesEffect(wrongClocks) {
+		e.clockOffset = w.randomDuration(2*maxClockStepMillis) - maxClockStepMillis*time.Millisecond
+	}
 	e.ctx, e.cancel = context.WithCancel(context.Background())
 	e.workerClient = platform.NewWorkerClientOver(workerTransport{w, e.id})
 	e.claims = election.New(election.Options{Self: e.candidate(true), TakeoverDelay: 2500 * time.Millisecond, Known: func(id string) bool {
@@ -57,11 +72,13 @@
 	e.tracker = submission.New(submission.Options{
 		Self: e.id, RequestNumber: func() uint64 { return uint64(w.randomInt(1 << 30)) }, GroupOf: func(*batch.Batch) string { return group },
 		FindHolder: e.findHolder, Place: e.placeAt, Await: e.keepAliveAt, Withdraw: e.withdrawAt,
+		Isolated: func() bool { return e.isolation.Isolated(time.Now()) }, ResultsLost: e.isolation.ResultsLost,
 		OnEnd: func(*batch.Batch, batch.Result, int) {}, Log: w.log(e.id),
 	})
 	w.mu.Lock()
 	w.entries[index] = e
 	w.mu.Unlock()
+	w.log(e.id).Info("entry starts", "incarnation", e.incarnation, "clock_offset", e.clockOffset)
 	w.goroutines.Go(func() { e.tracker.Run(e.ctx) })
 	w.goroutines.Go(e.runHeartbeats)
 	w.goroutines.Go(e.readRegistrations)
@@ -74,18 +91,54 @@
 	var readAt time.Time
 	for e.ctx.Err() == nil {
 		if time.Since(readAt) >= interval {
-			list := e.world.registrations()
+			list, answered := e.registrations(e.id)
+			if !answered {
+				e.noteReadFailed()
+				e.updateWorkers()
+				time.Sleep(failedReadDelay)
+				continue
+			}
 			readAt = time.Now()
 			time.Sleep(time.Duration(1+e.randomInt(20)) * time.Millisecond) // the response is on its way
-			e.lock.Lock()
-			e.registrations = list
-			e.lock.Unlock()
+			e.registry.Reset(list, time.Now())
+			e.updateWorkers()
+			e.noteRead()
 		}
 		e.updateWorkers()
 		time.Sleep(max(time.Millisecond, min(passInterval, interval-time.Since(readAt))))
 	}
 }
 
+func (e *entry) noteReadFailed() {
+	e.lock.Lock()
+	defer e.lock.Unlock()
+	e.firstReadFailed = e.firstReadFailed || e.registryReadAt.IsZero()
+}
+
+func (e *entry) noteRead() {
+	e.lock.Lock()
+	defer e.lock.Unlock()
+	if e.registryReadAt.IsZero() {
+		e.registryReadAt = time.Now()
+	}
+}
+
+// workersIncompleteUntil returns the time until which the registry may lack workers that are
+// alive. The caller holds e.lock.
+func (e *entry) workersIncompleteUntil() time.Time {
+	if !e.firstReadFailed {
+		return time.Time{}
+	}
+	return e.registryReadAt.Add(reregistrationWindow)
+}
+
+// ready reports whether the entry may claim a group.
+func (e *entry) ready() bool {
+	e.lock.Lock()
+	defer e.lock.Unlock()
+	return time.Since(e.startedAt) >= listenTime && !e.leaving && !e.registryReadAt.IsZero() && e.ctx.Err() == nil
+}
+
 func (e *entry) candidate(ready bool) election.Candidate {
 	return election.Candidate{ID: e.id, Incarnation: e.incarnation, Zone: "a", Weight: 1, Ready: ready}
 }
@@ -99,59 +152,119 @@
 		case <-e.ctx.Done():
 			return
 		case <-ticker.C:
+			e.isolation.Beat(e.view(), time.Now())
 			e.sendHeartbeats()
 			e.claimIfVacant()
 		}
 	}
 }
 
+// sendHeartbeats exchanges heartbeats and claims with the other entries.
 func (e *entry) sendHeartbeats() {
-	e.lock.Lock()
-	leaving := e.leaving
-	e.lock.Unlock()
-	self := e.candidate(time.Since(e.startedAt) >= listenTime && !leaving)
-	claims := e.claims.Claims()
 	for _, o := range e.liveEntries() {
 		if o == e {
 			continue
 		}
 		e.goroutines.Go(func() {
-			ctx, cancel := context.WithTimeout(e.ctx, heartbeatInterval)
+			ctx, cancel := context.WithTimeout(e.ctx, deadAfter)
 			defer cancel()
-			if e.transmit(ctx, e.id, o.id) != nil || o.ctx.Err() != nil {
-				return
-			}
-			o.lock.Lock()
-			o.heartbeats[e.id] = heartbeat{self, leaving, time.Now()}
-			o.lock.Unlock()
-			if o.claims.Merge(claims) {
-				o.claimIfVacant()
+			if e.sendHeartbeat(ctx, o) {
+				o.sendHeartbeat(ctx, e) // the answer
 			}
 		})
 	}
 }
 
-// claimIfVacant claims the group if it has no live holder and this entry is next
-// in line, then starts or releases the local holder to match.
-func (e *entry) claimIfVacant() {
+// sendHeartbeat sends a heartbeat and reports whether it arrived.
+func (e *entry) sendHeartbeat(ctx context.Context, o *entry) bool {
+	self, claims := e.candidate(e.ready()), e.claims.Claims()
 	e.lock.Lock()
-	now := time.Now()
-	var live []election.Candidate
-	heardOthers := false
+	leaving := e.leaving
+	e.lock.Unlock()
+	if e.transmit(ctx, e.id, o.id) != nil || o.ctx.Err() != nil {
+		return false
+	}
+	o.isolation.NoteHeard()
+	o.lock.Lock()
+	o.heartbeats[e.id] = heartbeat{self, leaving, time.Now()}
+	o.lock.Unlock()
+	if o.claims.Merge(claims) {
+		o.claimIfVacant()
+	}
+	return true
+}
+
+// liveCandidates returns the other entries that count as alive and do not leave, and whether any
+// other one counts as alive.
+func (e *entry) liveCandidates() (live []election.Candidate, anyOther bool) {
+	e.lock.Lock()
+	defer e.lock.Unlock()
 	for _, h := range e.heartbeats {
-		if now.Sub(h.receivedAt) < deadAfter {
-			heardOthers = true
+		if time.Since(h.receivedAt) < deadAfter {
+			anyOther = true
 			if !h.leaving {
 				live = append(live, h.candidate)
 			}
 		}
 	}
+	return live, anyOther
+}
+
+func (e *entry) hearsPeers() bool {
+	_, anyOther := e.liveCandidates()
+	return anyOther && !e.isolation.OthersSilent()
+}
+
+// hasMajority reports whether more than half of the entries, without those that are down, count
+// as alive.
+func (e *entry) hasMajority() bool {
+	down := map[string]bool{}
+	for i := range entryCount {
+		down[entryName(i)] = e.entry(i).ctx.Err() != nil
+	}
+	e.lock.Lock()
+	defer e.lock.Unlock()
+	heard, all := 1, 1
+	for id, h := range e.heartbeats {
+		isLive := time.Since(h.receivedAt) < deadAfter
+		if !isLive && (h.leaving || down[id]) {
+			continue
+		}
+		all++
+		if isLive {
+			heard++
+		}
+	}
+	return 2*heard > all
+}
+
+// view returns what the entry knows of the holder.
+func (e *entry) view() isolation.View {
+	_, known := e.findHolder(group)
+	e.lock.Lock()
+	h := e.holder
+	e.lock.Unlock()
+	now := time.Now()
+	return isolation.View{
+		HolderKnown: known, Suspended: e.claims.Suspended(group, now),
+		ServesAlone: h != nil && e.claims.MaySchedule(group, now) && h.AnyWorkerAnswers(),
+	}
+}
+
+// claimIfVacant claims the group if it has no live holder and this entry is next
+// in line, then starts or releases the local holder to match.
+func (e *entry) claimIfVacant() {
+	live, _ := e.liveCandidates()
+	e.claims.ResumeIfMajority(e.hasMajority)
+	e.lock.Lock()
+	now := time.Now().Add(e.clockOffset)
 	leaving := e.leaving
 	e.lock.Unlock()
-	if now.Sub(e.startedAt) >= listenTime && !leaving && e.ctx.Err() == nil {
-		e.claims.ClaimIfVacant(group, "a", append(live, e.candidate(true)), heardOthers, now)
+	if time.Since(e.startedAt) >= listenTime && !leaving && e.ctx.Err() == nil {
+		e.claims.ClaimIfVacant(group, "a", append(live, e.candidate(e.ready())), e.hearsPeers(), now)
 	}
 	e.updateHolder()
+	e.isolation.Update(e.view(), time.Now())
 }
 
 func (e *entry) updateHolder() {
@@ -168,10 +281,13 @@
 	if started {
 		e.holder = holder.New(e.ctx, holder.Options{
 			Group: group, Epoch: c.Epoch, FirstClaim: e.claims.FirstClaim(c), Tokens: fence.New(fence.HolderNumber(c.Holder, c.Incarnation), c.Epoch),
-			Lease: leaseDuration, ClientRetryAfter: resendAfter,
+			Lease: leaseDuration, ClientRetryAfter: resendAfter, WorkersIncompleteUntil: e.workersIncompleteUntil(),
 			Calls: holder.WorkerCalls{Start: e.workerClient.Start, Stop: e.workerClient.Stop, Hold: e.workerClient.Hold},
 			Log:   e.log(e.id), OnResult: e.deliverResult, CountCall: func(string) {},
-			OnConflict: func() bool { return e.claims.MaySchedule(group, time.Now()) },
+			OnConflict: func() bool {
+				e.claims.NoteConflict(e.hearsPeers(), e.hasMajority(), time.Now())
+				return e.claims.MaySchedule(group, time.Now())
+			},
 		})
 	}
 	e.lock.Unlock()
@@ -185,101 +301,23 @@
 	}
 }
 
-// updateWorkers passes the registrations as last read to the holder.
+// updateWorkers passes the registered workers to the holder, and those whose registrations have
+// expired.
 func (e *entry) updateWorkers() {
 	e.passing.Lock()
 	defer e.passing.Unlock()
 	e.lock.Lock()
-	h, registrations := e.holder, e.registrations
+	h := e.holder
 	e.lock.Unlock()
+	gone := e.registry.Expire(func(id string) bool { return h != nil && h.Answering(id) }, time.Now())
 	if h == nil {
 		return
 	}
-	for _, r := range registrations {
-		for incarnation := 1; ; incarnation++ {
-			if id := workerID(workerIndex(r.Address), incarnation); id != r.ID {
-				h.RemoveWorker(id, "its registration has gone")
-				continue
-			}
-			break
-		}
-		h.AddWorker(r)
-	}
-}
-
-func (e *entry) findHolder(string) (submission.GroupHolder, bool) {
-	c, ok := e.claims.Holder(group)
-	return submission.GroupHolder{Group: group, Epoch: c.Epoch, ID: c.Holder, Local: c.Holder == e.id && c.Incarnation == e.incarnation}, ok
-}
-
-// entryCallTimeout is the timeout of a call to another entry.
-const entryCallTimeout = 400 * time.Millisecond
-
-// holderAt returns the holder of a group, reached over the simulated network. It
-// returns nil if that entry does not hold the group at this epoch.
-func (e *entry) holderAt(ctx context.Context, to submission.GroupHolder) (*holder.Holder, error) {
-	for _, o := range e.liveEntries() {
-		if o.id != to.ID {
-			continue
-		}
-		if o != e {
-			ctx, cancel := context.WithTimeout(ctx, entryCallTimeout)
-			defer cancel()
-			if err := e.transmit(ctx, e.id, o.id); err != nil {
-				return nil, err
-			}
-		}
-		o.lock.Lock()
-		defer o.lock.Unlock()
-		if o.holder != nil && o.holder.Epoch() == to.Epoch && o.ctx.Err() == nil {
-			return o.holder, nil
-		}
-		return nil, nil
-	}
-	return nil, errUnreachable
-}
-
-func (e *entry) placeAt(ctx context.Context, to submission.GroupHolder, b *batch.Batch, completed []string) (bool, error) {
-	h, err := e.holderAt(ctx, to)
-	if h == nil || err != nil {
-		return false, err
-	}
-	h.Admit(b, completed)
-	return true, nil
-}
-
-func (e *entry) keepAliveAt(ctx context.Context, to submission.GroupHolder, ids []string) ([]batch.Result, []string, bool, error) {
-	h, err := e.holderAt(ctx, to)
-	if h == nil || err != nil {
-		return nil, nil, false, err
-	}
-	results, unknown := h.KeepAlive(ids)
-	return results, unknown, true, nil
-}
-
-func (e *entry) withdrawAt(ctx context.Context, to submission.GroupHolder, b *batch.Batch) {
-	if h, err := e.holderAt(ctx, to); h != nil && err == nil {
-		h.Withdraw(b.ID, b.Attempt)
+	for _, id := range gone {
+		h.RemoveWorker(id, "its registration has gone")
 	}
-}
-
-// deliverResult sends a result to the entry that waits for it.
-func (e *entry) deliverResult(b *batch.Batch, r batch.Result) {
-	for _, o := range e.liveEntries() {
-		if o.id != b.WaitingEntry {
-			continue
-		}
-		if o == e {
-			o.tracker.DeliverResults([]batch.Result{r})
-			return
-		}
-		e.goroutines.Go(func() {
-			ctx, cancel := context.WithTimeout(e.ctx, entryCallTimeout)
-			defer cancel()
-			if e.transmit(ctx, e.id, o.id) == nil && o.ctx.Err() == nil {
-				o.tracker.DeliverResults([]batch.Result{r})
-			}
-		})
+	for _, r := range e.registry.Live() {
+		h.AddWorker(r)
 	}
 }
 
@@ -295,3 +333,11 @@
 	time.Sleep(time.Second)
 	e.cancel()
 }
+
+// setClockBack sets the entry's time of day back. It is not set forward while the entry runs: the
+// claim table measures durations with the time that it gets.
+func (e *entry) setClockBack(by time.Duration) {
+	e.lock.Lock()
+	defer e.lock.Unlock()
+	e.clockOffset -= by
+}
--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -12,89 +12,6 @@
 	"time"
 )
 
-// RunMonitor records the runs of all workers and detects violations. The zero
-// value is ready for use.
-type RunMonitor struct {
-	mu            sync.Mutex
-	running       map[string]map[monitoredRun]bool // by task
-	runningAt     map[string]int                   // number of runs by worker ID, on all incarnations
-	Overlapping   []string                         // tasks with two runs at the same time
-	Overloaded    []string                         // workers that got a task while all their slots were taken
-	UnseenEndings []string                         // tasks whose ending a worker forgot before any of its responses listed it
-	Starts        map[string]int                   // number of starts by task
-	Succeeded     map[string]bool                  // tasks with a successful run
-}
-
-// monitoredRun identifies a run of a task. A worker that has started again under its ID is
-// another incarnation: its run numbers say nothing about the runs of the one before.
-type monitoredRun struct {
-	worker    string
-	startedAt time.Time // start of the incarnation
-	number    int
-}
-
-func (m *RunMonitor) recordStart(task string, r monitoredRun, slots int) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if m.running == nil {
-		m.running, m.runningAt, m.Starts, m.Succeeded = map[string]map[monitoredRun]bool{}, map[string]int{}, map[string]int{}, map[string]bool{}
-	}
-	m.Starts[task]++
-	if len(m.running[task]) > 0 {
-		m.Overlapping = append(m.Overlapping, task)
-	} else {
-		m.running[task] = map[monitoredRun]bool{}
-	}
-	if m.runningAt[r.worker] >= slots {
-		m.Overloaded = append(m.Overloaded, r.worker)
-	}
-	m.running[task][r] = true
-	m.runningAt[r.worker]++
-}
-
-func (m *RunMonitor) recordEnd(task string, r monitoredRun, outcome string) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if outcome == "done" {
-		m.Succeeded[task] = true
-	}
-	if !m.running[task][r] {
-		return
-	}
-	m.runningAt[r.worker]--
-	delete(m.running[task], r)
-	if len(m.running[task]) == 0 {
-		delete(m.running, task)
-	}
-}
-
-func (m *RunMonitor) recordUnseenEnding(task string) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.UnseenEndings = append(m.UnseenEndings, task)
-}
-
-// TaskRuns returns the number of starts of a task and whether one of its runs succeeded.
-func (m *RunMonitor) TaskRuns(task string) (starts int, succeeded bool) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.Starts[task], m.Succeeded[task]
-}
-
-// Violations returns the tasks whose runs overlapped and the workers that were overloaded.
-func (m *RunMonitor) Violations() (overlapping, overloaded []string) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return append([]string(nil), m.Overlapping...), append([]string(nil), m.Overloaded...)
-}
-
-// Unseen returns the tasks in UnseenEndings.
-func (m *RunMonitor) Unseen() []string {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return append([]string(nil), m.UnseenEndings...)
-}
-
 type run struct {
 	task      string
 	number    int
@@ -120,6 +37,13 @@
 	// DelayOrder returns how long to hold an order back before it is executed. The
 	// answer to a delayed order is dropped.
 	DelayOrder func(path string) time.Duration
+	// MoveDeadline reports whether the deadline of an order that was held back counts from its
+	// execution. Nil means never.
+	MoveDeadline func() bool
+	// ClockRate is the speed of the worker's steady clock; 0 means 1.
+	ClockRate float64
+	// ClockOffset is the error of the worker's time of day.
+	ClockOffset time.Duration
 }
 
 // maxLease is the longest lease that a worker accepts; longer ones are shortened.
@@ -142,13 +66,21 @@
 }
 
 // StartUnixMilli returns the time of the worker's start as its reports state it.
-func (w *Worker) StartUnixMilli() int64 { return w.startedAt.UnixMilli() }
+func (w *Worker) StartUnixMilli() int64 {
+	return w.startedAt.Add(w.options.ClockOffset).UnixMilli()
+}
 
 // New returns a worker that runs nothing.
 func New(options Options) *Worker {
 	if options.PlanRun == nil {
 		options.PlanRun = func(string) (string, time.Duration) { return "done", 20 * time.Millisecond }
 	}
+	if options.MoveDeadline == nil {
+		options.MoveDeadline = func() bool { return false }
+	}
+	if options.ClockRate == 0 {
+		options.ClockRate = 1
+	}
 	return &Worker{options: options, startedAt: time.Now(), runs: map[string]*run{}, highestRuns: map[string]int{}, runEnded: make(chan struct{})}
 }
 
@@ -169,7 +101,14 @@
 	Finished       [][]any `json:"finished,omitempty"`
 }
 
-func (w *Worker) clockMillis() int64 { return time.Since(w.startedAt).Milliseconds() }
+func (w *Worker) clockMillis() int64 {
+	return time.Duration(float64(time.Since(w.startedAt)) * w.options.ClockRate).Milliseconds()
+}
+
+// elapse returns the time in which the worker's clock advances by a duration.
+func (w *Worker) elapse(duration time.Duration) time.Duration {
+	return time.Duration(float64(duration) / w.options.ClockRate)
+}
 
 // ServeHTTP executes an order.
 func (w *Worker) ServeHTTP(out http.ResponseWriter, r *http.Request) {
@@ -185,8 +124,12 @@
 	dropAnswer := false
 	if w.options.DelayOrder != nil {
 		if delay := w.options.DelayOrder(r.URL.Path); delay > 0 {
+			before := w.clockMillis()
 			time.Sleep(delay)
 			dropAnswer = true
+			if o.LeaseEndMillis > 0 && w.options.MoveDeadline() {
+				o.LeaseEndMillis += w.clockMillis() - before
+			}
 		}
 	}
 	status, response := w.execute(r, o)
@@ -206,7 +149,7 @@
 	}
 	w.endRunsIfLeaseExpired()
 	if o.Token < w.highestToken {
-		return http.StatusConflict, response{ClockMillis: w.clockMillis(), StartUnixMilli: w.startedAt.UnixMilli(), Reason: "fence"}
+		return http.StatusConflict, response{ClockMillis: w.clockMillis(), StartUnixMilli: w.StartUnixMilli(), Reason: "fence"}
 	}
 	w.highestToken = o.Token
 	switch r.URL.Path {
@@ -223,15 +166,17 @@
 		w.waitForEndedRun(r, time.Duration(o.WaitMillis)*time.Millisecond)
 		return http.StatusOK, w.holdResponse()
 	}
-	return http.StatusOK, response{ClockMillis: w.clockMillis(), StartUnixMilli: w.startedAt.UnixMilli()}
+	return http.StatusOK, response{ClockMillis: w.clockMillis(), StartUnixMilli: w.StartUnixMilli()}
 }
 
 func (w *Worker) startRun(o order) (int, response) {
-	response := response{ClockMillis: w.clockMillis(), StartUnixMilli: w.startedAt.UnixMilli()}
+	response := response{ClockMillis: w.clockMillis(), StartUnixMilli: w.StartUnixMilli()}
 	if run, exists := w.runs[o.Task]; exists && run.number == o.Run {
+		w.renewLease(o.LeaseEndMillis)
 		return http.StatusOK, response
 	}
 	if o.Run <= w.highestRuns[o.Task] {
+		w.renewLease(o.LeaseEndMillis)
 		response.Reason = "old"
 		return http.StatusConflict, response
 	}
@@ -260,8 +205,8 @@
 	if leaseEndMillis == 0 {
 		return
 	}
-	leaseEnd := w.startedAt.Add(time.Duration(leaseEndMillis) * time.Millisecond)
-	if latest := time.Now().Add(maxLease); leaseEnd.After(latest) {
+	leaseEnd := w.startedAt.Add(w.elapse(time.Duration(leaseEndMillis) * time.Millisecond))
+	if latest := time.Now().Add(w.elapse(maxLease)); leaseEnd.After(latest) {
 		leaseEnd = latest
 	}
 	if leaseEnd.After(w.leaseEnd) {
@@ -366,7 +311,7 @@
 }
 
 func (w *Worker) holdResponse() response {
-	response := response{ClockMillis: w.clockMillis(), StartUnixMilli: w.startedAt.UnixMilli()}
+	response := response{ClockMillis: w.clockMillis(), StartUnixMilli: w.StartUnixMilli()}
 	for _, r := range w.runs {
 		percent := int(100 * time.Since(r.startedAt) / max(1, r.endsAt.Sub(r.startedAt)))
 		response.Running = append(response.Running, []any{r.task, r.number, "", min(99, percent)})
