node, trial/history: Ask for unheard entries that were never heard as well

A holder that has started alone, after the takeover delay, knows no member that could be unheard. It may have been replaced all the same, so the addresses of others count. The simulated entries tell their holders and claim tables of it as package node does.

--- a/internal/gateway/node/groups.go
+++ b/internal/gateway/node/groups.go
@@ -154,7 +154,7 @@
 		Calls: holder.WorkerCalls{Start: n.workers.Start, Stop: n.workers.Stop, Hold: n.workers.Hold},
 		Log:   n.log, OnResult: n.deliverResult, CountCall: n.instruments.countOrder,
 		TakeoverSuspected: func() bool { return n.pauseDetector.takeoverSuspected(time.Now()) },
-		MayBeReplaced:     n.members.Unheard,
+		MayBeReplaced:     n.mayBeReplaced,
 		OnConflict: func() bool {
 			now := time.Now()
 			n.claims.NoteConflict(n.hearsPeers(), n.members.HasMajority(), now)
@@ -163,6 +163,12 @@
 	})
 }
 
+// mayBeReplaced reports whether an entry that may be running is not heard: it may have taken over a
+// group of this one on the other side of a partition.
+func (n *Node) mayBeReplaced() bool {
+	return n.members.Unheard() || !n.hasPeers() && n.contacts.mayRun(n.settings.AdvertisedAddress)
+}
+
 // reregistrationWindow is the time after a store outage within which workers whose
 // registrations lapsed during it have registered again, plus one second for the next
 // read.
--- a/internal/trial/history/entry_test.go
+++ b/internal/trial/history/entry_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -68,7 +69,7 @@
 		defer e.lock.Unlock()
 		_, known := e.heartbeats[id]
 		return known || id == e.id
-	}})
+	}, MayHavePeers: e.othersRun})
 	e.tracker = submission.New(submission.Options{
 		Self: e.id, RequestNumber: func() uint64 { return uint64(w.randomInt(1 << 30)) }, GroupOf: func(*batch.Batch) string { return group },
 		FindHolder: e.findHolder, Place: e.placeAt, Await: e.keepAliveAt, Withdraw: e.withdrawAt,
@@ -238,6 +239,27 @@
 	return 2*heard > all
 }
 
+// othersRun reports whether any other entry is up, i.e. would not refuse connections.
+func (e *entry) othersRun() bool {
+	return slices.ContainsFunc(e.liveEntries(), func(o *entry) bool { return o != e })
+}
+
+// mayBeReplaced reports whether an entry that is up is not heard.
+func (e *entry) mayBeReplaced() bool {
+	up := map[string]bool{}
+	for _, o := range e.liveEntries() {
+		up[o.id] = o != e
+	}
+	e.lock.Lock()
+	defer e.lock.Unlock()
+	for id, h := range e.heartbeats {
+		if up[id] && !h.leaving && time.Since(h.receivedAt) >= suspectAfter {
+			return true
+		}
+	}
+	return len(e.heartbeats) == 0 && len(up) > 1
+}
+
 // view returns what the entry knows of the holder.
 func (e *entry) view() isolation.View {
 	_, known := e.findHolder(group)
@@ -284,6 +306,7 @@
 			Lease: leaseDuration, ClientRetryAfter: resendAfter, WorkersIncompleteUntil: e.workersIncompleteUntil(),
 			Calls: holder.WorkerCalls{Start: e.workerClient.Start, Stop: e.workerClient.Stop, Hold: e.workerClient.Hold},
 			Log:   e.log(e.id), OnResult: e.deliverResult, CountCall: func(string) {},
+			MayBeReplaced: e.mayBeReplaced,
 			OnConflict: func() bool {
 				e.claims.NoteConflict(e.hearsPeers(), e.hasMajority(), time.Now())
 				return e.claims.MaySchedule(group, time.Now())
--- a/internal/trial/history/world_test.go
+++ b/internal/trial/history/world_test.go
@@ -29,6 +29,7 @@
 	longDeadline      = 4 * time.Second         // deadline of a request for a job whose tasks outlast a lease
 	leaseDuration     = time.Second
 	heartbeatInterval = 50 * time.Millisecond
+	suspectAfter      = 4 * heartbeatInterval // without a heartbeat, an entry may have been replaced unheard
 	deadAfter         = 6 * heartbeatInterval // without a heartbeat, an entry counts as dead
 	listenTime        = 2 * heartbeatInterval // an entry makes no claim so shortly after its start
 	slotsPerWorker    = 3                     // tasks that a worker can run at once
