plan, holder, election: Wait for leases after the loss of all entries as well

Callers could see two runs of a task at the same time.

Cause: a claim without a known predecessor was taken for the proof that leases had expired before clients send again. That holds only if all entries are lost at once; one that is lost up to a second before the others starts the time of its clients sooner. Such a holder waits for 1.08 s now, or until all workers have answered, as any other does. FirstClaim and what served only it are removed.

TestFirstHolder wanted the start at once (its first case); it is replaced by TestHolderAfterLossOfAllEntriesWaitsForLeases, which fails without the change in that case ("1 starts, want 0"), keeps the others, and adds the two times at which the job must start. Checks of FirstClaim in tests of election went with it.

--- a/internal/gateway/node/groups.go
+++ b/internal/gateway/node/groups.go
@@ -149,7 +149,7 @@
 // newHolder starts the holder of a group under the given claim.
 func (n *Node) newHolder(c election.Claim) *holder.Holder {
 	return holder.New(n.ctx, holder.Options{
-		Group: c.Group, Epoch: c.Epoch, FirstClaim: n.claims.FirstClaim(c), Tokens: fence.New(fence.HolderNumber(c.Holder, c.Incarnation), c.Epoch),
+		Group: c.Group, Epoch: c.Epoch, Tokens: fence.New(fence.HolderNumber(c.Holder, c.Incarnation), c.Epoch),
 		Lease: n.settings.Lease, ClientRetryAfter: n.settings.ClientRetryAfter, WorkersIncompleteUntil: n.workersIncompleteUntil(),
 		Calls: holder.WorkerCalls{Start: n.workers.Start, Stop: n.workers.Stop, Hold: n.workers.Hold},
 		Log:   n.log, OnResult: n.deliverResult, CountCall: n.instruments.countOrder,
--- a/internal/placement/election/election.go
+++ b/internal/placement/election/election.go
@@ -58,7 +58,6 @@
 	mu              sync.Mutex
 	claims          map[string]Claim
 	vacantSince     map[string]time.Time // when a group was first seen without a live holder
-	firstEpochs     map[string]uint64    // by group, epoch of the own claim that had no known predecessor
 	outweighedSince map[string]time.Time // since when a larger entry could hold a group that the own entry holds
 	isolatedSince   time.Time            // when a worker reported another holder and no other live entry was known
 	suspendedSince  time.Time            // when a worker reported another holder and most other entries were not live
@@ -69,7 +68,7 @@
 	if options.MayHavePeers == nil {
 		options.MayHavePeers = func() bool { return false }
 	}
-	return &ClaimTable{options: options, claims: map[string]Claim{}, vacantSince: map[string]time.Time{}, firstEpochs: map[string]uint64{}, outweighedSince: map[string]time.Time{}}
+	return &ClaimTable{options: options, claims: map[string]Claim{}, vacantSince: map[string]time.Time{}, outweighedSince: map[string]time.Time{}}
 }
 
 // Merge adds claims received from other entries. It reports whether any of them
@@ -158,9 +157,6 @@
 	}
 	next := Claim{Group: group, Epoch: fence.NextEpoch(c.Epoch, now), Holder: t.options.Self.ID, Incarnation: t.options.Self.Incarnation}
 	t.claims[group] = next
-	if !claimed {
-		t.firstEpochs[group] = next.Epoch
-	}
 	delete(t.vacantSince, group)
 	return true
 }
@@ -195,14 +191,6 @@
 	return true
 }
 
-// FirstClaim reports whether c is a claim of the own entry that had no known
-// predecessor, which means that all entries have just started.
-func (t *ClaimTable) FirstClaim(c Claim) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return c.Epoch > 0 && t.firstEpochs[c.Group] == c.Epoch
-}
-
 // How long a holder on the minority side of a partition stays suspended, and how
 // long it then tries again.
 const (
--- a/internal/placement/election/election_test.go
+++ b/internal/placement/election/election_test.go
@@ -140,10 +140,6 @@
 			if claimed != c.claimed {
 				t.Fatalf("claimed %v, want %v", claimed, c.claimed)
 			}
-			held, _ := table.Holder("a/0")
-			if first := claimed && len(c.claims) == 0; table.FirstClaim(held) != first {
-				t.Fatalf("first %v, want %v", !first, first)
-			}
 		})
 	}
 }
@@ -176,9 +172,6 @@
 			if held.Holder != c.to || handedOver != (c.to != "a1") {
 				t.Fatalf("handed over %v, held by %s, want %s", handedOver, held.Holder, c.to)
 			}
-			if !table.FirstClaim(before) || handedOver && table.FirstClaim(held) {
-				t.Fatal("FirstClaim must hold for the claim without predecessor and for no other")
-			}
 			if handedOver && (!supersedes(held, before) || held.Incarnation != 7) {
 				t.Fatalf("claim %+v after %+v", held, before)
 			}
--- a/internal/placement/holder/holder.go
+++ b/internal/placement/holder/holder.go
@@ -27,7 +27,6 @@
 type Options struct {
 	Group            string
 	Epoch            uint64 // epoch of the claim
-	FirstClaim       bool   // the claim had no known predecessor
 	Tokens           *fence.TokenSource
 	Lease            time.Duration // longest lease of a run on a worker
 	ClientRetryAfter time.Duration // time after which a client without an answer sends its job again
@@ -81,7 +80,7 @@
 	h := &Holder{
 		options: options, sessions: map[string]*session{}, ended: map[string]endedWorker{},
 		plan: plan.New(plan.Options{
-			Lease: options.Lease, ClientRetryAfter: options.ClientRetryAfter, FirstClaim: options.FirstClaim, WorkersIncompleteUntil: options.WorkersIncompleteUntil,
+			Lease: options.Lease, ClientRetryAfter: options.ClientRetryAfter, WorkersIncompleteUntil: options.WorkersIncompleteUntil,
 		}, now),
 	}
 	h.ctx, h.cancel = context.WithCancel(ctx)
--- a/internal/placement/holder/proof_test.go
+++ b/internal/placement/holder/proof_test.go
@@ -191,7 +191,7 @@
 					Tokens: fence.New(1, 1), Lease: time.Second, Calls: WorkerCalls{Start: r.start, Stop: r.stop, Hold: r.hold}, Log: slog.New(slog.NewTextHandler(io.Discard, nil)),
 					TakeoverSuspected: func() bool { return false }, MayBeReplaced: func() bool { return false }, CountCall: func(string) {}, OnResult: func(*batch.Batch, batch.Result) {},
 				},
-				sessions: map[string]*session{}, plan: plan.New(plan.Options{FirstClaim: true}, time.Now()), ctx: ctx, cancel: cancel,
+				sessions: map[string]*session{}, plan: plan.New(plan.Options{}, time.Now()), ctx: ctx, cancel: cancel,
 			}
 			registration := registeredWorker("w1")
 			s := newSession(h, registration)
--- a/internal/placement/holder/session_test.go
+++ b/internal/placement/holder/session_test.go
@@ -84,7 +84,7 @@
 
 func testOptions(calls WorkerCalls, results chan<- batch.Result) Options {
 	return Options{
-		Group: "a/0", Epoch: 1, FirstClaim: true, Tokens: fence.New(1, 1), Lease: time.Second, ClientRetryAfter: 1300 * time.Millisecond, Calls: calls,
+		Group: "a/0", Epoch: 1, Tokens: fence.New(1, 1), Lease: time.Second, ClientRetryAfter: 1300 * time.Millisecond, Calls: calls,
 		Log: slog.New(slog.NewTextHandler(io.Discard, nil)), OnResult: func(_ *batch.Batch, r batch.Result) { results <- r },
 		OnConflict: func() bool { return true }, CountCall: func(string) {},
 	}
--- a/internal/placement/plan/plan.go
+++ b/internal/placement/plan/plan.go
@@ -65,9 +65,6 @@
 	UnknownJobGrace  time.Duration // how long runs of unknown jobs may go on until their entry asks for the job
 	ResultRetention  time.Duration // how long the result of an ended job is kept
 	ClientRetryAfter time.Duration // when a client without an answer sends its job again
-	// FirstClaim says that no earlier holder is known to have placed tasks: all entries
-	// have lost power or start for the first time.
-	FirstClaim bool
 	// WorkersIncompleteUntil is the time until which the list of workers may lack some that
 	// are alive.
 	WorkersIncompleteUntil time.Time
@@ -148,11 +145,9 @@
 		options: options, estimator: runtimes.New(), now: tookOverAt, tickedAt: tookOverAt, restarts: firstRestarts,
 		arrivals: map[string]*arrivalRate{}, nextReturn: map[string]time.Time{}, workers: map[string]*worker{}, jobs: map[string]*job{}, earlyCompletions: map[string]earlyCompletion{}, unaccountedRuns: map[string][]*run{}, minFactor: map[string]float64{}, meanFactor: map[string]float64{},
 	}
-	// After a loss of all entries no job can still be running anywhere, provided that
-	// leases expire before clients send their jobs again.
-	if !options.FirstClaim || !p.leaseEnd(tookOverAt).Before(tookOverAt.Add(options.ClientRetryAfter)) {
-		p.otherLeasesEnd = p.leaseEnd(tookOverAt)
-	}
+	// Also after a loss of all entries: one of them may have been lost before the others, so that
+	// its clients send their jobs again while the leases of the last holder are still valid.
+	p.otherLeasesEnd = p.leaseEnd(tookOverAt)
 	p.outliers = outlier.New(outlier.Options{
 		ConsecutiveFailures: failuresInRow, BaseEjectionTime: firstEjection, MaxEjectionTime: maxEjection, Now: func() time.Time { return p.now },
 	})
--- a/internal/placement/plan/takeover_test.go
+++ b/internal/placement/plan/takeover_test.go
@@ -82,35 +82,41 @@
 	}
 }
 
-// TestFirstHolder starts after all entries have lost power, while one worker does not answer.
-// New jobs must not wait for that worker. They must if leases outlast the delay after which
-// clients send their jobs again, if an entry resubmits the job, or if another holder is seen.
-func TestFirstHolder(t *testing.T) {
+// TestHolderAfterLossOfAllEntriesWaitsForLeases guards against a second start after the loss of all
+// entries: one of them was lost before the others, and its client sends the job again while the
+// lease of its run is still valid on a worker that does not answer.
+func TestHolderAfterLossOfAllEntriesWaitsForLeases(t *testing.T) {
 	tests := []struct {
-		name             string
-		clientRetryAfter time.Duration
-		maybeStarted     bool
-		otherHolderSeen  bool
-		starts           int
+		name            string
+		answers         bool // w2 has accepted the token
+		maybeStarted    bool
+		otherHolderSeen bool
+		at              int // ms since the claim
+		starts          int
 	}{
-		{"a new job", 1300 * time.Millisecond, false, false, 1},
-		{"clients send again before leases expire", time.Second, false, false, 0},
-		{"a job that was with another holder", 1300 * time.Millisecond, true, false, 0},
-		{"another holder is seen", 1300 * time.Millisecond, false, true, 0},
+		{"a new job, a worker does not answer", false, false, false, 310, 0},
+		{"a new job, the leases have expired", false, false, false, 1080, 1},
+		{"a new job, all workers answer", true, false, false, 310, 1},
+		{"a job that was with another holder", false, true, false, 310, 0},
+		{"another holder is seen", false, false, true, 310, 0},
 	}
 	for _, c := range tests {
 		t.Run(c.name, func(t *testing.T) {
-			p := New(Options{FirstClaim: true, ClientRetryAfter: c.clientRetryAfter}, start)
+			p := New(Options{}, start)
 			p.AddWorker(testWorker("w1", 4), start)
 			p.AddWorker(testWorker("w2", 4), start)
 			p.HandleReport(Report{Worker: "w1", Sent: start, Fenced: true}, after(5))
-			p.MarkUnresponsive("w2", after(300))
+			if c.answers {
+				p.HandleReport(Report{Worker: "w2", Sent: start, Fenced: true}, after(6))
+			} else {
+				p.MarkUnresponsive("w2", after(300))
+			}
 			if c.otherHolderSeen {
 				p.OtherHolderSeen("w2", after(300))
 			}
-			b := testJob("00000000000000aa", 1, after(310))
+			b := testJob("00000000000000aa", 1, after(c.at))
 			b.MaybeStarted = c.maybeStarted
-			p.Admit(b, nil, after(310))
+			p.Admit(b, nil, after(c.at))
 			if got := len(starts(p)); got != c.starts {
 				t.Fatalf("%d starts, want %d", got, c.starts)
 			}
--- a/internal/trial/history/entry_test.go
+++ b/internal/trial/history/entry_test.go
@@ -302,7 +302,7 @@
 	started := isHolder && e.holder == nil && e.ctx.Err() == nil
 	if started {
 		e.holder = holder.New(e.ctx, holder.Options{
-			Group: group, Epoch: c.Epoch, FirstClaim: e.claims.FirstClaim(c), Tokens: fence.New(fence.HolderNumber(c.Holder, c.Incarnation), c.Epoch),
+			Group: group, Epoch: c.Epoch, Tokens: fence.New(fence.HolderNumber(c.Holder, c.Incarnation), c.Epoch),
 			Lease: leaseDuration, ClientRetryAfter: resendAfter, WorkersIncompleteUntil: e.workersIncompleteUntil(),
 			Calls: holder.WorkerCalls{Start: e.workerClient.Start, Stop: e.workerClient.Stop, Hold: e.workerClient.Hold},
 			Log:   e.log(e.id), OnResult: e.deliverResult, CountCall: func(string) {},
@@ -319,7 +319,7 @@
 		previous.Release()
 	}
 	if started {
-		e.log(e.id).Info("group taken", "epoch", c.Epoch, "first", e.claims.FirstClaim(c))
+		e.log(e.id).Info("group taken", "epoch", c.Epoch)
 		e.updateWorkers()
 	}
 }
