registry: Let the order of the store decide between registrations

Cause: the registry dropped each registration that stated an earlier start, or with the same start a lower sequence number, than the one before. One odd record under the ID of a live worker (a start in the future, a sequence number of 2^53 - 1) was kept until the worker had been missing for 2.5 s and no longer answered, so for good. Deletions had no order at all: an older one, read after a newer record, made the worker count as missing.

Change: records and deletions below the offset of the last one are ignored, except after a Reset, whose pages are the newest records of the store and begin a new order. Above it, a registration that states an earlier start or a lower sequence number replaces the one before when a second such record follows, or when that one has been deleted. Taking the offset alone was ruled out: the platform may carry out an append seconds late, and the record "ready" of a worker that drains would count until its next heartbeat. TestRegistry is unchanged.

Not covered: another writer that repeats its odd record as often as the worker publishes.

--- a/internal/worker/registry/registry.go
+++ b/internal/worker/registry/registry.go
@@ -14,12 +14,24 @@
 // two seconds after it is back.
 const absenceGrace = 2500 * time.Millisecond
 
+// minContradictions is the number of records after which a registration with a later start or
+// sequence number than theirs is given up. A worker that is alive publishes again within a
+// heartbeat, while a record that was appended late is most often alone.
+const minContradictions = 2
+
 // registeredWorker is the newest registration of a worker.
 type registeredWorker struct {
 	platform.Registration
 	missingSince time.Time // when the registration was first missing, zero if it is present
+	// offset is that of the last record that was read. Contradictions counts the records since
+	// the registration that state an earlier start or sequence number.
+	offset         int64
+	contradictions int
 }
 
+// noOffset is below the offset of every record.
+const noOffset = -1
+
 // Registry is the list of registered workers. It is safe for concurrent use.
 type Registry struct {
 	mu      sync.Mutex
@@ -37,8 +49,13 @@
 }
 
 // Reset applies the newest record of every key. Workers without a record count as
-// missing. It returns the changes.
+// missing. It returns the changes. Offsets are not compared with those of earlier records.
 func (r *Registry) Reset(records []platform.KeyedRecord, now time.Time) []Change {
+	r.mu.Lock()
+	for _, w := range r.workers {
+		w.offset = noOffset
+	}
+	r.mu.Unlock()
 	changes := r.Apply(records, now)
 	present := map[string]bool{}
 	for _, k := range records {
@@ -68,10 +85,20 @@
 	return changes
 }
 
+// apply applies a record. The order of the store decides, since what a record states may come
+// from a wrong clock or another writer; but one record that states to be older may have been
+// appended late. The caller holds the lock.
 func (r *Registry) apply(record platform.KeyedRecord, now time.Time) Change {
 	w, known := r.workers[record.Key]
+	if known && record.Offset < w.offset {
+		return Change{} // an older record, read out of order
+	}
 	if len(record.Value) == 0 {
-		if known && w.missingSince.IsZero() {
+		if !known {
+			return Change{}
+		}
+		w.offset = record.Offset
+		if w.missingSince.IsZero() {
 			w.missingSince = now
 			return Change{ID: record.Key, Event: "registration missing"}
 		}
@@ -83,14 +110,20 @@
 		return Change{ID: record.Key, Event: "registration malformed", Err: err}
 	}
 	if !known {
-		r.workers[record.Key] = &registeredWorker{Registration: registration}
+		r.workers[record.Key] = &registeredWorker{Registration: registration, offset: record.Offset}
 		return Change{ID: record.Key, Event: "worker registered"}
 	}
 	old := *w
+	w.offset = record.Offset
 	if registration.StartUnixMilli < old.StartUnixMilli || registration.StartUnixMilli == old.StartUnixMilli && registration.Sequence < old.Sequence {
-		return Change{} // an older record, read out of order
+		if record.Offset == old.offset {
+			return Change{} // read before
+		}
+		if w.contradictions++; w.contradictions < minContradictions && old.missingSince.IsZero() {
+			return Change{}
+		}
 	}
-	w.Registration, w.missingSince = registration, time.Time{}
+	w.Registration, w.missingSince, w.contradictions = registration, time.Time{}, 0
 	switch {
 	case old.StartUnixMilli != registration.StartUnixMilli || old.Address != registration.Address:
 		return Change{ID: record.Key, Event: "worker has a new incarnation"}
