platform, feed: Keep reading a list with an odd item

Cause here: each page of the list of newest records was decoded as a whole, so that one value that is no base64, one key or offset of a wrong type failed the page, and with it the list, at each try. An entry that starts then knows no worker and no configuration.

Two new cases of TestRegistry fail without the change of the registry ("0 live, want 1").

Change: each item is decoded by itself; one that cannot be read is a record with an error, which the registry reports and which removes no worker. The follower reports the topic as unavailable before it resets, so that a holder which begins then counts its list of workers as incomplete for 3 s, as after an outage of the store.

Not tried: a page that is no JSON at all, for which the read is repeated as before.

--- a/internal/gateway/feed/follower.go
+++ b/internal/gateway/feed/follower.go
@@ -30,8 +30,9 @@
 	ReadDelay time.Duration // between reads; batches the records of topics that change all the time
 	Reset     func(records []platform.KeyedRecord)
 	Apply     func(records []platform.KeyedRecord)
-	// OnUnavailable is called when reading starts to fail, OnAvailable after the first
-	// successful read and after the first one that follows a failure.
+	// OnUnavailable is called when reading starts to fail, and before Reset if it gets only
+	// part of the records. OnAvailable is called after the first successful read and after
+	// the first one that follows OnUnavailable.
 	OnUnavailable func()
 	OnAvailable   func()
 	// Enabled reports whether to read the topic; nil means always. EnabledChanged
@@ -95,7 +96,14 @@
 	defer cancel()
 	if f.offset < 0 {
 		records, end, err := f.Feed.Newest(ctx)
-		if err != nil {
+		var incomplete *platform.IncompleteError
+		switch {
+		case errors.As(err, &incomplete):
+			// Later records bring the rest, since what is alive publishes again.
+			f.Log.Warn("topic can be read only in part", "topic", f.Name, "records", len(records), "error", err)
+			f.OnUnavailable()
+			f.hasRead = false // for OnAvailable
+		case err != nil:
 			return err
 		}
 		f.Reset(records)
--- a/internal/gateway/node/node.go
+++ b/internal/gateway/node/node.go
@@ -176,10 +176,13 @@
 // applyConfiguration applies the configurations among the records if they are newer.
 func (n *Node) applyConfiguration(records []platform.KeyedRecord) {
 	for _, k := range records {
-		if k.Key != platform.KeyConfiguration || len(k.Value) == 0 {
+		if k.Key != platform.KeyConfiguration || len(k.Value) == 0 && k.Err == nil {
 			continue
 		}
-		c, err := platform.ParseConfiguration(k.Value)
+		c, err := platform.Configuration{}, k.Err
+		if err == nil {
+			c, err = platform.ParseConfiguration(k.Value)
+		}
 		if err != nil {
 			n.log.Error("configuration refused", "offset", k.Offset, "error", err)
 			continue
--- a/internal/worker/registry/registry.go
+++ b/internal/worker/registry/registry.go
@@ -59,7 +59,7 @@
 	changes := r.Apply(records, now)
 	present := map[string]bool{}
 	for _, k := range records {
-		present[k.Key] = len(k.Value) > 0
+		present[k.Key] = len(k.Value) > 0 || k.Err != nil
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -89,6 +89,9 @@
 // from a wrong clock or another writer; but one record that states to be older may have been
 // appended late. The caller holds the lock.
 func (r *Registry) apply(record platform.KeyedRecord, now time.Time) Change {
+	if record.Err != nil {
+		return Change{ID: record.Key, Event: "registration malformed", Err: record.Err}
+	}
 	w, known := r.workers[record.Key]
 	if known && record.Offset < w.offset {
 		return Change{} // an older record, read out of order
--- a/internal/worker/registry/registry_test.go
+++ b/internal/worker/registry/registry_test.go
@@ -40,6 +40,8 @@
 		{"missing from a reset", []platform.KeyedRecord{record("w", "ready", 1, 1)}, []platform.KeyedRecord{record("v", "ready", 1, 1)}, false, 3 * time.Second, 1, false},
 		{"malformed", []platform.KeyedRecord{{Key: "w", Value: []byte("{")}}, nil, false, 0, 0, false},
 		{"malformed after it was registered", []platform.KeyedRecord{record("w", "ready", 1, 1), {Key: "w", Value: []byte("{")}}, nil, false, 3 * time.Second, 1, false},
+		{"cannot be read after it was registered", []platform.KeyedRecord{record("w", "ready", 1, 1), {Key: "w", Err: &platform.RecordError{}}}, nil, false, 3 * time.Second, 1, false},
+		{"cannot be read in a reset", []platform.KeyedRecord{record("w", "ready", 1, 1)}, []platform.KeyedRecord{{Key: "w", Err: &platform.RecordError{}}}, false, 3 * time.Second, 1, false},
 	}
 	for _, c := range tests {
 		t.Run(c.name, func(t *testing.T) {
