registry: Report a malformed registration once

Another writer that publishes its odd record as often as a worker does got a line for each, on each entry that reads the list; the list is read every 0.8 s.

Change: the registry keeps the reported field of up to 100 keys with a malformed record, and reports one again when it was readable or deleted meanwhile, or when another field is wrong. The line for the hundredth key says that further ones are not reported. The text of an error is not compared, since it may quote a number that rises with each record.

--- a/internal/worker/registry/registry.go
+++ b/internal/worker/registry/registry.go
@@ -2,6 +2,8 @@
 package registry
 
 import (
+	"errors"
+	"maps"
 	"sort"
 	"sync"
 	"time"
@@ -32,14 +34,20 @@
 // noOffset is below the offset of every record.
 const noOffset = -1
 
+// maxMalformed is the number of keys whose malformed records are reported.
+const maxMalformed = 100
+
 // Registry is the list of registered workers. It is safe for concurrent use.
 type Registry struct {
-	mu      sync.Mutex
-	workers map[string]*registeredWorker
+	mu        sync.Mutex
+	workers   map[string]*registeredWorker
+	malformed map[string]string // by key, the reported field of a record that cannot be used
 }
 
 // New returns an empty Registry.
-func New() *Registry { return &Registry{workers: map[string]*registeredWorker{}} }
+func New() *Registry {
+	return &Registry{workers: map[string]*registeredWorker{}, malformed: map[string]string{}}
+}
 
 // Change describes a change to the registry for the log.
 type Change struct {
@@ -48,6 +56,25 @@
 	Err   error  // why a record cannot be parsed, else nil
 }
 
+// reportMalformed returns the change for a record that cannot be used, or none if it has been
+// reported: whoever writes it may do so at each heartbeat. The caller holds the lock.
+func (r *Registry) reportMalformed(key string, err error) Change {
+	field := "record"
+	var registrationErr *platform.RegistrationError
+	if errors.As(err, &registrationErr) {
+		field = registrationErr.Field
+	}
+	reported, known := r.malformed[key]
+	if known && reported == field || !known && len(r.malformed) >= maxMalformed {
+		return Change{}
+	}
+	r.malformed[key] = field
+	if !known && len(r.malformed) == maxMalformed {
+		return Change{ID: key, Event: "registration malformed, those of further keys are not reported", Err: err}
+	}
+	return Change{ID: key, Event: "registration malformed", Err: err}
+}
+
 // Reset applies the newest record of every key. Workers without a record count as
 // missing. It returns the changes. Offsets are not compared with those of earlier records.
 func (r *Registry) Reset(records []platform.KeyedRecord, now time.Time) []Change {
@@ -63,6 +90,7 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	maps.DeleteFunc(r.malformed, func(key, _ string) bool { return !present[key] })
 	for id, w := range r.workers {
 		if !present[id] && w.missingSince.IsZero() {
 			w.missingSince = now
@@ -90,13 +118,14 @@
 // appended late. The caller holds the lock.
 func (r *Registry) apply(record platform.KeyedRecord, now time.Time) Change {
 	if record.Err != nil {
-		return Change{ID: record.Key, Event: "registration malformed", Err: record.Err}
+		return r.reportMalformed(record.Key, record.Err)
 	}
 	w, known := r.workers[record.Key]
 	if known && record.Offset < w.offset {
 		return Change{} // an older record, read out of order
 	}
 	if len(record.Value) == 0 {
+		delete(r.malformed, record.Key)
 		if !known {
 			return Change{}
 		}
@@ -110,8 +139,9 @@
 	registration, err := platform.ParseRegistration(record.Key, record.Value)
 	if err != nil {
 		// A malformed record adds no worker, but does not remove one either.
-		return Change{ID: record.Key, Event: "registration malformed", Err: err}
+		return r.reportMalformed(record.Key, err)
 	}
+	delete(r.malformed, record.Key)
 	if !known {
 		r.workers[record.Key] = &registeredWorker{Registration: registration, offset: record.Offset}
 		return Change{ID: record.Key, Event: "worker registered"}
@@ -143,6 +173,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	clear(r.workers)
+	clear(r.malformed)
 }
 
 // Live returns the registrations of all workers that have not expired, sorted by ID.
