node: Skip odd addresses of entries

Cause: whatever another writer stored in the topic of the entries' addresses became a contact. It was called every third heartbeat for as long as the process lived, as the host, port or path that the text spells, and kept a client of its own; no line of the log named it.

Change: an address is the IP address of one host with a port, as in registrations. Others are skipped and logged once, 100 of them at most. TestContactsPerHeartbeatAreBounded used addresses such as 10.0.0.299, which are none; it uses 300 valid ones now and checks the same.

Not covered: valid addresses of entries that have gone stay contacts, and stay in the topic.

--- a/internal/gateway/node/heartbeats.go
+++ b/internal/gateway/node/heartbeats.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"sort"
 	"sync"
 	"time"
@@ -9,6 +10,7 @@
 	"github.com/radishgate/radishgate/member"
 	"github.com/radishgate/radishgate/peer"
 	"github.com/radishgate/radishgate/peer/wire"
+	"github.com/radishgate/radishgate/platform"
 )
 
 // contacts holds the peer addresses of possible entries, from the settings and the
@@ -16,14 +18,36 @@
 type contacts struct {
 	mu        sync.Mutex
 	addresses map[string]bool
+	reported  map[string]bool // texts that are no address and have been logged, shortened
 	offset    int
+	log       *slog.Logger
 }
 
+func newContacts(logger *slog.Logger) contacts {
+	return contacts{addresses: map[string]bool{}, reported: map[string]bool{}, log: logger}
+}
+
+// Bounds of what is kept and logged of texts that are no address.
+const (
+	maxReportedAddresses = 100
+	maxQuotedAddress     = 60 // bytes; an IPv6 address with its port has at most 47
+)
+
+// add adds those addresses that an entry can have. Others are logged, since another writer may
+// have stored them.
 func (c *contacts) add(addresses ...string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, a := range addresses {
-		c.addresses[a] = true
+		if platform.IsHostAddress(a) {
+			c.addresses[a] = true
+			continue
+		}
+		text := a[:min(len(a), maxQuotedAddress)]
+		if !c.reported[text] && len(c.reported) < maxReportedAddresses {
+			c.reported[text] = true
+			c.log.Warn("address of an entry skipped", "address", text, "reported", len(c.reported), "limit", maxReportedAddresses)
+		}
 	}
 }
 
--- a/internal/gateway/node/heartbeats_test.go
+++ b/internal/gateway/node/heartbeats_test.go
@@ -19,7 +19,7 @@
 		t.Run(fmt.Sprint(c.addresses, " ", c.many), func(t *testing.T) {
 			contacts := contacts{addresses: map[string]bool{}}
 			for i := range c.addresses {
-				contacts.add(fmt.Sprintf("10.0.0.%d:1", i))
+				contacts.add(fmt.Sprintf("10.0.%d.%d:1", i/256, i%256))
 			}
 			contacted := map[string]bool{}
 			for range c.rounds {
--- a/internal/gateway/node/node.go
+++ b/internal/gateway/node/node.go
@@ -90,7 +90,7 @@
 		store: platform.NewStore(s.Store), workers: platform.NewWorkerClient(),
 		client: peer.NewClient(nil, &counted.Counter{}, nil),
 		routes: routes.New(), registry: registry.New(), holders: map[string]*holder.Holder{},
-		contacts:      contacts{addresses: map[string]bool{}},
+		contacts:      newContacts(options.Log),
 		registryState: registryState{changed: make(chan struct{}, 1)},
 		pauseDetector: pauseDetector{threshold: suspectHeartbeats * s.HeartbeatInterval},
 		freeSlots:     freeSlotsTable{groups: map[string]groupFreeSlots{}},
