--- a/internal/gateway/node/heartbeats_test.go
+++ b/internal/gateway/node/heartbeats_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"log/slog"
 	"testing"
 )
 
@@ -19,7 +20,7 @@
 		t.Run(fmt.Sprint(c.addresses, " ", c.many), func(t *testing.T) {
 			contacts := contacts{addresses: map[string]bool{}}
 			for i := range c.addresses {
-				contacts.add(fmt.Sprintf("10.0.0.%d:1", i))
+				contacts.add(fmt.Sprintf("10.0.%d.%d:1", i/256, i%256))
 			}
 			contacted := map[string]bool{}
 			for range c.rounds {
@@ -56,7 +57,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			c := contacts{addresses: map[string]bool{}, refusing: map[string]bool{}}
+			c := newContacts(slog.New(slog.DiscardHandler))
 			c.add(test.addresses...)
 			test.attempt(&c)
 			if got := c.mayRun(own); got != test.want {
--- a/internal/gateway/node/node.go
+++ b/internal/gateway/node/node.go
@@ -91,7 +91,7 @@
 		store: platform.NewStore(s.Store), workers: platform.NewWorkerClient(),
 		client: peer.NewClient(nil, &counted.Counter{}, nil),
 		routes: routes.New(), registry: registry.New(), holders: map[string]*holder.Holder{},
-		contacts:      contacts{addresses: map[string]bool{}, refusing: map[string]bool{}},
+		contacts:      newContacts(options.Log),
 		registryState: registryState{changed: make(chan struct{}, 1)},
 		pauseDetector: pauseDetector{threshold: suspectHeartbeats * s.HeartbeatInterval},
 		freeSlots:     freeSlotsTable{groups: map[string]groupFreeSlots{}},
@@ -178,10 +178,13 @@
 // applyConfiguration applies the configurations among the records if they are newer.
 func (n *Node) applyConfiguration(records []platform.KeyedRecord) {
 	for _, k := range records {
-		if k.Key != platform.KeyConfiguration || len(k.Value) == 0 {
+		if k.Key != platform.KeyConfiguration || len(k.Value) == 0 && k.Err == nil {
 			continue
 		}
-		c, err := platform.ParseConfiguration(k.Value)
+		c, err := platform.Configuration{}, k.Err
+		if err == nil {
+			c, err = platform.ParseConfiguration(k.Value)
+		}
 		if err != nil {
 			n.log.Error("configuration refused", "offset", k.Offset, "error", err)
 			continue
--- a/internal/worker/registry/registry.go
+++ b/internal/worker/registry/registry.go
@@ -2,6 +2,8 @@
 package registry
 
 import (
+	"errors"
+	"maps"
 	"sort"
 	"sync"
 	"time"
@@ -14,20 +16,38 @@
 // two seconds after it is back.
 const absenceGrace = 2500 * time.Millisecond
 
+// minContradictions is the number of records after which a registration with a later start or
+// sequence number than theirs is given up. A worker that is alive publishes again within a
+// heartbeat, while a record that was appended late is most often alone.
+const minContradictions = 2
+
 // registeredWorker is the newest registration of a worker.
 type registeredWorker struct {
 	platform.Registration
 	missingSince time.Time // when the registration was first missing, zero if it is present
+	// offset is that of the last record that was read. Contradictions counts the records since
+	// the registration that state an earlier start or sequence number.
+	offset         int64
+	contradictions int
 }
 
+// noOffset is below the offset of every record.
+const noOffset = -1
+
+// maxMalformed is the number of keys whose malformed records are reported.
+const maxMalformed = 100
+
 // Registry is the list of registered workers. It is safe for concurrent use.
 type Registry struct {
-	mu      sync.Mutex
-	workers map[string]*registeredWorker
+	mu        sync.Mutex
+	workers   map[string]*registeredWorker
+	malformed map[string]string // by key, the reported field of a record that cannot be used
 }
 
 // New returns an empty Registry.
-func New() *Registry { return &Registry{workers: map[string]*registeredWorker{}} }
+func New() *Registry {
+	return &Registry{workers: map[string]*registeredWorker{}, malformed: map[string]string{}}
+}
 
 // Change describes a change to the registry for the log.
 type Change struct {
@@ -36,16 +56,41 @@
 	Err   error  // why a record cannot be parsed, else nil
 }
 
+// reportMalformed returns the change for a record that cannot be used, or none if it has been
+// reported: whoever writes it may do so at each heartbeat. The caller holds the lock.
+func (r *Registry) reportMalformed(key string, err error) Change {
+	field := "record"
+	var registrationErr *platform.RegistrationError
+	if errors.As(err, &registrationErr) {
+		field = registrationErr.Field
+	}
+	reported, known := r.malformed[key]
+	if known && reported == field || !known && len(r.malformed) >= maxMalformed {
+		return Change{}
+	}
+	r.malformed[key] = field
+	if !known && len(r.malformed) == maxMalformed {
+		return Change{ID: key, Event: "registration malformed, those of further keys are not reported", Err: err}
+	}
+	return Change{ID: key, Event: "registration malformed", Err: err}
+}
+
 // Reset applies the newest record of every key. Workers without a record count as
-// missing. It returns the changes.
+// missing. It returns the changes. Offsets are not compared with those of earlier records.
 func (r *Registry) Reset(records []platform.KeyedRecord, now time.Time) []Change {
+	r.mu.Lock()
+	for _, w := range r.workers {
+		w.offset = noOffset
+	}
+	r.mu.Unlock()
 	changes := r.Apply(records, now)
 	present := map[string]bool{}
 	for _, k := range records {
-		present[k.Key] = len(k.Value) > 0
+		present[k.Key] = len(k.Value) > 0 || k.Err != nil
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	maps.DeleteFunc(r.malformed, func(key, _ string) bool { return !present[key] })
 	for id, w := range r.workers {
 		if !present[id] && w.missingSince.IsZero() {
 			w.missingSince = now
@@ -68,10 +113,24 @@
 	return changes
 }
 
+// apply applies a record. The order of the store decides, since what a record states may come
+// from a wrong clock or another writer; but one record that states to be older may have been
+// appended late. The caller holds the lock.
 func (r *Registry) apply(record platform.KeyedRecord, now time.Time) Change {
+	if record.Err != nil {
+		return r.reportMalformed(record.Key, record.Err)
+	}
 	w, known := r.workers[record.Key]
+	if known && record.Offset < w.offset {
+		return Change{} // an older record, read out of order
+	}
 	if len(record.Value) == 0 {
-		if known && w.missingSince.IsZero() {
+		delete(r.malformed, record.Key)
+		if !known {
+			return Change{}
+		}
+		w.offset = record.Offset
+		if w.missingSince.IsZero() {
 			w.missingSince = now
 			return Change{ID: record.Key, Event: "registration missing"}
 		}
@@ -80,17 +139,24 @@
 	registration, err := platform.ParseRegistration(record.Key, record.Value)
 	if err != nil {
 		// A malformed record adds no worker, but does not remove one either.
-		return Change{ID: record.Key, Event: "registration malformed", Err: err}
+		return r.reportMalformed(record.Key, err)
 	}
+	delete(r.malformed, record.Key)
 	if !known {
-		r.workers[record.Key] = &registeredWorker{Registration: registration}
+		r.workers[record.Key] = &registeredWorker{Registration: registration, offset: record.Offset}
 		return Change{ID: record.Key, Event: "worker registered"}
 	}
 	old := *w
+	w.offset = record.Offset
 	if registration.StartUnixMilli < old.StartUnixMilli || registration.StartUnixMilli == old.StartUnixMilli && registration.Sequence < old.Sequence {
-		return Change{} // an older record, read out of order
+		if record.Offset == old.offset {
+			return Change{} // read before
+		}
+		if w.contradictions++; w.contradictions < minContradictions && old.missingSince.IsZero() {
+			return Change{}
+		}
 	}
-	w.Registration, w.missingSince = registration, time.Time{}
+	w.Registration, w.missingSince, w.contradictions = registration, time.Time{}, 0
 	switch {
 	case old.StartUnixMilli != registration.StartUnixMilli || old.Address != registration.Address:
 		return Change{ID: record.Key, Event: "worker has a new incarnation"}
@@ -107,6 +173,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	clear(r.workers)
+	clear(r.malformed)
 }
 
 // Live returns the registrations of all workers that have not expired, sorted by ID.
