node, member: Let no new job take a detour while clients of a lost entry send again

Two runs of a task at the same time were possible. Cause: a job whose group has a silent holder, or none, goes to another group. It may be one that a client sends again, 1.3 s after the loss of its entry. If the holder of its group was lost in between, it had not abandoned the job yet, and the lease of its run lasts for up to 1.08 s; the other group can't find that run. Spillover has had a rule for this (mayRunUnlisted), detours had none.

For 1.6 s after the loss of an entry of the zone, other than the silent holder, no job takes a detour. After the loss of the holder alone its own clients send when its leases have expired, so that the usual case keeps its detours.

--- a/internal/gateway/node/reach.go
+++ b/internal/gateway/node/reach.go
@@ -27,11 +27,17 @@
 }
 
 // detour returns another group with free slots for a new job whose group has no holder at
-// present, or one that has stopped answering, and "" if there is none.
+// present, or one that has stopped answering, and "" if there is none. While clients of a lost
+// entry may send jobs again there is none: an earlier run of such a job may go on in its group for
+// as long as the lease that the silent holder has granted.
 func (n *Node) detour(group string, tasks int) string {
 	if n.answers(group) {
 		return ""
 	}
+	holder, _ := n.claims.Holder(group)
+	if n.members.LostSince(time.Now().Add(-n.settings.ClientRetryAfter-resendMargin), holder.Holder) {
+		return ""
+	}
 	other := n.freeSlots.take(group, tasks)
 	if other == "" || !n.answers(other) {
 		return ""
@@ -39,6 +45,9 @@
 	return other
 }
 
+// resendMargin covers the time by which a client sends later than it should.
+const resendMargin = 300 * time.Millisecond
+
 // answers reports whether a group has a live holder that is not silent.
 func (n *Node) answers(group string) bool {
 	h, known := n.currentHolder(group)
--- a/member/detect.go
+++ b/member/detect.go
@@ -112,6 +112,9 @@
 	v.record.Dead = true
 	v.changeRelaysLeft = t.changeRelays()
 	v.forgetAt = t.options.Now().Add(t.options.ForgetAfter)
+	if !v.record.Leaving {
+		v.lostAt = t.options.Now()
+	}
 	t.generation++
 }
 
--- a/member/table.go
+++ b/member/table.go
@@ -61,6 +61,7 @@
 	suspectAt        time.Time
 	deadAt           time.Time
 	forgetAt         time.Time
+	lostAt           time.Time // when it was last seen to be dead or to have restarted without leaving first
 	heardAt          time.Time
 	relays           int // of the current record
 	changeRelaysLeft int // remaining relays of a change of state, which precede other records
@@ -238,6 +239,9 @@
 		t.generation++
 		v.changeRelaysLeft = t.changeRelays()
 	}
+	if old.Incarnation != r.Incarnation && !old.Leaving {
+		v.lostAt = t.options.Now()
+	}
 	v.state = Alive
 }
 
@@ -333,6 +337,19 @@
 	return false
 }
 
+// LostSince reports whether any member of the local zone but one has been lost since a time: it is
+// suspected, or was seen to be dead or to have restarted, and had not announced that it leaves.
+func (t *Table) LostSince(since time.Time, except string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for id, v := range t.views {
+		if id != except && v.record.Zone == t.self.Zone && (v.state == Suspect || v.lostAt.After(since)) {
+			return true
+		}
+	}
+	return false
+}
+
 // HasMajority reports whether this entry hears more than half of the known
 // members, itself included. Of two equal halves, the one with the lowest ID has
 // the majority. Dead members that were leaving or whose address refuses
--- a/member/table_test.go
+++ b/member/table_test.go
@@ -280,6 +280,50 @@
 	}
 }
 
+// Clients of a lost entry send their requests again, so the loss must be known for a while, also
+// if the entry is back by then. One that left as announced is not lost.
+func TestLostSince(t *testing.T) {
+	const zone = "z0"
+	alive := Record{ID: "b", Zone: zone, Incarnation: 1, Heartbeat: 1}
+	leaving, restarted, elsewhere := alive, alive, alive
+	leaving.Leaving, leaving.Heartbeat = true, 2
+	restarted.Incarnation = 2
+	elsewhere.Zone = "z1"
+	dead := func(r Record) Record { r.Dead = true; return r }
+	tests := []struct {
+		name    string
+		merged  []Record // each by itself
+		except  string
+		elapsed time.Duration // since the last record
+		want    bool
+	}{
+		{"alive", []Record{alive}, "", 0, false},
+		{"dead", []Record{alive, dead(alive)}, "", time.Second, true},
+		{"dead for long", []Record{alive, dead(alive)}, "", 3 * time.Second, false},
+		{"dead, but the exception", []Record{alive, dead(alive)}, "b", time.Second, false},
+		{"restarted", []Record{alive, restarted}, "", time.Second, true},
+		{"left and came back", []Record{alive, leaving, restarted}, "", time.Second, false},
+		{"dead in another zone", []Record{elsewhere, dead(elsewhere)}, "", time.Second, false},
+		{"suspected", []Record{alive}, "", 2500 * time.Millisecond, true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				table := New(Options{Self: Record{ID: "a", Zone: zone, Incarnation: 1}})
+				time.Sleep(time.Second)
+				for _, r := range test.merged {
+					table.Merge([]Record{r})
+				}
+				time.Sleep(test.elapsed)
+				table.CheckTimeouts()
+				if got := table.LostSince(time.Now().Add(-2*time.Second), test.except); got != test.want {
+					t.Fatalf("lost %v, want %v", got, test.want)
+				}
+			})
+		})
+	}
+}
+
 // A member that did not run for 10 s must not declare the others dead when it
 // continues.
 func TestOwnPauseDoesNotExpireOthers(t *testing.T) {
