plan, holder: Take a refused start for one that never began

What callers could see: a start that is sent to a worker which has already crashed gets no connection. The plan took it for one whose outcome is unknown: the task waited for the lease to expire (1.1 s), and the run then counted as lost with its worker, on as a crash under the task.

Cause: any error of a start counted as one after which it may have taken effect.

Ruled out: connections that are closed rather than refused, since the start may have arrived; and a refused copy beside one without an answer.

If all copies of a start were refused, the outcome is StartUndelivered: the run is removed, its task may start elsewhere at once, nothing counts, and the worker counts as not answering. No token has to be raised, since nothing was sent.

--- a/internal/placement/holder/crash_test.go
+++ b/internal/placement/holder/crash_test.go
@@ -1,7 +1,10 @@
 package holder
 
 import (
+	"bytes"
 	"context"
+	"log/slog"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -75,3 +78,34 @@
 		})
 	}
 }
+
+// TestRefusedStartIsNoLoss guards against a start that counts as lost with its worker although the
+// worker had crashed before: it refuses the connection, so that the run cannot have begun. The
+// task must start elsewhere without waiting for a lease.
+func TestRefusedStartIsNoLoss(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		var log bytes.Buffer
+		b := newChangedBench(ctx, func(o *Options) { o.Log = slog.New(slog.NewTextHandler(&log, nil)) })
+		first, second := b.workers["w1"], b.workers["w2"]
+		first.setRefusing(true)
+		b.admit()
+		time.Sleep(time.Millisecond)
+		b.AddWorker(second.registration("w2"))
+		time.Sleep(50 * time.Millisecond)
+		if onFirst, onSecond := b.starts(); onFirst != 0 || onSecond != 1 {
+			t.Errorf("%d and %d starts 50 ms after the refused one, want none on the first worker and one on the second", onFirst, onSecond)
+		}
+		first.restart()
+		first.setRefusing(false)
+		b.AddWorker(first.registration("w1"))
+		if r := b.result(); r.State != batch.Completed {
+			t.Errorf("job: %s %s, want completed", r.State, r.Reason)
+		}
+		cancel()
+		b.Wait()
+		if lost := strings.Count(log.String(), "run lost with its worker"); lost != 0 {
+			t.Errorf("%d runs counted as lost with their worker, want none:\n%s", lost, log.String())
+		}
+	})
+}
--- a/internal/placement/holder/repeat.go
+++ b/internal/placement/holder/repeat.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/radishgate/radishgate/platform"
@@ -13,6 +14,8 @@
 	err    error         // of the last copy that failed, if none was answered
 	took   time.Duration // from sending the answered copy to its answer
 	copies int           // number of copies sent
+	// undelivered reports whether no copy can have taken effect, or will.
+	undelivered bool
 }
 
 // sendRepeatedly sends a call to a worker and returns its first answer, or an error when ctx
@@ -24,7 +27,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	answers := make(chan answer, limit)
-	sent, pending := 0, 0
+	sent, pending, uncertain := 0, 0, false
 	sendCopy := func() {
 		sent++
 		pending++
@@ -45,12 +48,14 @@
 			if a.err == nil || ctx.Err() != nil {
 				return a
 			}
+			uncertain = uncertain || mayHaveEffect(a.err)
 			// A broken connection is replaced at once.
 			if sent < limit && mayRepeat() {
 				sendCopy()
 				continue
 			}
 			if pending == 0 {
+				a.undelivered = !uncertain
 				return a
 			}
 		case <-timer.C:
@@ -63,3 +68,9 @@
 		}
 	}
 }
+
+// mayHaveEffect reports whether a call that failed may have taken effect nevertheless.
+func mayHaveEffect(err error) bool {
+	failure := new(platform.Error)
+	return !errors.As(err, &failure) || failure.Uncertain
+}
--- a/internal/placement/holder/restartbench_test.go
+++ b/internal/placement/holder/restartbench_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"slices"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/radishgate/radishgate/internal/work/batch"
@@ -32,6 +33,7 @@
 	restarts    chan struct{} // closed at the next restart
 	silent      bool          // waiting holds get no answer, but do not break either
 	deaf        bool          // no call arrives
+	refusing    bool          // connections are refused
 	starts      []string      // tasks that it has started
 	statesStart bool          // answers to starts state when the incarnation started, as reports do
 	// delayStart holds start orders back before they are executed, by whichever
@@ -58,8 +60,11 @@
 
 func (w *restartingWorker) start(ctx context.Context, o platform.StartRequest) (platform.Report, error) {
 	w.mu.Lock()
-	delay, deaf := w.delayStart, w.deaf
+	delay, deaf, refusing := w.delayStart, w.deaf, w.refusing
 	w.mu.Unlock()
+	if refusing {
+		return platform.Report{}, errRefused
+	}
 	if deaf {
 		<-ctx.Done()
 		return platform.Report{}, ctx.Err()
@@ -106,8 +111,11 @@
 func (w *restartingWorker) hold(ctx context.Context, o platform.HoldRequest) (platform.Report, error) {
 	time.Sleep(time.Millisecond)
 	w.mu.Lock()
-	broken, silent, deaf := w.restarts, w.silent, w.deaf
+	broken, silent, deaf, refusing := w.restarts, w.silent, w.deaf, w.refusing
 	w.mu.Unlock()
+	if refusing {
+		return platform.Report{}, errRefused
+	}
 	if deaf || silent && o.Wait > 0 {
 		<-ctx.Done()
 		return platform.Report{}, ctx.Err()
@@ -260,6 +268,15 @@
 	w.silent = silent
 }
 
+// errRefused is the error of a call to a worker that has crashed.
+var errRefused = &platform.Error{Call: "call", Cause: syscall.ECONNREFUSED}
+
+func (w *restartingWorker) setRefusing(refusing bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.refusing = refusing
+}
+
 func (w *restartingWorker) setDeaf(deaf bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/internal/placement/holder/session.go
+++ b/internal/placement/holder/session.go
@@ -350,6 +350,8 @@
 // that the worker has accepted is rejected when it is sent again, if it has ended meanwhile.
 func startOutcome(a answer) plan.StartOutcome {
 	switch {
+	case a.undelivered:
+		return plan.StartUndelivered
 	case a.err != nil:
 		return plan.OutcomeUnknown
 	case a.copies == 1 || a.report.Verdict == platform.Accepted || a.report.Verdict == platform.OtherIncarnation:
--- a/internal/placement/plan/crash_test.go
+++ b/internal/placement/plan/crash_test.go
@@ -287,3 +287,31 @@
 		t.Fatalf("%d crashes and %d suspicions, want the crash under the second run alone", got.crashes, got.suspicions)
 	}
 }
+
+// TestUndeliveredStartIsNoLoss guards against a crash or a suspicion of one that counts for a
+// start which never began, since its worker had crashed before. Runs that the worker really had
+// count, and it gets no task before it answers.
+func TestUndeliveredStartIsNoLoss(t *testing.T) {
+	c := newCrashTest(testWorker("w1", 4), testWorker("w2", 4))
+	first := c.started[0]
+	c.plan.HandleStartOutcome(first.Worker, first.Task, first.Run, StartAccepted, c.now)
+	other := testJob("00000000000000bb", 1, c.now)
+	other.Steps[0].Resources = resources.Resources{MilliCores: 100}
+	c.plan.Admit(other, nil, c.now)
+	second := starts(c.plan)[0]
+	if second.Worker != first.Worker {
+		t.Fatalf("started on %s, want the worker of the first run", second.Worker)
+	}
+	c.plan.HandleStartOutcome(second.Worker, second.Task, second.Run, StartUndelivered, c.now)
+	again := starts(c.plan)
+	if len(again) != 1 || again[0].Worker == first.Worker {
+		t.Fatalf("started again: %+v, want a start on the other worker at once", again)
+	}
+	c.plan.WorkerReplaced(first.Worker, c.now)
+	if got := c.plan.taskNamed(first.Task); got.crashes != 1 || got.suspicions != 0 {
+		t.Errorf("the run that had begun: %d crashes, %d suspicions, want one crash", got.crashes, got.suspicions)
+	}
+	if got := c.plan.taskNamed(second.Task); got.losses() != 0 {
+		t.Errorf("the start that never began: %d crashes, %d suspicions, want none", got.crashes, got.suspicions)
+	}
+}
--- a/internal/placement/plan/report.go
+++ b/internal/placement/plan/report.go
@@ -241,11 +241,12 @@
 
 // Outcomes of a start.
 const (
-	StartAccepted   StartOutcome = iota
-	StartRejected                // not started; may be tried again there
-	WorkerUnhealthy              // not started, since the worker cannot run tasks at present
-	StaleRunNumber               // not started, since the worker has seen the same or a higher run number of the task
-	OutcomeUnknown               // no answer: it may have started, or may still start
+	StartAccepted    StartOutcome = iota
+	StartRejected                 // not started; may be tried again there
+	WorkerUnhealthy               // not started, since the worker cannot run tasks at present
+	StaleRunNumber                // not started, since the worker has seen the same or a higher run number of the task
+	OutcomeUnknown                // no answer: it may have started, or may still start
+	StartUndelivered              // not started, since the worker refused the connection
 )
 
 // HandleStartOutcome records the outcome of a start. If it is unknown, the worker is fenced
@@ -274,6 +275,9 @@
 		p.emit(Order{Kind: Fence, Worker: worker, Reason: "a start got no answer"})
 		return
 	}
+	if outcome == StartUndelivered {
+		p.ConnectionClosed(worker, true, now)
+	}
 	if t := r.task; t != nil {
 		switch outcome {
 		case StaleRunNumber:
