plan: Let a job wait while its workers are too small for a time

While all workers of a service are too small for a task, its job was refused at once, with "no worker of ... has room for a task", although one would have had room again within the client's time. The same happened when the only large worker had crashed and was away for some seconds.

Cause: unservableReason looks at the capacity that the workers have at the moment alone.

Ruled out: letting every such job wait. A job that no worker has ever had room for holds its client to the end of its time for nothing, and it can go elsewhere.

Change: the plan keeps, by service, the largest amount of each resource that workers had before they shrank or went, for 10 s. A worker that was draining leaves for good and does not count. A holder that has just taken over knows of no former capacity and refuses such a job as before.

--- FAIL: TestJobWaitsWhileWorkersAreTooSmall one_has_shrunk, one_has_shrunk_twice, one_has_shrunk_some_seconds_ago, one_has_crashed, one_has_started_again_and_is_smaller State:refused Reason:no worker of listing has room for a task, want none yet --- FAIL: TestJobIsRefusedIfWorkersStayTooSmall the same, want none while its client waits

--- a/internal/placement/plan/capacity_test.go
+++ b/internal/placement/plan/capacity_test.go
@@ -105,3 +105,85 @@
 		}
 	}
 }
+
+// TestJobWaitsWhileWorkersAreTooSmall guards against a job that is refused at once although the
+// workers are too small for its task only for a while.
+func TestJobWaitsWhileWorkersAreTooSmall(t *testing.T) {
+	large := resources.Resources{MilliCores: 8000, MemoryMB: 8000}
+	small := resources.Resources{MilliCores: 1000, MemoryMB: 8000}
+	needs := resources.Resources{MilliCores: 4000, MemoryMB: 100}
+	tests := []struct {
+		name    string
+		first   resources.Resources // capacity of the other worker w1 until 5000 ms
+		change  func(p *Plan)       // at 5000 ms
+		arrives int                 // ms
+		waits   bool
+	}{
+		{"none was ever large enough", small, func(*Plan) {}, 5010, false},
+		{"one has shrunk", large, func(p *Plan) { p.AddWorker(workerWith("w1", small), after(5000)) }, 5010, true},
+		{"one has shrunk twice", large, func(p *Plan) {
+			p.AddWorker(workerWith("w1", resources.Resources{MilliCores: 2000, MemoryMB: 8000}), after(5000))
+			p.AddWorker(workerWith("w1", small), after(5000))
+		}, 5010, true},
+		{"one has shrunk some seconds ago", large, func(p *Plan) { p.AddWorker(workerWith("w1", small), after(5000)) }, 9000, true},
+		{"one has shrunk long ago", large, func(p *Plan) { p.AddWorker(workerWith("w1", small), after(5000)) }, 15000, false},
+		{"one has crashed", large, func(p *Plan) { p.WorkerReplaced("w1", after(5000)) }, 5010, true},
+		{"one has left as planned", large, func(p *Plan) {
+			leaving := workerWith("w1", large)
+			leaving.Draining = true
+			p.AddWorker(leaving, after(5000))
+			p.RemoveWorker("w1", after(5000))
+		}, 5010, false},
+		{"one has started again and is smaller", large, func(p *Plan) { p.RestartWorker(workerWith("w1", small), after(5000)) }, 5010, true},
+		{"the first has become another service's", large, func(p *Plan) {
+			other := workerWith("w1", large)
+			other.Service = "reporting"
+			p.AddWorker(other, after(5000))
+		}, 5010, false},
+	}
+	for _, c := range tests {
+		t.Run(c.name, func(t *testing.T) {
+			p := fencedPlan(workerWith("w1", c.first), workerWith("w2", small))
+			p.Tick(after(4999))
+			c.change(p)
+			b := jobWith("00000000000000aa", 1, needs, c.arrives)
+			p.Admit(b, nil, after(c.arrives))
+			results := ordersOfKind(p.Orders(), DeliverResult)
+			if !c.waits {
+				if len(results) != 1 || results[0].Result.State != batch.Refused {
+					t.Fatalf("results %+v, want a job refused at once", results)
+				}
+				return
+			}
+			if len(results) != 0 {
+				t.Fatalf("results %+v, want none yet", results)
+			}
+			p.AddWorker(workerWith("w1", small), after(c.arrives+500))
+			p.HandleReport(Report{Worker: "w1", Sent: after(c.arrives + 500), Fenced: true}, after(c.arrives+500))
+			p.AddWorker(workerWith("w1", large), after(c.arrives+500))
+			if got := len(starts(p)); got != 1 {
+				t.Fatalf("%d starts once a worker is large enough again, want 1", got)
+			}
+		})
+	}
+}
+
+// TestJobIsRefusedIfWorkersStayTooSmall guards against a client that waits in vain for longer than
+// it said.
+func TestJobIsRefusedIfWorkersStayTooSmall(t *testing.T) {
+	p := fencedPlan(workerWith("w1", cores(8)))
+	p.AddWorker(workerWith("w1", cores(1)), after(5000))
+	b := jobWith("00000000000000aa", 1, cores(4), 5010)
+	b.ExpiresAt = after(6000)
+	p.Admit(b, nil, after(5010))
+	p.KeepAlive(b.ID, after(5500))
+	p.Tick(after(5500))
+	if results := ordersOfKind(p.Orders(), DeliverResult); len(results) != 0 {
+		t.Fatalf("results %+v, want none while its client waits", results)
+	}
+	p.Tick(after(6001))
+	results := ordersOfKind(p.Orders(), DeliverResult)
+	if len(results) != 1 || results[0].Result.State != batch.Refused {
+		t.Fatalf("results %+v, want a refused job", results)
+	}
+}
--- a/internal/placement/plan/plan.go
+++ b/internal/placement/plan/plan.go
@@ -119,6 +119,7 @@
 	otherLeasesEnd time.Time
 	otherFreeSlots spillover.Slots
 	arrivals       map[string]*arrivalRate // by service
+	formerRoom     map[string]formerRoom   // by service
 	nextReturn     map[string]time.Time    // when the next refused client may send again, by service
 	meanTaskSize   float64                 // moving average over recent tasks, in thousandths of a core
 	restarts       float64                 // stragglers that may be restarted now
@@ -145,7 +146,7 @@
 	}
 	p := &Plan{
 		options: options, estimator: runtimes.New(), now: tookOverAt, tickedAt: tookOverAt, restarts: firstRestarts,
-		arrivals: map[string]*arrivalRate{}, nextReturn: map[string]time.Time{}, workers: map[string]*worker{}, jobs: map[string]*job{}, earlyCompletions: map[string]earlyCompletion{}, unaccountedRuns: map[string][]*run{}, minFactor: map[string]float64{}, meanFactor: map[string]float64{},
+		arrivals: map[string]*arrivalRate{}, formerRoom: map[string]formerRoom{}, nextReturn: map[string]time.Time{}, workers: map[string]*worker{}, jobs: map[string]*job{}, earlyCompletions: map[string]earlyCompletion{}, unaccountedRuns: map[string][]*run{}, minFactor: map[string]float64{}, meanFactor: map[string]float64{},
 	}
 	// After a loss of all entries no job can still be running anywhere, provided that
 	// leases expire before clients send their jobs again.
--- a/internal/placement/plan/refuse.go
+++ b/internal/placement/plan/refuse.go
@@ -21,6 +21,9 @@
 	if workers == 0 {
 		return ""
 	}
+	if former := p.formerRoom[j.Service]; p.now.Before(former.until) {
+		largest = largest.Max(former.capacity)
+	}
 	for _, s := range j.Steps {
 		if !s.Resources.FitsIn(largest) {
 			return "no worker of " + j.Service + " has room for a task"
--- a/internal/placement/plan/worker.go
+++ b/internal/placement/plan/worker.go
@@ -98,6 +98,9 @@
 	if w.retired {
 		w.retired, w.state = false, fencing
 	}
+	if !w.Capacity.FitsIn(registration.Capacity) {
+		p.noteFormerRoom(w)
+	}
 	changed := w.Worker.Draining != registration.Draining || w.Worker.Unregistered != registration.Unregistered || w.Worker.Capacity != registration.Capacity || !known
 	w.Worker = registration
 	if !known {
@@ -131,6 +134,9 @@
 	for _, r := range w.runs {
 		p.loseRun(r)
 	}
+	if !w.Draining {
+		p.noteFormerRoom(w)
+	}
 	delete(p.workers, w.ID)
 	p.estimator.Forget(w.ID)
 	p.updateEjectionLimit()
