plan, holder, submission, peer: Hand losses over to the next holder

The crashes that the holder before had counted, and the suspicions, were lost when it died or gave its group up, so that the task could take down two or three more workers.

Change: the answer to a poll has the counts of jobs that go on (AwaitReply.running), a moved job brings them (Outcome.losses), the entry keeps the higher count of each and sends it with the job (PlaceRequest.losses), and the plan that admits the job takes the higher of these and its own. Only tasks that have lost a run and are not done are sent. What was counted in the last 0.25 s before a holder dies is lost, as is what is proved after it has died; the next holder has none of these runs.

Beside the previous build: the fields have new numbers, which it ignores, and missing ones mean no losses. Jobs that go on have a list of their own, since a build may take each of AwaitReply.outcomes for a result. TestMixedBuilds has not been run.

Ruled out: adding the counts up, since two holders may have counted one crash.

--- a/internal/gateway/submission/options.go
+++ b/internal/gateway/submission/options.go
@@ -35,7 +35,8 @@
 	// may have accepted the job.
 	Place func(ctx context.Context, to GroupHolder, b *batch.Batch, completed []string) (bool, error)
 	// Await polls a holder for jobs. It returns the results of those that have ended, the
-	// IDs that the holder does not know, and whether it still holds the group.
+	// states of others that have losses, the IDs that the holder does not know, and whether
+	// it still holds the group.
 	Await func(ctx context.Context, to GroupHolder, ids []string) (results []batch.Result, unknown []string, held bool, err error)
 	// Withdraw asks a holder to cancel a job whose clients have left.
 	Withdraw func(ctx context.Context, to GroupHolder, b *batch.Batch)
--- a/internal/gateway/submission/submission.go
+++ b/internal/gateway/submission/submission.go
@@ -42,6 +42,7 @@
 	maybeAccepted   bool        // some holder may have accepted the job
 	multipleHolders bool        // more than one holder may have accepted it
 	completedTasks  []string    // tasks completed before the job moved
+	losses          []batch.Losses
 	lastHeard       time.Time
 	lastPolled      time.Time
 }
@@ -187,7 +188,7 @@
 	b := *job.batch
 	// This applies to the same holder as well: it may have started the job, dropped
 	// it while it was cut off from this entry, and kept no record of it.
-	b.MaybeStarted = job.maybeAccepted
+	b.MaybeStarted, b.Losses = job.maybeAccepted, job.losses
 	job.multipleHolders = job.multipleHolders || job.maybeAccepted && (job.holder.ID != holder.ID || job.holder.Epoch != holder.Epoch)
 	job.batch = &b // a copy, since a holder keeps the batch that it got and it must not change
 	job.holder, job.placing, job.maybeAccepted, job.lastPolled = holder, true, true, time.Now()
@@ -245,12 +246,15 @@
 }
 
 // DeliverResults applies results from holders: it ends jobs, or marks them to be
-// placed again or in another group. Outdated results are ignored.
+// placed again or in another group. Outdated results are ignored, except for their losses.
 func (t *Tracker) DeliverResults(results []batch.Result) {
 	var rerouted []*pendingJob
 	for _, r := range results {
 		t.mu.Lock()
 		job, known := t.jobs[r.ID]
+		if known {
+			job.losses = batch.MergeLosses(job.losses, r.Losses)
+		}
 		switch {
 		case !known:
 		case r.Attempt != job.batch.Attempt && r.State != batch.Completed:
--- a/internal/placement/holder/holder.go
+++ b/internal/placement/holder/holder.go
@@ -261,7 +261,8 @@
 }
 
 // KeepAlive keeps jobs that clients still wait for. It returns the results of those
-// that have ended and the IDs of those that the plan does not know.
+// that have ended, the states of others that have losses, and the IDs of those that the plan
+// does not know.
 func (h *Holder) KeepAlive(ids []string) (results []batch.Result, unknown []string) {
 	h.update(func(p *plan.Plan, now time.Time) {
 		for _, id := range ids {
@@ -269,7 +270,7 @@
 			switch {
 			case !known:
 				unknown = append(unknown, id)
-			case r.State.Ended():
+			case r.State.Ended() || len(r.Losses) > 0:
 				results = append(results, r)
 			}
 		}
--- a/internal/placement/plan/crash.go
+++ b/internal/placement/plan/crash.go
@@ -174,3 +174,26 @@
 func (t *task) mayEndanger(w *worker) bool {
 	return t.losses() >= maxQuickLosses && w.used.MilliCores*quietDivisor > w.Capacity.MilliCores
 }
+
+// losses returns the losses of the job's tasks that have not succeeded.
+func (j *job) losses() []batch.Losses {
+	var all []batch.Losses
+	for _, t := range j.tasks {
+		if !t.done && t.losses() > 0 {
+			all = append(all, batch.Losses{Task: t.name, Crashes: t.crashes, Suspicions: t.suspicions})
+		}
+	}
+	return all
+}
+
+// addLosses adds the losses that earlier holders have counted. This holder may have counted some
+// of them too.
+func (j *job) addLosses(earlier []batch.Losses) {
+	for _, l := range earlier {
+		for _, t := range j.tasks {
+			if t.name == l.Task {
+				t.crashes, t.suspicions = max(t.crashes, l.Crashes), max(t.suspicions, l.Suspicions)
+			}
+		}
+	}
+}
--- a/internal/placement/plan/crashbench_test.go
+++ b/internal/placement/plan/crashbench_test.go
@@ -15,13 +15,17 @@
 	started []Order
 }
 
-func newCrashTest(workers ...Worker) *crashTest {
+func newCrashTest(workers ...Worker) *crashTest { return newCrashTestAfter(nil, workers...) }
+
+// newCrashTestAfter returns a test whose task has had losses under an earlier holder.
+func newCrashTestAfter(earlier []batch.Losses, workers ...Worker) *crashTest {
 	c := &crashTest{plan: fencedPlan(workers...), now: after(5000)}
 	for _, w := range workers {
 		c.plan.RenewalSent(w.ID, c.now)
 	}
 	c.job = testJob("00000000000000aa", 1, c.now)
 	c.job.ExpiresAt = c.now.Add(time.Minute)
+	c.job.Losses = earlier
 	c.plan.Admit(c.job, nil, c.now)
 	c.collect()
 	return c
--- a/internal/placement/plan/job.go
+++ b/internal/placement/plan/job.go
@@ -69,6 +69,7 @@
 		j.Batch = b
 	}
 	p.postponeAbandon(j)
+	j.addLosses(b.Losses)
 	if p.endCrashing(j) {
 		return
 	}
@@ -215,8 +216,8 @@
 	p.placeAll()
 }
 
-// KeepAlive records that an entry still waits for a job. It returns the job's state, with
-// its result if it has ended, and whether the job is known.
+// KeepAlive records that an entry still waits for a job. It returns the job's state and
+// losses, with its result if it has ended, and whether the job is known.
 func (p *Plan) KeepAlive(id string, now time.Time) (batch.Result, bool) {
 	p.now = now
 	j, known := p.jobs[id]
@@ -224,7 +225,9 @@
 		return batch.Result{}, false
 	}
 	p.postponeAbandon(j)
-	return j.result, true
+	result := j.result
+	result.Losses = j.losses()
+	return result, true
 }
 
 // postponeAbandon sets the time at which a job is abandoned unless its entry asks again.
--- a/internal/placement/plan/plan.go
+++ b/internal/placement/plan/plan.go
@@ -292,7 +292,7 @@
 	p.now = now
 	for _, j := range p.jobs {
 		if !j.result.State.Ended() {
-			p.deliver(j, batch.Result{State: batch.Moved, Reason: "another entry places its tasks now", CompletedTasks: j.completedTasks()})
+			p.deliver(j, batch.Result{State: batch.Moved, Reason: "another entry places its tasks now", CompletedTasks: j.completedTasks(), Losses: j.losses()})
 		}
 	}
 }
--- a/internal/work/batch/batch.go
+++ b/internal/work/batch/batch.go
@@ -52,6 +52,7 @@
 	ExpiresAt    time.Time // when the client stops waiting
 	MaybeStarted bool      // a holder may have started tasks of it before
 	SpilledOver  bool      // comes from another availability zone that lacked free resources
+	Losses       []Losses  // counted by earlier holders
 }
 
 // Tasks returns the number of tasks in all steps.
@@ -111,4 +112,5 @@
 	CompletedTasks []string // names of tasks completed before the job moved
 	TargetGroup    string   // group of workers that must take the job, if nothing of it has started
 	Attempt        uint64   // that of the Batch
+	Losses         []Losses // of the tasks that have lost runs, while the job has not been answered
 }
--- a/peer/jobs.go
+++ b/peer/jobs.go
@@ -27,10 +27,19 @@
 	return &wire.PlaceReply{Held: h.OnPlace(r.Group, r.Epoch, unpackBatch(r), r.Done)}, nil
 }
 
-// Await returns the results of jobs that have ended and keeps the others alive.
+// Await returns the results of jobs that have ended and keeps the others alive. Earlier builds
+// take each of the outcomes for a result, so that the jobs that go on have a list of their own.
 func (h JobHandlers) Await(_ context.Context, r *wire.AwaitRequest) (*wire.AwaitReply, error) {
 	results, unknown, held := h.OnAwait(r.Group, r.Epoch, r.Ids)
-	return &wire.AwaitReply{Held: held, Outcomes: packOutcomes(results), Unknown: unknown}, nil
+	var ended, running []batch.Result
+	for _, r := range results {
+		if r.State.Ended() {
+			ended = append(ended, r)
+			continue
+		}
+		running = append(running, r)
+	}
+	return &wire.AwaitReply{Held: held, Outcomes: packOutcomes(ended), Running: packOutcomes(running), Unknown: unknown}, nil
 }
 
 // Settle accepts the results of jobs.
@@ -59,14 +68,14 @@
 }
 
 // Await fetches the results of jobs from another entry and keeps those alive
-// that have not ended. It returns the results, the IDs of jobs that the entry
-// does not know, and whether the entry is the holder of the group.
+// that have not ended. It returns the results, the states of other jobs that have
+// losses, the IDs of jobs that the entry does not know, and whether the entry is the holder of the group.
 func (c *Client) Await(ctx context.Context, address, group string, epoch uint64, ids []string) ([]batch.Result, []string, bool, error) {
 	reply, err := c.peer(address).Await(ctx, &wire.AwaitRequest{Group: group, Epoch: epoch, Ids: ids})
 	if err != nil {
 		return nil, nil, false, err
 	}
-	return unpackOutcomes(reply.Outcomes), reply.Unknown, reply.Held, nil
+	return append(unpackOutcomes(reply.Outcomes), unpackOutcomes(reply.Running)...), reply.Unknown, reply.Held, nil
 }
 
 // DeliverResults sends results to the entry whose clients wait for them.
@@ -86,7 +95,7 @@
 		Group: group, Id: b.ID, Spec: b.Spec, Queue: b.Queue, Service: b.Service, Version: b.Version,
 		Priority: uint32(max(0, b.Priority)), Attempts: uint32(b.MaxAttempts), Stretch: float32(b.Stretch),
 		SlackMs: uint32(b.Slack.Milliseconds()), From: b.WaitingEntry, AgeMs: ageMillis(b.ArrivedAt), LeftMs: millisUntil(b.ExpiresAt),
-		Again: b.MaybeStarted, Done: completedTasks, Attempt: b.Attempt, Away: b.SpilledOver,
+		Again: b.MaybeStarted, Done: completedTasks, Attempt: b.Attempt, Away: b.SpilledOver, Losses: packLosses(b.Losses),
 	}
 	for _, s := range b.Steps {
 		step := &wire.Step{
@@ -109,7 +118,7 @@
 			Queue: r.Queue, Service: r.Service, Version: r.Version, Priority: int(r.Priority), MaxAttempts: int(r.Attempts),
 			Stretch: float64(r.Stretch), Slack: millisToDuration(r.SlackMs),
 		},
-		ID: r.Id, Spec: r.Spec, WaitingEntry: r.From, MaybeStarted: r.Again, Attempt: r.Attempt, SpilledOver: r.Away,
+		ID: r.Id, Spec: r.Spec, WaitingEntry: r.From, MaybeStarted: r.Again, Attempt: r.Attempt, SpilledOver: r.Away, Losses: unpackLosses(r.Losses),
 		ArrivedAt: now.Add(-millisToDuration(r.AgeMs)), ExpiresAt: now.Add(millisToDuration(r.LeftMs)),
 	}
 	for _, s := range r.Steps {
@@ -132,7 +141,7 @@
 	var outcomes []*wire.Outcome
 	for _, r := range results {
 		outcomes = append(outcomes, &wire.Outcome{
-			Id: r.ID, State: string(r.State), Reason: r.Reason, RetryMs: millisUntil(r.RetryAt), Done: r.CompletedTasks, Group: r.TargetGroup, Attempt: r.Attempt,
+			Id: r.ID, State: string(r.State), Reason: r.Reason, RetryMs: millisUntil(r.RetryAt), Done: r.CompletedTasks, Group: r.TargetGroup, Attempt: r.Attempt, Losses: packLosses(r.Losses),
 		})
 	}
 	return outcomes
@@ -143,12 +152,28 @@
 	var results []batch.Result
 	for _, o := range outcomes {
 		results = append(results, batch.Result{
-			ID: o.Id, State: batch.State(o.State), Reason: o.Reason, RetryAt: now.Add(millisToDuration(o.RetryMs)), CompletedTasks: o.Done, TargetGroup: o.Group, Attempt: o.Attempt,
+			ID: o.Id, State: batch.State(o.State), Reason: o.Reason, RetryAt: now.Add(millisToDuration(o.RetryMs)), CompletedTasks: o.Done, TargetGroup: o.Group, Attempt: o.Attempt, Losses: unpackLosses(o.Losses),
 		})
 	}
 	return results
 }
 
+func packLosses(losses []batch.Losses) []*wire.Loss {
+	var packed []*wire.Loss
+	for _, l := range losses {
+		packed = append(packed, &wire.Loss{Task: l.Task, Crashes: uint32(l.Crashes), Suspicions: uint32(l.Suspicions)})
+	}
+	return packed
+}
+
+func unpackLosses(packed []*wire.Loss) []batch.Losses {
+	var losses []batch.Losses
+	for _, l := range packed {
+		losses = append(losses, batch.Losses{Task: l.Task, Crashes: int(l.Crashes), Suspicions: int(l.Suspicions)})
+	}
+	return losses
+}
+
 // PackClaims converts claims to wire messages.
 func PackClaims(claims []election.Claim) []*wire.Claim {
 	var packed []*wire.Claim
