--- a/internal/placement/plan/plan.go
+++ b/internal/placement/plan/plan.go
@@ -120,6 +120,7 @@
 	conflictEnd    time.Time // until when another holder that was seen at a worker may be taking over others
 	otherFreeSlots spillover.Slots
 	arrivals       map[string]*arrivalRate // by service
+	formerRoom     map[string]formerRoom   // by service
 	nextReturn     map[string]time.Time    // when the next refused client may send again, by service
 	meanTaskSize   float64                 // moving average over recent tasks, in thousandths of a core
 	restarts       float64                 // stragglers that may be restarted now
@@ -146,7 +147,7 @@
 	}
 	p := &Plan{
 		options: options, estimator: runtimes.New(), now: tookOverAt, tickedAt: tookOverAt, restarts: firstRestarts,
-		arrivals: map[string]*arrivalRate{}, nextReturn: map[string]time.Time{}, workers: map[string]*worker{}, jobs: map[string]*job{}, earlyCompletions: map[string]earlyCompletion{}, unaccountedRuns: map[string][]*run{}, minFactor: map[string]float64{}, meanFactor: map[string]float64{},
+		arrivals: map[string]*arrivalRate{}, formerRoom: map[string]formerRoom{}, nextReturn: map[string]time.Time{}, workers: map[string]*worker{}, jobs: map[string]*job{}, earlyCompletions: map[string]earlyCompletion{}, unaccountedRuns: map[string][]*run{}, minFactor: map[string]float64{}, meanFactor: map[string]float64{},
 	}
 	// Also after a loss of all entries: one of them may have been lost before the others, so that
 	// its clients send their jobs again while the leases of the last holder are still valid.
@@ -304,7 +305,7 @@
 	p.now = now
 	for _, j := range p.jobs {
 		if !j.result.State.Ended() {
-			p.deliver(j, batch.Result{State: batch.Moved, Reason: "another entry places its tasks now", CompletedTasks: j.completedTasks()})
+			p.deliver(j, batch.Result{State: batch.Moved, Reason: "another entry places its tasks now", CompletedTasks: j.completedTasks(), Losses: j.losses()})
 		}
 	}
 }
