platform, entry: Keep following the list of VMs with an odd item

Cause: the list was decoded as a whole, and an error left the version as it was, so that one lease or address of a wrong type came again with each later list; the error was not logged. An item that is null, or has no ID, became a VM without an ID.

Evidence: TestOddVMLeavesTheOthersOfTheList failed in 6 of 8 cases. A lease of 1e300 left two of three VMs and no version for the entry to go on from, since the client returned an error; null and an item without an ID were VMs.

Items that cannot be read are skipped, and the entry logs each of them with the version of the list, so once for each change of the item.

--- a/entry/vmlist.go
+++ b/entry/vmlist.go
@@ -34,6 +34,9 @@
 	if err != nil {
 		return
 	}
+	for _, skipped := range list.Skipped {
+		e.log.Warn("item of the list of VMs skipped", "version", list.Version, "error", skipped)
+	}
 	if list.Full {
 		clear(e.vms)
 	}
