feed: Wait when the history is gone again

Cause: a follower whose history was gone read the list of newest records and went on from its end without a pause, also if the history there was gone again. A list that states an end from before the first record that is stored, or another writer that fills the topic faster than it is read, made the follower of the configuration call the store in a loop, with a line of the log for each call; the store refuses calls beyond its rate, also those of other entries.

Evidence: TestHistoryThatIsGoneAgainIsReadSlowly failed with "1001 lists requested and 1001 delivered in 10 s", the test ending the loop with the 1001st.

Change: from the second loss in a row on, the follower waits as after failed reads, and logs no further line. A read of records ends the series. A single loss is handled at once, as before.

--- a/internal/gateway/feed/follower.go
+++ b/internal/gateway/feed/follower.go
@@ -44,9 +44,10 @@
 	OnDisabled     func()
 	Log            *slog.Logger
 
-	offset   int64 // of the next record to read; negative if Reset must come first
-	failures int   // consecutive failed reads
-	hasRead  bool  // whether a read has succeeded since reading was enabled
+	offset      int64 // of the next record to read; negative if Reset must come first
+	failures    int   // consecutive failed reads
+	truncations int   // losses of history without a read of records in between
+	hasRead     bool  // whether a read has succeeded since reading was enabled
 }
 
 // Run follows the topic until the context ends.
@@ -72,10 +73,19 @@
 			continue
 		}
 		f.recordSuccess()
-		wait.For(ctx, f.ReadDelay)
+		wait.For(ctx, max(f.ReadDelay, f.truncationDelay()))
 	}
 }
 
+// truncationDelay returns the time to wait before the next read if the history was gone twice
+// in a row.
+func (f *Follower) truncationDelay() time.Duration {
+	if f.truncations < 2 {
+		return 0
+	}
+	return min(maxRetryDelay, minRetryDelay<<min(f.truncations-2, 4))
+}
+
 // recordSuccess resets the failure count, and calls OnAvailable if this was the
 // first successful read or followed a failure.
 func (f *Follower) recordSuccess() {
@@ -113,14 +123,16 @@
 	records, next, err := f.Feed.Read(ctx, f.offset, f.Wait)
 	var truncated *platform.TruncatedError
 	if errors.As(err, &truncated) {
-		f.Log.Info("history of topic is gone", "topic", f.Name, "offset", f.offset)
+		if f.truncations++; f.truncations <= 2 {
+			f.Log.Info("history of topic is gone", "topic", f.Name, "offset", f.offset, "times", f.truncations)
+		}
 		f.offset = -1
 		return nil
 	}
 	if err != nil {
 		return err
 	}
-	f.offset = next
+	f.offset, f.truncations = next, 0
 	if len(records) > 0 {
 		f.Apply(records)
 	}
