--- a/internal/trial/history/world_test.go
+++ b/internal/trial/history/world_test.go
@@ -54,6 +54,7 @@
 	lingering    []lingeringRecord
 	monitor      *worker.RunMonitor
 	goroutines   sync.WaitGroup
+	calm         atomic.Bool  // no fault begins any more, and no client sends a long job
 	finished     atomic.Bool  // set at the end; nothing restarts after it
 	logOutput    bytes.Buffer // lines of all loggers
 }
