--- a/internal/trial/history/faults_test.go
+++ b/internal/trial/history/faults_test.go
@@ -281,6 +281,8 @@
 	w.log("fault").Info("entry killed", "entry", entryName(index))
 	w.goroutines.Go(func() {
 		time.Sleep(200*time.Millisecond + w.randomDuration(maxMillis))
+		w.starting.Lock()
+		defer w.starting.Unlock()
 		if w.entry(index).ctx.Err() != nil && !w.finished.Load() {
 			w.startEntry(index)
 		}
--- a/internal/trial/history/world_test.go
+++ b/internal/trial/history/world_test.go
@@ -54,6 +54,7 @@
 	lingering    []lingeringRecord
 	monitor      *worker.RunMonitor
 	goroutines   sync.WaitGroup
+	starting     sync.Mutex   // held while an entry starts again, so that it does so once
 	calm         atomic.Bool  // no fault begins any more, and no client sends a long job
 	finished     atomic.Bool  // set at the end; nothing restarts after it
 	logOutput    bytes.Buffer // lines of all loggers
