--- a/internal/placement/holder/crash_test.go
+++ b/internal/placement/holder/crash_test.go
@@ -88,6 +88,7 @@
 		var log bytes.Buffer
 		b := newChangedBench(ctx, func(o *Options) { o.Log = slog.New(slog.NewTextHandler(&log, nil)) })
 		first, second := b.workers["w1"], b.workers["w2"]
+		time.Sleep(2 * time.Second) // leases of an earlier holder have expired
 		first.setRefusing(true)
 		b.admit()
 		time.Sleep(time.Millisecond)
