holder, plan: Take an odd address in a registration for no proof that a worker has ended

Callers could see two runs of a task at the same time. Cause: another writer leaves a registration under the ID of a live worker, with the address of another one. The session with the worker ended, the next one met the other worker ("this is not me"), and that counted as the proof that the first had ended: its task started elsewhere while the run went on.

The answer proves the end only of a worker that has answered at that address itself. Otherwise its runs are kept until their lease has expired, or until the worker lists them under its true registration.

A registered worker that has never answered kept a small entry from handing its group over to a large one for good; after 5 s it does not count.

TestOddRegistrationKeepsRuns failed in three of four cases ("1 starts on the worker and 1 on the other, want one in all; two runs at a time"), TestOddWorkerDelaysNoHandOver with "the group is not handed over after a minute".

--- a/internal/placement/holder/holder.go
+++ b/internal/placement/holder/holder.go
@@ -186,6 +186,7 @@
 			s.end("a new incarnation is registered")
 			p.RestartWorker(planWorker(r), now)
 			h.startSession(r)
+			h.sessions[r.ID].answered = s.answered && s.target.Address == r.Address
 		}
 	})
 }
@@ -218,15 +219,20 @@
 	})
 }
 
-// removeEnded ends a session whose worker has ended: another one answers at its address. Its
-// runs count as crashed.
+// removeEnded ends a session at whose address another worker answers. If the session's worker has
+// answered there it has ended, and its runs count as crashed. Otherwise its registration may be
+// wrong, and its runs count as lost once their lease has expired.
 func (h *Holder) removeEnded(s *session, reason string) {
 	h.update(func(p *plan.Plan, now time.Time) {
 		if h.sessions[s.target.ID] == s {
 			s.end(reason)
 			delete(h.sessions, s.target.ID)
 			h.ended[s.target.ID] = endedWorker{address: s.target.Address, startUnixMilli: s.registration.StartUnixMilli, checkAt: now.Add(endedCheckDelay)}
-			p.WorkerReplaced(s.target.ID, now)
+			if s.answered {
+				p.WorkerReplaced(s.target.ID, now)
+				return
+			}
+			p.RetireWorker(s.target.ID, now)
 		}
 	})
 }
--- a/internal/placement/holder/session.go
+++ b/internal/placement/holder/session.go
@@ -40,6 +40,7 @@
 	clockReadAt    time.Time
 	startUnixMilli int64 // when the worker's incarnation started, by its reports or its registration; 0 if neither states it
 	answeringUntil time.Time
+	answered       bool               // the worker has answered at the address, in this session or an earlier one
 	cancelHold     context.CancelFunc // cancels the pending hold
 
 	seenSequence  int64 // the plan has the endings up to this sequence number
@@ -250,7 +251,7 @@
 // of them the worker is: no other report changes what is known to run there.
 func (s *session) applyReport(report platform.Report, fencing bool, token int64, sent time.Time) (hasEndings bool) {
 	s.update(func(p *plan.Plan, now time.Time) {
-		s.answeringUntil = now.Add(answeringSpan)
+		s.answeringUntil, s.answered = now.Add(answeringSpan), true
 		if s.token != token {
 			return // a higher token is set; only a report under that one is final
 		}
--- a/internal/placement/plan/plan.go
+++ b/internal/placement/plan/plan.go
@@ -237,16 +237,21 @@
 }
 
 // AllWorkersReady reports whether every known worker answers and has accepted this holder's
-// fencing token.
+// fencing token. One that has not answered since it was registered a while ago does not count:
+// its registration may be wrong.
 func (p *Plan) AllWorkersReady() bool {
 	for _, w := range p.workers {
-		if w.state != ready {
+		if w.state != ready && (!w.reportedAt.IsZero() || p.now.Before(w.addedAt.Add(firstAnswerLimit))) {
 			return false
 		}
 	}
 	return true
 }
 
+// firstAnswerLimit is the time within which a registered worker answers for the first time. It
+// covers several calls to a worker that starts or is cut off for a moment.
+const firstAnswerLimit = 5 * time.Second
+
 // AnyWorkerAnswers reports whether any known worker answered the last call to it.
 func (p *Plan) AnyWorkerAnswers() bool {
 	for _, w := range p.workers {
--- a/internal/placement/plan/worker.go
+++ b/internal/placement/plan/worker.go
@@ -60,6 +60,7 @@
 	used              resources.Resources // by runs, including those that are being stopped
 	factor            float64             // learned slowdown factor: run time of a task here as a multiple of its base time
 	runs              map[runKey]*run
+	addedAt           time.Time
 	renewedAt         time.Time // when the last renewal that may have reached it was sent
 	foreign           bool      // another holder may renew its lease
 	registrationDue   time.Time // when it gets work again although it has not registered since its restart
@@ -94,7 +95,7 @@
 	p.now = now
 	w, known := p.workers[registration.ID]
 	if !known {
-		w = &worker{runs: map[runKey]*run{}, renewedAt: now}
+		w = &worker{runs: map[runKey]*run{}, renewedAt: now, addedAt: now}
 		p.workers[registration.ID] = w
 	}
 	if w.retired {
