plan: Keep leases of a possible other holder until they have expired

Two runs of a task at the same time were possible. Cause: as soon as all members of the zone were heard again, or the unheard one was known to have ended, silent workers' leases expired by this holder's own renewals again. Found by the reviewer, by reading; the time until which they last is kept now.

TestLeaseBesideAnotherHolderDoesNotExpire has the case.

--- a/internal/placement/holder/holder.go
+++ b/internal/placement/holder/holder.go
@@ -115,8 +115,8 @@
 		return
 	}
 	h.plan.SetTakeoverSuspected(h.options.TakeoverSuspected())
-	h.plan.SetMayBeReplaced(h.options.MayBeReplaced())
 	now := time.Now()
+	h.plan.SetMayBeReplaced(h.options.MayBeReplaced(), now)
 	change(h.plan, now)
 	results := h.dispatch(h.plan.Orders(), now)
 	h.mu.Unlock()
--- a/internal/placement/plan/conflict_test.go
+++ b/internal/placement/plan/conflict_test.go
@@ -32,16 +32,17 @@
 		}, 1},
 		{"another holder may have taken over before the lease expires", func(p *Plan) {
 			p.MarkUnresponsive("w1", after(5400))
-			p.SetMayBeReplaced(true)
+			for ms := 6000; ms <= 6500; ms += 100 {
+				p.SetMayBeReplaced(true, after(ms))
+			}
 		}, 0},
-		{"all other entries are heard again", func(p *Plan) {
-			p.SetMayBeReplaced(true)
+		{"all other entries are heard again, its leases have expired", func(p *Plan) {
+			p.SetMayBeReplaced(true, after(5300))
 			p.MarkUnresponsive("w1", after(5400))
-			p.Tick(after(6150))
-			p.SetMayBeReplaced(false)
+			p.SetMayBeReplaced(false, after(5400))
 		}, 1},
 		{"the worker is no longer registered, another holder may have taken over", func(p *Plan) {
-			p.SetMayBeReplaced(true)
+			p.SetMayBeReplaced(true, after(6100))
 			p.MarkUnresponsive("w1", after(5400))
 			p.RetireWorker("w1", after(6100))
 		}, 1},
--- a/internal/placement/plan/plan.go
+++ b/internal/placement/plan/plan.go
@@ -108,7 +108,6 @@
 	waitingSorted     bool
 	requeued          bool // a task has become pending again while a report is handled
 	takeoverSuspected bool // another holder may have taken over without this one knowing
-	mayBeReplaced     bool // another holder may have taken over on the other side of a partition
 	earlyCompletions  map[string]earlyCompletion
 	unaccountedRuns   map[string][]*run // runs that belong to no task of this holder, by task name
 	orders            []Order
@@ -117,6 +116,9 @@
 	// otherLeasesEnd is the time by which every lease that another holder may have granted
 	// has expired.
 	otherLeasesEnd time.Time
+	// replacementEnd is the time by which leases have expired that another holder, which may have
+	// taken over on the other side of a partition, may have renewed.
+	replacementEnd time.Time
 	conflictEnd    time.Time // until when another holder that was seen at a worker may be taking over others
 	otherFreeSlots spillover.Slots
 	arrivals       map[string]*arrivalRate // by service
@@ -199,9 +201,13 @@
 func (p *Plan) SetTakeoverSuspected(suspected bool) { p.takeoverSuspected = suspected }
 
 // SetMayBeReplaced sets whether another holder may have taken over on the other side of a
-// partition. While it is set no lease expires: the other holder may renew those of workers that
-// this one does not reach.
-func (p *Plan) SetMayBeReplaced(may bool) { p.mayBeReplaced = may }
+// partition. While it is set no lease expires, since the other holder may renew those of workers
+// that this one does not reach; nor afterwards until those that it renewed last have expired.
+func (p *Plan) SetMayBeReplaced(may bool, now time.Time) {
+	if may {
+		p.replacementEnd = p.leaseEnd(now)
+	}
+}
 
 // mayRunElsewhere reports whether tasks of a job that an earlier holder may have started
 // may be running on a worker that this holder does not know yet, since entries read registrations
