--- a/internal/placement/plan/review_test.go
+++ b/internal/placement/plan/review_test.go
@@ -22,13 +22,13 @@
 	p.AddWorker(testWorker("w2", 1), after(5003))
 	p.HandleReport(Report{Worker: "w2", Sent: after(5003), Fenced: true}, after(5004))
 	p.MarkUnresponsive("w1", after(5400))
-	p.SetMayBeReplaced(true) // the other entry takes over, and renews the lease of w1 until it is killed
-	for ms := 5400; ms < 6500; ms += 25 {
+	for ms := 5400; ms < 6500; ms += 25 { // the other entry takes over, and renews the lease of w1 until it is killed
+		p.SetMayBeReplaced(true, after(ms))
 		p.KeepAlive(b.ID, after(ms))
 		p.Tick(after(ms))
 	}
-	p.SetMayBeReplaced(false) // its address refuses connections
-	for ms := 6500; ms < 7500; ms += 25 {
+	for ms := 6500; ms < 7500; ms += 25 { // its address refuses connections
+		p.SetMayBeReplaced(false, after(ms))
 		p.KeepAlive(b.ID, after(ms))
 		p.Tick(after(ms))
 		if got := starts(p); len(got) > 0 {
@@ -51,9 +51,9 @@
 	p.HandleStartOutcome("w1", started.Task, started.Run, StartAccepted, after(5002))
 	p.AddWorker(testWorker("w2", 1), after(5003))
 	p.HandleReport(Report{Worker: "w2", Sent: after(5003), Fenced: true}, after(5004))
-	p.SetMayBeReplaced(true)
 	p.MarkUnresponsive("w1", after(5400))
 	for ms := 5400; ms < 10000; ms += 25 {
+		p.SetMayBeReplaced(true, after(ms))
 		if ms == 8500 {
 			p.RetireWorker("w1", after(ms))
 		}
