holder: Count a worker as answering while a lost renewal is made void

Callers could see jobs given up with "no worker of its service answers", seen in TestGroupMovesToLargerEntryUnderLoad on a machine with a load of 48 on 8 cores (504 for 26 jobs): after a pause of the process the renewals of all workers have timed out. Since the first answer after that only raised the token and was not passed on, so that the workers counted as silent until they had accepted it.

The answer is handled as a report now, without placing work, and the token is raised after it. TestWorkerAnswersWhileItIsFencedAnew fails without the change.

--- a/internal/placement/holder/session.go
+++ b/internal/placement/holder/session.go
@@ -256,9 +256,8 @@
 			return // a higher token is set; only a report under that one is final
 		}
 		if s.renewalLost {
-			p.RequireFence(s.target.ID, now)
-			s.raiseToken("a renewal of the lease got no answer")
-			return
+			p.RequireFence(s.target.ID, now) // before the report is handled, which would start further work
+			defer s.voidRenewal()
 		}
 		// The call was made after the token was set, and so after the clock was read.
 		firstAnswer := fencing && !s.tokenAccepted
@@ -283,6 +282,14 @@
 	return hasEndings
 }
 
+// voidRenewal raises the token unless that has been done since the renewal was lost. The caller
+// holds the lock.
+func (s *session) voidRenewal() {
+	if s.renewalLost {
+		s.raiseToken("a renewal of the lease got no answer")
+	}
+}
+
 // noteAcknowledged records that the worker has answered an acknowledgement, if the answer is of
 // the incarnation whose endings it named.
 func (s *session) noteAcknowledged(request platform.HoldRequest, report platform.Report) {
--- a/internal/placement/holder/session_test.go
+++ b/internal/placement/holder/session_test.go
@@ -184,3 +184,35 @@
 		})
 	}
 }
+
+// TestWorkerAnswersWhileItIsFencedAnew guards against jobs that are given up since no worker seems to
+// answer: after a pause of this process every renewal has timed out, and the workers get new tokens,
+// which takes a while on a busy VM.
+func TestWorkerAnswersWhileItIsFencedAnew(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		r := &recorder{}
+		var mu sync.Mutex
+		lost, slow := int64(0), false // token of the renewal that gets no answer, whether higher ones take long
+		h := newHolder(ctx, WorkerCalls{Start: r.start, Stop: r.stop, Hold: func(ctx context.Context, to platform.Target, o platform.HoldRequest) (platform.Report, error) {
+			mu.Lock()
+			isLost, isSlow := lost == 0 && o.LeaseEnd > 0, slow && o.Token > lost
+			if isLost {
+				lost, slow = o.Token, true
+			}
+			mu.Unlock()
+			if isLost || isSlow {
+				<-ctx.Done()
+				return platform.Report{}, ctx.Err()
+			}
+			return r.hold(ctx, to, o)
+		}}, make(chan batch.Result, 1))
+		h.AddWorker(registeredWorker("w1"))
+		time.Sleep(holdWait + holdTimeout + minRetryDelay + 50*time.Millisecond)
+		if !h.AnyWorkerAnswers() {
+			t.Error("no worker answers although it has answered a call after the lost renewal")
+		}
+		cancel()
+		h.Wait()
+	})
+}
