registry: Let no few late records of an incarnation replace its newer ones

New tasks could go to a worker that is about to leave. Cause: since two records with a lower sequence number than the present one replace it, and a record that was read again after a loss of history counted twice. The store may append a record up to six seconds late, so that several "ready" ones of an incarnation can follow the one that says that it drains.

Six such records are needed for a lower sequence number now, more than heartbeats in that time, and a record counts once. An earlier start still wins with the second record: the next heartbeat of the incarnation that is alive decides.

--- a/internal/worker/registry/registry.go
+++ b/internal/worker/registry/registry.go
@@ -16,10 +16,14 @@
 // two seconds after it is back.
 const absenceGrace = 2500 * time.Millisecond
 
-// minContradictions is the number of records after which a registration with a later start or
-// sequence number than theirs is given up. A worker that is alive publishes again within a
-// heartbeat, while a record that was appended late is most often alone.
-const minContradictions = 2
+// Numbers of records after which a registration with a later start, or with a higher sequence
+// number, than theirs is given up. A worker that is alive publishes again within a heartbeat. The
+// store may append a record up to six seconds late, so that several of one incarnation can follow a
+// newer one.
+const (
+	minEarlierStarts    = 2
+	minEarlierSequences = 6
+)
 
 // registeredWorker is the newest registration of a worker.
 type registeredWorker struct {
@@ -28,6 +32,7 @@
 	// offset is that of the last record that was read. Contradictions counts the records since
 	// the registration that state an earlier start or sequence number.
 	offset         int64
+	contradictedAt int64 // offset of the last such record
 	contradictions int
 }
 
@@ -149,10 +154,15 @@
 	old := *w
 	w.offset = record.Offset
 	if registration.StartUnixMilli < old.StartUnixMilli || registration.StartUnixMilli == old.StartUnixMilli && registration.Sequence < old.Sequence {
-		if record.Offset == old.offset {
+		if record.Offset == old.offset || old.contradictions > 0 && record.Offset <= old.contradictedAt {
 			return Change{} // read before
 		}
-		if w.contradictions++; w.contradictions < minContradictions && old.missingSince.IsZero() {
+		enough := minEarlierStarts
+		if registration.StartUnixMilli == old.StartUnixMilli {
+			enough = minEarlierSequences
+		}
+		w.contradictedAt = record.Offset
+		if w.contradictions++; w.contradictions < enough && old.missingSince.IsZero() {
 			return Change{}
 		}
 	}
