member: Count members that do not answer as unheard

Two runs of a task at the same time were possible. Cause: in a one-way partition, in which heartbeats of the others arrive but neither the own ones nor answers to them get through, no member was unheard, although the others do not count this entry as live and may take its groups over. A claim arrives with their heartbeats, but only with one that was sent after it.

--- a/member/table.go
+++ b/member/table.go
@@ -323,14 +323,14 @@
 	return states
 }
 
-// Unheard reports whether any member of the local zone is not heard at present, although it may
-// be running, on another side of a partition. Members that were leaving, or whose address refuses
+// Unheard reports whether any member of the local zone is not heard, or does not answer, at present,
+// although it may be running, on another side of a partition. Members that were leaving, or whose address refuses
 // connections, do not count.
 func (t *Table) Unheard() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, v := range t.views {
-		if v.record.Zone == t.self.Zone && v.state != Alive && !v.record.Leaving && v.refusedCount < maxRefusals {
+		if v.record.Zone == t.self.Zone && t.effectiveState(v) != Alive && !v.record.Leaving && v.refusedCount < maxRefusals {
 			return true
 		}
 	}
