holder: Let the true registration replace an odd one with a later start

A worker could get no work for good. Cause: a registration with an earlier start than that of the session was ignored, also when the session's start was only registered, by another writer, with an address at which nothing answers. While no answer has confirmed the start, a registration with another address replaces it.

--- a/internal/placement/holder/incarnation.go
+++ b/internal/placement/holder/incarnation.go
@@ -9,9 +9,11 @@
 
 // isOutdated reports whether a registration is of an incarnation before the one that the
 // session knows: it states an earlier start, or is the one that the worker had before it started
-// again. The clock of the worker's VM may have been set back in between.
+// again. The clock of the worker's VM may have been set back in between. While no answer has
+// confirmed the start that the session knows, a registration with another address may be the true
+// one.
 func (s *session) isOutdated(r platform.Registration) bool {
-	if r.StartUnixMilli == 0 || r.StartUnixMilli == s.startUnixMilli {
+	if r.StartUnixMilli == 0 || r.StartUnixMilli == s.startUnixMilli || !s.startStated && r.Address != s.target.Address {
 		return false
 	}
 	return r.StartUnixMilli < s.startUnixMilli || r.StartUnixMilli == s.registration.StartUnixMilli
--- a/internal/placement/holder/session.go
+++ b/internal/placement/holder/session.go
@@ -38,6 +38,7 @@
 	startToken     int64 // of the last start; a new incarnation may still carry that start out
 	workerClock    int64 // ms on the worker's clock at clockReadAt, from its last report
 	clockReadAt    time.Time
+	startStated    bool  // an answer has stated startUnixMilli, rather than the registration alone
 	startUnixMilli int64 // when the worker's incarnation started, by its reports or its registration; 0 if neither states it
 	answeringUntil time.Time
 	answered       bool               // the worker has answered at the address, in this session or an earlier one
@@ -271,7 +272,7 @@
 			return // an older report, overtaken by one on the other connection
 		}
 		if report.StartUnixMilli != 0 {
-			s.startUnixMilli = report.StartUnixMilli
+			s.startUnixMilli, s.startStated = report.StartUnixMilli, true
 		}
 		s.workerClock, s.clockReadAt = report.ClockMilli, now
 		s.tokenAccepted = s.tokenAccepted || fencing
