plan: Let a task with losses wait for a quiet worker for half a second only

A task that has lost two runs waited for its client's whole time while all workers had more than a quarter of their cores in use. It starts on any worker half a second after its last loss.

--- a/internal/placement/plan/choose.go
+++ b/internal/placement/plan/choose.go
@@ -82,7 +82,7 @@
 // within the step's limit of tasks per worker. Workers that are ejected or to be avoided
 // cannot run it.
 func (p *Plan) canRun(t *task, step batch.Step, w *worker) bool {
-	if w.Service != t.job.Service || t.avoidedWorkers[w.ID] || !step.Resources.FitsIn(w.free()) || p.outliers.IsEjected(w.ID) || t.mayEndanger(w) {
+	if w.Service != t.job.Service || t.avoidedWorkers[w.ID] || !step.Resources.FitsIn(w.free()) || p.outliers.IsEjected(w.ID) || t.mayEndanger(w, p.now) {
 		return false
 	}
 	if step.RequiredLabel != "" && !slices.Contains(w.Labels, step.RequiredLabel) {
--- a/internal/placement/plan/crash.go
+++ b/internal/placement/plan/crash.go
@@ -16,8 +16,9 @@
 	// maxQuickLosses is the number of losses, and of lost runs whose worker has not answered
 	// since, with which the task does not start as usual any more.
 	maxQuickLosses = 2
-	quietDivisor   = 4 // a worker is quiet while at most 1/quietDivisor of its cores is in use
-	earlyDivisor   = 2 // a run has not ended unseen in the first 1/earlyDivisor of its expected time
+	quietWait      = 500 * time.Millisecond // after a loss, within which a task waits for a quiet worker
+	quietDivisor   = 4                      // a worker is quiet while at most 1/quietDivisor of its cores is in use
+	earlyDivisor   = 2                      // a run has not ended unseen in the first 1/earlyDivisor of its expected time
 )
 
 // ConnectionClosed records that a worker has closed the connection of a call, or has refused
@@ -99,6 +100,7 @@
 	} else {
 		t.suspicions++
 	}
+	t.quietUntil = p.now.Add(quietWait)
 	p.emit(Order{Kind: LogLoss, Worker: r.worker.ID, Task: t.name, Run: r.runKey.run, Reason: reason, Crashes: t.crashes, Suspicions: t.suspicions})
 	p.endCrashing(t.job)
 }
@@ -170,9 +172,9 @@
 }
 
 // mayEndanger reports whether a start of the task on a worker could take too many other runs
-// down with it: tasks that have lost so many runs start on quiet workers only.
-func (t *task) mayEndanger(w *worker) bool {
-	return t.losses() >= maxQuickLosses && w.used.MilliCores*quietDivisor > w.Capacity.MilliCores
+// down with it: tasks that have lost so many runs wait for a quiet worker for a while.
+func (t *task) mayEndanger(w *worker, now time.Time) bool {
+	return t.losses() >= maxQuickLosses && now.Before(t.quietUntil) && w.used.MilliCores*quietDivisor > w.Capacity.MilliCores
 }
 
 // losses returns the losses of the job's tasks that have not succeeded.
--- a/internal/placement/plan/job.go
+++ b/internal/placement/plan/job.go
@@ -17,6 +17,7 @@
 	failures       int             // runs that failed
 	stalls         int             // runs stopped for lack of progress
 	crashes        int             // workers that are known to have crashed while they ran it
+	quietUntil     time.Time       // until when it starts on quiet workers only, once it has lost runs
 	suspicions     int             // further workers that may have crashed while they ran it
 	detachedRuns   []*run          // runs whose lease has expired
 	previous       string          // how the last run was lost, for the log
