plan: Doubt the lease of a worker that is fenced beside another holder

Two runs of a task at the same time were possible. Cause: after another holder had been seen, a worker that fell silent counted as one whose lease that holder may renew, but not one that had been fenced anew before it fell silent, after a start or a renewal without an answer.

--- a/internal/placement/plan/report.go
+++ b/internal/placement/plan/report.go
@@ -272,7 +272,7 @@
 	}
 	if outcome == OutcomeUnknown {
 		r.phase = startUnknown
-		w.state = fencing
+		p.stopUsing(w, fencing)
 		p.emit(Order{Kind: Fence, Worker: worker, Reason: "a start got no answer"})
 		return
 	}
--- a/internal/placement/plan/worker.go
+++ b/internal/placement/plan/worker.go
@@ -165,8 +165,7 @@
 		w.unanswered, w.unansweredSince = true, now
 	}
 	if w.state == ready {
-		w.state = unresponsive
-		w.foreign = now.Before(p.conflictEnd)
+		p.stopUsing(w, unresponsive)
 	}
 }
 
@@ -175,10 +174,19 @@
 func (p *Plan) RequireFence(id string, now time.Time) {
 	p.now = now
 	if w, known := p.workers[id]; known {
-		w.state = fencing
+		p.stopUsing(w, fencing)
 	}
 }
 
+// stopUsing gives a worker a state in which it gets no new tasks. Another holder that has been seen
+// lately may be taking it over.
+func (p *Plan) stopUsing(w *worker, state workerState) {
+	if w.state == ready {
+		w.foreign = p.now.Before(p.conflictEnd)
+	}
+	w.state = state
+}
+
 // OtherHolderSeen records that a worker has accepted the fencing token of another holder.
 // Until all workers of its service have accepted a token of this holder, or the leases of
 // the other one have expired, no job starts. Runs on the worker, and on those that do not
