--- a/internal/trial/history/calls_test.go
+++ b/internal/trial/history/calls_test.go
@@ -24,7 +24,7 @@
 	e.lock.Lock()
 	defer e.lock.Unlock()
 	h, known := e.heartbeats[c.Holder]
-	if !known || time.Since(h.receivedAt) >= deadAfter || h.candidate.Incarnation != c.Incarnation {
+	if !known || time.Since(h.receivedAt) >= e.deadAfter() || h.candidate.Incarnation != c.Incarnation {
 		return submission.GroupHolder{}, false
 	}
 	return submission.GroupHolder{Group: group, Epoch: c.Epoch, ID: c.Holder}, true
--- a/internal/trial/history/client_test.go
+++ b/internal/trial/history/client_test.go
@@ -21,6 +21,9 @@
 	results    []batch.Result
 }
 
+// jobID returns the ID of the job that is sent as the one with a number.
+func jobID(number int) string { return fmt.Sprintf("%016x", number+1) }
+
 func (c *client) run(w *world) {
 	for range maxSends {
 		if c.send(w) || c.long && w.calm.Load() {
--- a/internal/trial/history/entry_test.go
+++ b/internal/trial/history/entry_test.go
@@ -19,6 +19,9 @@
 // those that expired in an outage of the store return, as in package node.
 const reregistrationWindow = 3 * time.Second
 
+// heartbeatTimeout bounds a heartbeat and its answer, as in package node.
+const heartbeatTimeout = 300 * time.Millisecond
+
 // entry simulates one incarnation of an entry. It uses the real job tracker, claim
 // table, registry, isolation detector and holder; the exchange of heartbeats and claims between
 // entries is a simplified version of the one in package node.
@@ -145,7 +148,7 @@
 
 // runHeartbeats periodically sends heartbeats and claims the group if it is vacant.
 func (e *entry) runHeartbeats() {
-	ticker := time.NewTicker(heartbeatInterval)
+	ticker := time.NewTicker(e.heartbeat)
 	defer ticker.Stop()
 	for {
 		select {
@@ -166,7 +169,7 @@
 			continue
 		}
 		e.goroutines.Go(func() {
-			ctx, cancel := context.WithTimeout(e.ctx, deadAfter)
+			ctx, cancel := context.WithTimeout(e.ctx, heartbeatTimeout)
 			defer cancel()
 			if e.sendHeartbeat(ctx, o) {
 				o.sendHeartbeat(ctx, e) // the answer
@@ -200,7 +203,7 @@
 	e.lock.Lock()
 	defer e.lock.Unlock()
 	for _, h := range e.heartbeats {
-		if time.Since(h.receivedAt) < deadAfter {
+		if time.Since(h.receivedAt) < e.deadAfter() {
 			anyOther = true
 			if !h.leaving {
 				live = append(live, h.candidate)
@@ -226,7 +229,7 @@
 	defer e.lock.Unlock()
 	heard, all := 1, 1
 	for id, h := range e.heartbeats {
-		isLive := time.Since(h.receivedAt) < deadAfter
+		isLive := time.Since(h.receivedAt) < e.deadAfter()
 		if !isLive && (h.leaving || down[id]) {
 			continue
 		}
--- a/internal/trial/history/history_test.go
+++ b/internal/trial/history/history_test.go
@@ -91,7 +91,7 @@
 	faultGroup.Go(func() { injected = injectFaults(w, &faultGroup, startedAt, faultsEnd.Add(-3*time.Second)) })
 	for i := 0; time.Now().Before(faultsEnd.Add(recoveryTime)); i++ {
 		w.calm.Store(!time.Now().Before(faultsEnd))
-		c := &client{id: fmt.Sprintf("%016x", i+1), tasks: 1 + w.randomInt(3), sentAt: time.Now()}
+		c := &client{id: jobID(i), tasks: 1 + w.randomInt(3), sentAt: time.Now()}
 		c.long = !w.calm.Load() && w.randomChance(longJobShare)
 		clients = append(clients, c)
 		clientGroup.Go(func() { c.run(w) })
@@ -123,6 +123,11 @@
 			break
 		}
 	}
+	w.end()
+}
+
+// end ends all entries and waits for what they have begun.
+func (w *world) end() {
 	w.finished.Store(true)
 	for _, e := range w.liveEntries() {
 		e.kill()
--- a/internal/trial/history/world_test.go
+++ b/internal/trial/history/world_test.go
@@ -24,16 +24,18 @@
 // Durations and sizes of the simulation. The values for clients are those that the
 // users of the system have specified.
 const (
-	resendAfter       = 1300 * time.Millisecond // when a client without an answer sends its job again
-	requestDeadline   = 1500 * time.Millisecond // deadline of one request
-	longDeadline      = 4 * time.Second         // deadline of a request for a job whose tasks outlast a lease
-	leaseDuration     = time.Second
-	heartbeatInterval = 50 * time.Millisecond
-	deadAfter         = 6 * heartbeatInterval // without a heartbeat, an entry counts as dead
-	listenTime        = 2 * heartbeatInterval // an entry makes no claim so shortly after its start
-	slotsPerWorker    = 3                     // tasks that a worker can run at once
-	maxAttempts       = 3                     // failed runs of a task after which its job fails
-	maxCrashes        = 2                     // crashes of workers that run a task after which its job may fail
+	resendAfter     = 1300 * time.Millisecond // when a client without an answer sends its job again
+	requestDeadline = 1500 * time.Millisecond // deadline of one request
+	longDeadline    = 4 * time.Second         // deadline of a request for a job whose tasks outlast a lease
+	leaseDuration   = time.Second
+	deadHeartbeats  = 6                      // heartbeat intervals without a heartbeat after which an entry counts as dead
+	listenTime      = 150 * time.Millisecond // an entry makes no claim so shortly after its start
+	slotsPerWorker  = 3                      // tasks that a worker can run at once
+	maxAttempts     = 3                      // failed runs of a task after which its job fails
+	maxCrashes      = 2                      // crashes of workers that run a task after which its job may fail
+
+	usualHeartbeat = 150 * time.Millisecond
+	shortHeartbeat = 50 * time.Millisecond
 
 	taskHint     = 200 * time.Millisecond // estimate of a usual task
 	longTaskHint = time.Second            // estimate of a task of a long job
@@ -46,7 +48,8 @@
 	random       *rand.Rand
 	entries      []*entry // by index; a restarted entry replaces its earlier incarnation
 	machines     []*machine
-	statesStart  bool // registrations state when the worker started
+	statesStart  bool          // registrations state when the worker started
+	heartbeat    time.Duration // interval of heartbeats between entries
 	blockedUntil map[[2]string]time.Time
 	activeUntil  map[string]time.Time // conditions that faults have set
 	chances      map[string]float64   // probability that a condition has an effect, while it is active
@@ -65,7 +68,10 @@
 		random: rand.New(rand.NewPCG(seed, 1)), blockedUntil: map[[2]string]time.Time{},
 		activeUntil: map[string]time.Time{}, chances: map[string]float64{}, longJobs: map[string]bool{}, monitor: &worker.RunMonitor{},
 	}
-	w.statesStart = w.randomChance(0.7)
+	w.statesStart, w.heartbeat = w.randomChance(0.7), shortHeartbeat
+	if w.randomChance(0.6) {
+		w.heartbeat = usualHeartbeat
+	}
 	for i := range workers {
 		m := &machine{index: i, address: machineAddress(i, 0), clockRate: 1}
 		if w.randomChance(0.4) {
@@ -121,6 +127,9 @@
 	return w.randomChance(chance)
 }
 
+// deadAfter returns the time without a heartbeat after which an entry counts as dead.
+func (w *world) deadAfter() time.Duration { return deadHeartbeats * w.heartbeat }
+
 func (w *world) entry(index int) *entry {
 	w.mu.Lock()
 	defer w.mu.Unlock()
