history: Freeze entries

What is sent to a frozen entry waits, as what it sends does, and its holder starts nothing until a heartbeat sent afterwards is answered, as in package node.

--- a/internal/trial/history/calls_test.go
+++ b/internal/trial/history/calls_test.go
@@ -31,8 +31,9 @@
 }
 
 // callHolder calls the holder of a group over the simulated network. It reports whether the entry
-// holds the group at this epoch; without an answer the call may have been executed.
-func (e *entry) callHolder(ctx context.Context, to submission.GroupHolder, call func(h *holder.Holder)) (bool, error) {
+// holds the group at this epoch; without an answer the call may have been executed. One that places a
+// job may be executed later, and is rejected by an entry that may have lost the group.
+func (e *entry) callHolder(ctx context.Context, to submission.GroupHolder, places bool, call func(h *holder.Holder)) (bool, error) {
 	for _, o := range e.liveEntries() {
 		if o.id != to.ID {
 			continue
@@ -41,16 +42,17 @@
 		defer cancel()
 		if o != e {
 			if err := e.transmit(ctx, e.id, o.id); err != nil {
+				if places && o.active(frozen(o.id)) && e.canReach(e.id, o.id) {
+					e.goroutines.Go(func() { // the call waits in the buffers of the paused process
+						if o.waitThawed(o.ctx, o.id) == nil {
+							o.executeCall(to.Epoch, places, call)
+						}
+					})
+				}
 				return false, err
 			}
 		}
-		o.lock.Lock()
-		h := o.holder
-		o.lock.Unlock()
-		held := h != nil && h.Epoch() == to.Epoch && o.ctx.Err() == nil
-		if held {
-			call(h)
-		}
+		held := o.executeCall(to.Epoch, places, call)
 		if o != e {
 			if err := e.transmit(ctx, o.id, e.id); err != nil {
 				return false, err
@@ -61,12 +63,25 @@
 	return false, errUnreachable
 }
 
+// executeCall executes a call to the holder of the group and reports whether this entry holds the
+// group at the epoch.
+func (e *entry) executeCall(epoch uint64, places bool, call func(h *holder.Holder)) bool {
+	e.lock.Lock()
+	h := e.holder
+	e.lock.Unlock()
+	if h == nil || h.Epoch() != epoch || e.ctx.Err() != nil || places && e.takeoverSuspected() {
+		return false
+	}
+	call(h)
+	return true
+}
+
 func (e *entry) placeAt(ctx context.Context, to submission.GroupHolder, b *batch.Batch, completed []string) (bool, error) {
-	return e.callHolder(ctx, to, func(h *holder.Holder) { h.Admit(b, completed) })
+	return e.callHolder(ctx, to, true, func(h *holder.Holder) { h.Admit(b, completed) })
 }
 
 func (e *entry) keepAliveAt(ctx context.Context, to submission.GroupHolder, ids []string) (results []batch.Result, unknown []string, held bool, err error) {
-	held, err = e.callHolder(ctx, to, func(h *holder.Holder) { results, unknown = h.KeepAlive(ids) })
+	held, err = e.callHolder(ctx, to, false, func(h *holder.Holder) { results, unknown = h.KeepAlive(ids) })
 	if err != nil {
 		return nil, nil, false, err
 	}
@@ -74,7 +89,7 @@
 }
 
 func (e *entry) withdrawAt(ctx context.Context, to submission.GroupHolder, b *batch.Batch) {
-	_, err := e.callHolder(ctx, to, func(h *holder.Holder) { h.Withdraw(b.ID, b.Attempt) })
+	_, err := e.callHolder(ctx, to, false, func(h *holder.Holder) { h.Withdraw(b.ID, b.Attempt) })
 	if err != nil {
 		e.log(e.id).Info("job not withdrawn", "job", b.ID, "error", err)
 	}
--- a/internal/trial/history/client_test.go
+++ b/internal/trial/history/client_test.go
@@ -40,7 +40,6 @@
 		return false
 	}
 	e := alive[w.randomInt(len(alive))]
-	b := w.newBatch(c.id, c.tasks, c.long)
 	ctx, breakConnection := context.WithCancel(context.Background())
 	if w.takesEffect(clientsBreak) {
 		ctx, breakConnection = context.WithTimeout(ctx, w.randomDuration(600))
@@ -50,8 +49,11 @@
 	// entries and workers stays in effect.
 	w.goroutines.Go(func() {
 		defer breakConnection()
-		r := e.tracker.Submit(ctx, b)
-		if e.ctx.Err() == nil {
+		if w.waitThawed(e.ctx, e.id) != nil {
+			return
+		}
+		r := e.tracker.Submit(ctx, w.newBatch(c.id, c.tasks, c.long))
+		if w.waitThawed(e.ctx, e.id) == nil && e.ctx.Err() == nil {
 			result <- r
 		}
 	})
--- a/internal/trial/history/entry_test.go
+++ b/internal/trial/history/entry_test.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/radishgate/radishgate/common/wait"
 	"github.com/radishgate/radishgate/internal/gateway/isolation"
 	"github.com/radishgate/radishgate/internal/gateway/submission"
 	"github.com/radishgate/radishgate/internal/placement/election"
@@ -22,6 +23,9 @@
 // heartbeatTimeout bounds a heartbeat and its answer, as in package node.
 const heartbeatTimeout = 300 * time.Millisecond
 
+// sweepInterval is the time between two checks of the tracker's jobs, as in package submission.
+const sweepInterval = 25 * time.Millisecond
+
 // entry simulates one incarnation of an entry. It uses the real job tracker, claim
 // table, registry, isolation detector and holder; the exchange of heartbeats and claims between
 // entries is a simplified version of the one in package node.
@@ -36,6 +40,7 @@
 	claims       *election.ClaimTable
 	registry     *registry.Registry
 	isolation    isolation.Detector
+	pause        pauseDetector
 	workerClient *platform.WorkerClient
 
 	passing sync.Mutex // held while registrations are passed to the holder, which keeps the order in which they were read
@@ -82,17 +87,29 @@
 	w.entries[index] = e
 	w.mu.Unlock()
 	w.log(e.id).Info("entry starts", "incarnation", e.incarnation, "clock_offset", e.clockOffset)
-	w.goroutines.Go(func() { e.tracker.Run(e.ctx) })
+	w.goroutines.Go(e.sweepJobs)
 	w.goroutines.Go(e.runHeartbeats)
 	w.goroutines.Go(e.readRegistrations)
 }
 
+// sweepJobs lets the tracker check its jobs periodically.
+func (e *entry) sweepJobs() {
+	for wait.For(e.ctx, sweepInterval); e.ctx.Err() == nil; wait.For(e.ctx, sweepInterval) {
+		if !e.active(frozen(e.id)) {
+			e.tracker.Sweep(e.ctx)
+		}
+	}
+}
+
 // readRegistrations periodically reads the list of registrations. It passes the list to the
 // holder after each read, and again until the next one.
 func (e *entry) readRegistrations() {
 	interval := time.Duration(10+e.randomInt(maxReadMillis-10)) * time.Millisecond
 	var readAt time.Time
 	for e.ctx.Err() == nil {
+		if e.waitThawed(e.ctx, e.id) != nil {
+			return
+		}
 		if time.Since(readAt) >= interval {
 			list, answered := e.registrations(e.id)
 			if !answered {
@@ -155,6 +172,10 @@
 		case <-e.ctx.Done():
 			return
 		case <-ticker.C:
+			if e.active(frozen(e.id)) {
+				continue
+			}
+			e.pause.recordHeartbeat(suspectHeartbeats * e.heartbeat)
 			e.isolation.Beat(e.view(), time.Now())
 			e.sendHeartbeats()
 			e.claimIfVacant()
@@ -171,8 +192,9 @@
 		e.goroutines.Go(func() {
 			ctx, cancel := context.WithTimeout(e.ctx, heartbeatTimeout)
 			defer cancel()
-			if e.sendHeartbeat(ctx, o) {
-				o.sendHeartbeat(ctx, e) // the answer
+			sentAt := time.Now()
+			if e.sendHeartbeat(ctx, o) && o.sendHeartbeat(ctx, e) { // the latter is the answer
+				e.pause.recordAnswer(sentAt)
 			}
 		})
 	}
@@ -287,6 +309,7 @@
 			Lease: leaseDuration, ClientRetryAfter: resendAfter, WorkersIncompleteUntil: e.workersIncompleteUntil(),
 			Calls: holder.WorkerCalls{Start: e.workerClient.Start, Stop: e.workerClient.Stop, Hold: e.workerClient.Hold},
 			Log:   e.log(e.id), OnResult: e.deliverResult, CountCall: func(string) {},
+			TakeoverSuspected: e.takeoverSuspected,
 			OnConflict: func() bool {
 				e.claims.NoteConflict(e.hearsPeers(), e.hasMajority(), time.Now())
 				return e.claims.MaySchedule(group, time.Now())
--- a/internal/trial/history/faults_test.go
+++ b/internal/trial/history/faults_test.go
@@ -36,6 +36,8 @@
 		}
 	}},
 	{"the holder is lost", func(w *world) { w.restart(w.holderIndex(), 300) }},
+	{"an entry is frozen", func(w *world) { w.activate(frozen(entryName(w.randomInt(entryCount))), 1, w.randomDuration(2500)) }},
+	{"the holder is frozen", func(w *world) { w.activate(frozen(entryName(w.holderIndex())), 1, w.randomDuration(3000)) }},
 	{"two entries cannot reach each other", func(w *world) {
 		w.blockLink(entryName(w.randomInt(entryCount)), entryName(w.randomInt(entryCount)), w.randomDuration(2500))
 	}},
--- a/internal/trial/history/network_test.go
+++ b/internal/trial/history/network_test.go
@@ -25,8 +25,8 @@
 	// a worker that is down, reaches the next incarnation.
 	carryChance = 0.1
 
-	// healChance is the probability that a call to a worker over a blocked link arrives once the
-	// link is open again, within healTime.
+	// healChance is the probability that a call to a worker over a blocked link, or of a paused
+	// process, arrives once the link is open again or the process has resumed, within healTime.
 	healChance = 0.2
 	healTime   = 3 * time.Second
 )
@@ -82,6 +82,9 @@
 // transmit simulates sending a message: it returns after a random network delay,
 // or with an error when ctx ends if the link is blocked.
 func (w *world) transmit(ctx context.Context, from, to string) error {
+	if err := w.waitThawed(ctx, from); err != nil {
+		return err
+	}
 	if !w.canReach(from, to) {
 		<-ctx.Done()
 		return errUnreachable
@@ -90,7 +93,7 @@
 	case <-ctx.Done():
 		return ctx.Err()
 	case <-time.After(w.linkDelay()):
-		return nil
+		return w.waitThawed(ctx, to)
 	}
 }
 
@@ -109,7 +112,7 @@
 		return nil, err
 	}
 	name := workerName(workerIndex(host))
-	if !w.canReach(w.from, name) && w.randomChance(healChance) {
+	if frozen := w.active(frozen(w.from)); (frozen || !w.canReach(w.from, name)) && w.randomChance(healChance) {
 		if target, _ := w.workerAt(host); target != nil {
 			w.goroutines.Go(func() { w.deliverOnceHealed(target, r, host, data) })
 		}
@@ -156,7 +159,7 @@
 // connection ends with the worker to which it was sent.
 func (w workerTransport) deliverOnceHealed(target *worker.Worker, r *http.Request, host string, data []byte) {
 	name := workerName(workerIndex(host))
-	for end := time.Now().Add(healTime); !w.canReach(w.from, name); time.Sleep(5 * time.Millisecond) {
+	for end := time.Now().Add(healTime); !w.canReach(w.from, name) || w.active(frozen(w.from)); time.Sleep(5 * time.Millisecond) {
 		if !time.Now().Before(end) || w.finished.Load() {
 			return
 		}
