--- a/internal/trial/history/entry_test.go
+++ b/internal/trial/history/entry_test.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/radishgate/radishgate/common/wait"
 	"github.com/radishgate/radishgate/internal/gateway/isolation"
 	"github.com/radishgate/radishgate/internal/gateway/submission"
 	"github.com/radishgate/radishgate/internal/placement/election"
@@ -20,6 +21,12 @@
 // those that expired in an outage of the store return, as in package node.
 const reregistrationWindow = 3 * time.Second
 
+// heartbeatTimeout bounds a heartbeat and its answer, as in package node.
+const heartbeatTimeout = 300 * time.Millisecond
+
+// sweepInterval is the time between two checks of the tracker's jobs, as in package submission.
+const sweepInterval = 25 * time.Millisecond
+
 // entry simulates one incarnation of an entry. It uses the real job tracker, claim
 // table, registry, isolation detector and holder; the exchange of heartbeats and claims between
 // entries is a simplified version of the one in package node.
@@ -34,6 +41,7 @@
 	claims       *election.ClaimTable
 	registry     *registry.Registry
 	isolation    isolation.Detector
+	pause        pauseDetector
 	workerClient *platform.WorkerClient
 
 	passing sync.Mutex // held while registrations are passed to the holder, which keeps the order in which they were read
@@ -80,17 +88,29 @@
 	w.entries[index] = e
 	w.mu.Unlock()
 	w.log(e.id).Info("entry starts", "incarnation", e.incarnation, "clock_offset", e.clockOffset)
-	w.goroutines.Go(func() { e.tracker.Run(e.ctx) })
+	w.goroutines.Go(e.sweepJobs)
 	w.goroutines.Go(e.runHeartbeats)
 	w.goroutines.Go(e.readRegistrations)
 }
 
+// sweepJobs lets the tracker check its jobs periodically.
+func (e *entry) sweepJobs() {
+	for wait.For(e.ctx, sweepInterval); e.ctx.Err() == nil; wait.For(e.ctx, sweepInterval) {
+		if !e.active(frozen(e.id)) {
+			e.tracker.Sweep(e.ctx)
+		}
+	}
+}
+
 // readRegistrations periodically reads the list of registrations. It passes the list to the
 // holder after each read, and again until the next one.
 func (e *entry) readRegistrations() {
 	interval := time.Duration(10+e.randomInt(maxReadMillis-10)) * time.Millisecond
 	var readAt time.Time
 	for e.ctx.Err() == nil {
+		if e.waitThawed(e.ctx, e.id) != nil {
+			return
+		}
 		if time.Since(readAt) >= interval {
 			list, answered := e.registrations(e.id)
 			if !answered {
@@ -146,13 +166,17 @@
 
 // runHeartbeats periodically sends heartbeats and claims the group if it is vacant.
 func (e *entry) runHeartbeats() {
-	ticker := time.NewTicker(heartbeatInterval)
+	ticker := time.NewTicker(e.heartbeat)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-e.ctx.Done():
 			return
 		case <-ticker.C:
+			if e.active(frozen(e.id)) {
+				continue
+			}
+			e.pause.recordHeartbeat(suspectHeartbeats * e.heartbeat)
 			e.isolation.Beat(e.view(), time.Now())
 			e.sendHeartbeats()
 			e.claimIfVacant()
@@ -167,10 +191,11 @@
 			continue
 		}
 		e.goroutines.Go(func() {
-			ctx, cancel := context.WithTimeout(e.ctx, deadAfter)
+			ctx, cancel := context.WithTimeout(e.ctx, heartbeatTimeout)
 			defer cancel()
-			if e.sendHeartbeat(ctx, o) {
-				o.sendHeartbeat(ctx, e) // the answer
+			sentAt := time.Now()
+			if e.sendHeartbeat(ctx, o) && o.sendHeartbeat(ctx, e) { // the latter is the answer
+				e.pause.recordAnswer(sentAt)
 			}
 		})
 	}
@@ -201,7 +226,7 @@
 	e.lock.Lock()
 	defer e.lock.Unlock()
 	for _, h := range e.heartbeats {
-		if time.Since(h.receivedAt) < deadAfter {
+		if time.Since(h.receivedAt) < e.deadAfter() {
 			anyOther = true
 			if !h.leaving {
 				live = append(live, h.candidate)
@@ -227,7 +252,7 @@
 	defer e.lock.Unlock()
 	heard, all := 1, 1
 	for id, h := range e.heartbeats {
-		isLive := time.Since(h.receivedAt) < deadAfter
+		isLive := time.Since(h.receivedAt) < e.deadAfter()
 		if !isLive && (h.leaving || down[id]) {
 			continue
 		}
@@ -253,7 +278,7 @@
 	e.lock.Lock()
 	defer e.lock.Unlock()
 	for id, h := range e.heartbeats {
-		if up[id] && !h.leaving && time.Since(h.receivedAt) >= suspectAfter {
+		if up[id] && !h.leaving && time.Since(h.receivedAt) >= suspectHeartbeats*e.heartbeat {
 			return true
 		}
 	}
@@ -306,7 +331,7 @@
 			Lease: leaseDuration, ClientRetryAfter: resendAfter, WorkersIncompleteUntil: e.workersIncompleteUntil(),
 			Calls: holder.WorkerCalls{Start: e.workerClient.Start, Stop: e.workerClient.Stop, Hold: e.workerClient.Hold},
 			Log:   e.log(e.id), OnResult: e.deliverResult, CountCall: func(string) {},
-			MayBeReplaced: e.mayBeReplaced,
+			MayBeReplaced: e.mayBeReplaced, TakeoverSuspected: e.takeoverSuspected,
 			OnConflict: func() bool {
 				e.claims.NoteConflict(e.hearsPeers(), e.hasMajority(), time.Now())
 				return e.claims.MaySchedule(group, time.Now())
