--- a/internal/trial/history/entry_test.go
+++ b/internal/trial/history/entry_test.go
@@ -46,13 +46,14 @@
 
 	passing sync.Mutex // held while registrations are passed to the holder, which keeps the order in which they were read
 
-	lock            sync.Mutex // guards the fields below; mu belongs to the embedded world
-	holder          *holder.Holder
-	leaving         bool
-	heartbeats      map[string]heartbeat
-	clockOffset     time.Duration // error of the time of day
-	registryReadAt  time.Time     // when the registry was first read
-	firstReadFailed bool          // an attempt before that failed
+	lock             sync.Mutex // guards the fields below; mu belongs to the embedded world
+	holder           *holder.Holder
+	leaving          bool
+	heartbeats       map[string]heartbeat
+	clockOffset      time.Duration // error of the time of day
+	registryReadAt   time.Time     // when the registry was first read
+	firstReadFailed  bool          // an attempt before that failed
+	registryOutdated bool          // the last attempt failed
 }
 
 // heartbeat is the latest heartbeat received from another entry.
@@ -133,12 +134,13 @@
 func (e *entry) noteReadFailed() {
 	e.lock.Lock()
 	defer e.lock.Unlock()
-	e.firstReadFailed = e.firstReadFailed || e.registryReadAt.IsZero()
+	e.firstReadFailed, e.registryOutdated = e.firstReadFailed || e.registryReadAt.IsZero(), true
 }
 
 func (e *entry) noteRead() {
 	e.lock.Lock()
 	defer e.lock.Unlock()
+	e.registryOutdated = false
 	if e.registryReadAt.IsZero() {
 		e.registryReadAt = time.Now()
 	}
@@ -147,7 +149,10 @@
 // workersIncompleteUntil returns the time until which the registry may lack workers that are
 // alive. The caller holds e.lock.
 func (e *entry) workersIncompleteUntil() time.Time {
-	if !e.firstReadFailed {
+	switch {
+	case e.registryOutdated:
+		return time.Now().Add(reregistrationWindow)
+	case !e.firstReadFailed:
 		return time.Time{}
 	}
 	return e.registryReadAt.Add(reregistrationWindow)
