--- a/internal/placement/plan/worker.go
+++ b/internal/placement/plan/worker.go
@@ -146,8 +146,8 @@
 	p.rebuildWorkerList()
 }
 
-// MarkUnresponsive records that a worker does not answer within the time of a call. It gets no new tasks, and its
-// runs count as lost once its lease has expired.
+// MarkUnresponsive records that a worker does not answer within the time of a call. It gets no
+// new tasks, and its runs count as lost once its lease has expired.
 func (p *Plan) MarkUnresponsive(id string, now time.Time) {
 	w, known := p.workers[id]
 	if !known {
@@ -159,6 +159,7 @@
 	p.markUnresponsive(w, now)
 }
 
+// markUnresponsive keeps new tasks off a worker that does not answer.
 func (p *Plan) markUnresponsive(w *worker, now time.Time) {
 	p.now = now
 	if !w.unanswered {
