plan: One set-up for the tests of leases that another holder renews

Three tests had the same plan with a long run on one worker. planWithLongRun serves them; cases, times after the start's answer and assertions are as they were.

--- a/internal/placement/plan/conflict_test.go
+++ b/internal/placement/plan/conflict_test.go
@@ -3,8 +3,28 @@
 import (
 	"testing"
 	"time"
+
+	"github.com/radishgate/radishgate/internal/work/batch"
 )
 
+// planWithLongRun returns a plan that has ordered the only task of a job on w1, at 5 s, with the
+// job and the start, which is not answered yet. The task takes longer than a lease. Each of the
+// other workers has room for it and has accepted the token since.
+func planWithLongRun(others ...string) (*Plan, *batch.Batch, Order) {
+	p := fencedPlan(testWorker("w1", 1))
+	p.Tick(after(5000))
+	b := testJob("00000000000000aa", 1, after(5000))
+	b.Steps[0].Hint = 3 * time.Second
+	b.ExpiresAt = after(12000)
+	p.Admit(b, nil, after(5000))
+	started := starts(p)[0]
+	for _, id := range others {
+		p.AddWorker(testWorker(id, 1), after(5003))
+		p.HandleReport(Report{Worker: id, Sent: after(5003), Fenced: true}, after(5004))
+	}
+	return p, b, started
+}
+
 // TestLeaseBesideAnotherHolderDoesNotExpire guards against a second start of a task whose run
 // another holder keeps alive: it reaches the worker, which does not answer this holder. That
 // there is another holder may have been seen at a third worker, before or after the loss.
@@ -54,18 +74,8 @@
 	}
 	for _, c := range tests {
 		t.Run(c.name, func(t *testing.T) {
-			p := fencedPlan(testWorker("w1", 1))
-			p.Tick(after(5000))
-			b := testJob("00000000000000aa", 1, after(5000))
-			b.Steps[0].Hint = 3 * time.Second
-			b.ExpiresAt = after(12000)
-			p.Admit(b, nil, after(5000))
-			started := starts(p)[0]
-			p.HandleStartOutcome("w1", started.Task, started.Run, StartAccepted, after(5002))
-			for _, id := range []string{"w2", "w3"} {
-				p.AddWorker(testWorker(id, 1), after(5003))
-				p.HandleReport(Report{Worker: id, Sent: after(5003), Fenced: true}, after(5004))
-			}
+			p, b, started := planWithLongRun("w2", "w3")
+			p.HandleStartOutcome("w1", started.Task, started.Run, StartAccepted, after(5005))
 			c.events(p)
 			for ms := 6100; ms <= 7500; ms += 100 {
 				p.KeepAlive(b.ID, after(ms))
--- a/internal/placement/plan/renewal_test.go
+++ b/internal/placement/plan/renewal_test.go
@@ -12,16 +12,8 @@
 // another holder has kept alive. That the process of that holder has ended, or is heard again,
 // shows only that it renews no further lease; the last one may be as old as that.
 func TestLeaseOfAnotherHolderOutlastsItsProcess(t *testing.T) {
-	p := fencedPlan(testWorker("w1", 1))
-	p.Tick(after(5000))
-	b := testJob("00000000000000aa", 1, after(5000))
-	b.Steps[0].Hint = 3 * time.Second
-	b.ExpiresAt = after(12000)
-	p.Admit(b, nil, after(5000))
-	started := starts(p)[0]
-	p.HandleStartOutcome("w1", started.Task, started.Run, StartAccepted, after(5002))
-	p.AddWorker(testWorker("w2", 1), after(5003))
-	p.HandleReport(Report{Worker: "w2", Sent: after(5003), Fenced: true}, after(5004))
+	p, b, started := planWithLongRun("w2")
+	p.HandleStartOutcome("w1", started.Task, started.Run, StartAccepted, after(5005))
 	p.MarkUnresponsive("w1", after(5400))
 	for ms := 5400; ms < 6500; ms += 25 { // the other entry takes over, and renews the lease of w1 until it is killed
 		p.SetMayBeReplaced(true, after(ms))
@@ -98,23 +90,13 @@
 	}{
 		{"start without an answer", func(p *Plan, o Order) { p.HandleStartOutcome("w1", o.Task, o.Run, OutcomeUnknown, after(5300)) }},
 		{"lost renewal", func(p *Plan, o Order) {
-			p.HandleStartOutcome("w1", o.Task, o.Run, StartAccepted, after(5002))
+			p.HandleStartOutcome("w1", o.Task, o.Run, StartAccepted, after(5005))
 			p.RequireFence("w1", after(5300))
 		}},
 	}
 	for _, c := range tests {
 		t.Run(c.name, func(t *testing.T) {
-			p := fencedPlan(testWorker("w1", 1))
-			p.Tick(after(5000))
-			b := testJob("00000000000000aa", 1, after(5000))
-			b.Steps[0].Hint = 3 * time.Second
-			b.ExpiresAt = after(12000)
-			p.Admit(b, nil, after(5000))
-			started := starts(p)[0]
-			for _, id := range []string{"w2", "w3"} {
-				p.AddWorker(testWorker(id, 1), after(5003))
-				p.HandleReport(Report{Worker: id, Sent: after(5003), Fenced: true}, after(5004))
-			}
+			p, b, started := planWithLongRun("w2", "w3")
 			p.OtherHolderSeen("w3", after(5250))
 			c.fence(p, started)
 			p.MarkUnresponsive("w1", after(5600))
