--- a/internal/gateway/node/groups.go
+++ b/internal/gateway/node/groups.go
@@ -166,9 +166,12 @@
 // mayBeReplaced reports whether an entry that may be running is not heard: it may have taken over a
 // group of this one on the other side of a partition.
 func (n *Node) mayBeReplaced() bool {
-	return n.members.Unheard() || !n.hasPeers() && n.contacts.mayRun(n.settings.AdvertisedAddress)
+	return n.members.Unheard() || !n.hasPeers() && n.othersMayRun()
 }
 
+// othersMayRun reports whether another entry may be running at any known address.
+func (n *Node) othersMayRun() bool { return n.contacts.mayRun(n.settings.AdvertisedAddress) }
+
 // reregistrationWindow is the time after a store outage within which workers whose
 // registrations lapsed during it have registered again, plus one second for the next
 // read.
--- a/internal/gateway/node/node.go
+++ b/internal/gateway/node/node.go
@@ -111,7 +111,7 @@
 		Self:          election.Candidate{ID: s.VM, Incarnation: n.incarnation, Zone: s.Zone, Weight: s.Processors},
 		TakeoverDelay: takeoverDelay,
 		Known:         func(id string) bool { _, _, known := n.members.Find(id); return known },
-		MayHavePeers:  func() bool { return n.contacts.mayRun(s.AdvertisedAddress) },
+		MayHavePeers:  n.othersMayRun,
 	})
 	n.instruments = newInstruments(n, options.DroppedLogLines)
 	n.outbox = newOutbox(n)
