holder: Let the fake worker of the tests answer after a round trip

Two of its cases raise the token, which cancels the pending hold; the next hold brings the new token, and the fake worker accepted it without any delay. The goroutine of that hold and the test's own check ran in any order, so the check could see the token accepted by the worker itself.

Ruled out: a fault of the session. With the guard against reports under an earlier token removed the test fails in the same case, with 1 ending seen; the failures in question have 0.

Conclusion: the answer takes a millisecond of the bubble's time, which passes only when the test waits. The checks are unchanged.

--- a/internal/placement/holder/session_test.go
+++ b/internal/placement/holder/session_test.go
@@ -26,6 +26,10 @@
 	lost    func(n int) bool // reports whether the nth waiting hold gets no answer
 }
 
+// workerRoundTrip is the time until a worker answers a call that does not wait. Without it a test
+// and the answer to a call that the test caused would run in any order.
+const workerRoundTrip = time.Millisecond
+
 type fakeRun struct {
 	task string
 	run  int
@@ -41,6 +45,7 @@
 
 func (s *fakeWorker) hold(ctx context.Context, _ platform.Target, o platform.HoldRequest) (platform.Report, error) {
 	if o.Wait == 0 {
+		time.Sleep(workerRoundTrip)
 		return s.report(), nil
 	}
 	s.mu.Lock()
