registry: Count contradictions anew once the store counts its offsets anew

True registrations of a worker were dropped, until as many records had been written as before the loss of history: one of them had contradicted an odd record before, and the store counted its offsets anew. Callers would have got no task onto the worker's new incarnation, or new ones onto a worker that drains.

Cause: Reset compares offsets with no earlier ones, but the offset of the last contradiction stayed, so that each later one counted as read before. It is forgotten now if the newest record of the key has a lower offset than one that was read, or the key has none. Ruled out: to forget it with each Reset; a single late record that is read again would then count twice (second case of TestDrainingWorkerStaysSo).

TestContradictionsAreCountedAfterAReset, known red until now, passes, and a new case of TestLaterRegistrationReplacesLaterStart ("the worker not among the records"), which failed as well.

--- a/internal/worker/registry/order_test.go
+++ b/internal/worker/registry/order_test.go
@@ -58,6 +58,10 @@
 			apply(at(70, record("w", "ready", 900, 7))),
 			reset(at(3, record("w", "draining", 900, 8))),
 		}, "900 true false"},
+		{"offsets counted anew after a contradiction, the worker not among the records", []page{
+			apply(at(70, record("w", "ready", 900, 1)), at(71, record("w", "ready", 500, 1))),
+			reset(), apply(at(3, record("w", "draining", 500, 2))),
+		}, "500 true false"},
 		{"a new incarnation after the history is gone", []page{
 			apply(at(1, record("w", "draining", 500, 7))),
 			reset(at(20, record("w", "ready", 900, 1))),
--- a/internal/worker/registry/registry.go
+++ b/internal/worker/registry/registry.go
@@ -83,16 +83,21 @@
 // Reset applies the newest record of every key. Workers without a record count as
 // missing. It returns the changes. Offsets are not compared with those of earlier records.
 func (r *Registry) Reset(records []platform.KeyedRecord, now time.Time) []Change {
+	present, newest := map[string]bool{}, map[string]int64{}
+	for _, k := range records {
+		present[k.Key], newest[k.Key] = len(k.Value) > 0 || k.Err != nil, k.Offset
+	}
 	r.mu.Lock()
-	for _, w := range r.workers {
+	for id, w := range r.workers {
+		// The newest record of a key is older than one that was read only if the store counts
+		// its offsets anew. Otherwise a contradiction that is read again must not count twice.
+		if offset, listed := newest[id]; !listed || offset < w.offset {
+			w.contradictedAt = noOffset
+		}
 		w.offset = noOffset
 	}
 	r.mu.Unlock()
 	changes := r.Apply(records, now)
-	present := map[string]bool{}
-	for _, k := range records {
-		present[k.Key] = len(k.Value) > 0 || k.Err != nil
-	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	maps.DeleteFunc(r.malformed, func(key, _ string) bool { return !present[key] })
