plan, member, holder, node: Wait for the last lease of an earlier holder that is not heard

Callers could see two runs of a task at the same time, in a partition in which the holder is lost.

Cause: waits until an earlier holder has abandoned the job, 1.2 s after its entry asked last, and takes for granted that it stops the runs then. If it is lost just before, the lease that it has renewed last goes on for 1.08 s more.

While an entry of the zone is not heard and may be running, and for a lease longer, a job that comes from an earlier holder starts beside a worker that has not accepted the token only once such a lease has expired. It counts from the last news of the unheard entry, one heartbeat added, since the job's entry asked no later: 2.38 s after that, which is 1.6 s instead of 1.3 s after a takeover with heartbeats of 150 ms. Nothing changes if all workers have accepted the token, if the earlier holder has left, refuses connections or was heard last long ago.

Tried first: 2.38 s from the arrival of the job, whenever an entry is not heard. Ruled out: leases that end when the job is abandoned. A lease is that of all runs on a worker, and a stop that comes late would end the others.

The simulated entries state the time as package node does. Open: over a link that works one way a poll may reach the earlier holder later than its last news (docs/design/safety.md).

--- a/internal/gateway/node/groups.go
+++ b/internal/gateway/node/groups.go
@@ -155,6 +155,7 @@
 		Log:   n.log, OnResult: n.deliverResult, CountCall: n.instruments.countOrder,
 		TakeoverSuspected: func() bool { return n.pauseDetector.takeoverSuspected(time.Now()) },
 		MayBeReplaced:     n.mayBeReplaced,
+		LastContact:       n.lastContact,
 		OnConflict: func() bool {
 			now := time.Now()
 			n.claims.NoteConflict(n.hearsPeers(), n.members.HasMajority(), now)
@@ -169,6 +170,16 @@
 	return n.members.Unheard() || !n.hasPeers() && n.othersMayRun()
 }
 
+// lastContact returns when an entry that is not heard may have been in contact with others for the
+// last time, at the latest. Its last heartbeat may have come an interval earlier.
+func (n *Node) lastContact() time.Time {
+	at, unheard := n.members.UnheardSince()
+	if !unheard {
+		return time.Time{}
+	}
+	return at.Add(n.settings.HeartbeatInterval)
+}
+
 // othersMayRun reports whether another entry may be running at any known address.
 func (n *Node) othersMayRun() bool { return n.contacts.mayRun(n.settings.AdvertisedAddress) }
 
--- a/internal/placement/holder/holder.go
+++ b/internal/placement/holder/holder.go
@@ -48,6 +48,9 @@
 	// side of a partition. Runs on workers that do not answer are not taken for ended then.
 	// Nil means never.
 	MayBeReplaced func() bool
+	// LastContact returns when an entry that is not heard now may have been in contact with others
+	// for the last time, and the zero time if there is none. Nil means that there never is.
+	LastContact func() time.Time
 	// CountCall counts a call to a worker, named after its kind and answer, for metrics.
 	CountCall func(kind string)
 }
@@ -77,6 +80,9 @@
 	if options.MayBeReplaced == nil {
 		options.MayBeReplaced = func() bool { return false }
 	}
+	if options.LastContact == nil {
+		options.LastContact = func() time.Time { return time.Time{} }
+	}
 	h := &Holder{
 		options: options, sessions: map[string]*session{}, ended: map[string]endedWorker{},
 		plan: plan.New(plan.Options{
@@ -116,7 +122,10 @@
 	}
 	h.plan.SetTakeoverSuspected(h.options.TakeoverSuspected())
 	now := time.Now()
-	h.plan.SetMayBeReplaced(h.options.MayBeReplaced(), now)
+	if h.options.MayBeReplaced() {
+		h.plan.SetMayBeReplaced(true, now)
+		h.plan.SetLastContact(h.options.LastContact())
+	}
 	change(h.plan, now)
 	results := h.dispatch(h.plan.Orders(), now)
 	h.mu.Unlock()
--- a/internal/placement/plan/plan.go
+++ b/internal/placement/plan/plan.go
@@ -119,6 +119,7 @@
 	// replacementEnd is the time by which leases have expired that another holder, which may have
 	// taken over on the other side of a partition, may have renewed.
 	replacementEnd time.Time
+	lastContact    time.Time // see SetLastContact
 	conflictEnd    time.Time // until when another holder that was seen at a worker may be taking over others
 	otherFreeSlots spillover.Slots
 	arrivals       map[string]*arrivalRate // by service
@@ -209,13 +210,30 @@
 	}
 }
 
+// SetLastContact sets when an entry that is not heard now may have been in contact with others for
+// the last time. The latest such time counts.
+func (p *Plan) SetLastContact(at time.Time) {
+	if at.After(p.lastContact) {
+		p.lastContact = at
+	}
+}
+
 // mayRunElsewhere reports whether tasks of a job that an earlier holder may have started
 // may be running on a worker that this holder does not know yet, since entries read registrations
 // up to a second apart, or on one that it does not reach. There an earlier holder that has not
-// noticed its replacement renews leases until it abandons the job. Runs on other workers are
-// adopted when they are listed.
+// noticed its replacement renews leases until it abandons the job; if it is lost before that, its
+// last lease goes on. Runs on other workers are adopted when they are listed.
 func (p *Plan) mayRunElsewhere(j *job) bool {
-	return j.startedBefore && (p.now.Before(j.earlierRunsEnd) || p.now.Before(j.earlierJobEnd) && !p.allFenced(j.Service))
+	if !j.startedBefore || p.now.Before(j.earlierRunsEnd) {
+		return j.startedBefore
+	}
+	return (p.now.Before(j.earlierJobEnd) || p.unheardLeasesActive()) && !p.allFenced(j.Service)
+}
+
+// unheardLeasesActive reports whether leases may be valid that an earlier holder which is not heard
+// has renewed until it abandoned the jobs of this side of a partition.
+func (p *Plan) unheardLeasesActive() bool {
+	return p.now.Before(p.replacementEnd) && p.now.Before(p.leaseEnd(p.lastContact.Add(p.options.ClientRetryAfter)))
 }
 
 // awaitEarlierRuns sets until when runs of an earlier holder keep the tasks of a job from starting.
--- a/internal/trial/history/entry_test.go
+++ b/internal/trial/history/entry_test.go
@@ -276,6 +276,20 @@
 
 // mayBeReplaced reports whether an entry that is up is not heard.
 func (e *entry) mayBeReplaced() bool {
+	_, unheard := e.unheardSince()
+	return unheard
+}
+
+// lastContact returns when an entry that is up and not heard may have been in contact with others
+// for the last time, as in package node.
+func (e *entry) lastContact() time.Time {
+	at, _ := e.unheardSince()
+	return at.Add(e.heartbeat)
+}
+
+// unheardSince returns when the last heartbeat of any entry came that is up and not heard, and whether
+// there is such an entry.
+func (e *entry) unheardSince() (at time.Time, unheard bool) {
 	up := map[string]bool{}
 	for _, o := range e.liveEntries() {
 		up[o.id] = o != e
@@ -284,10 +298,13 @@
 	defer e.lock.Unlock()
 	for id, h := range e.heartbeats {
 		if up[id] && !h.leaving && time.Since(h.receivedAt) >= suspectHeartbeats*e.heartbeat {
-			return true
+			unheard = true
+			if h.receivedAt.After(at) {
+				at = h.receivedAt
+			}
 		}
 	}
-	return len(e.heartbeats) == 0 && len(up) > 1
+	return at, unheard || len(e.heartbeats) == 0 && len(up) > 1
 }
 
 // view returns what the entry knows of the holder.
@@ -336,7 +353,7 @@
 			Lease: leaseDuration, ClientRetryAfter: resendAfter, WorkersIncompleteUntil: e.workersIncompleteUntil(),
 			Calls: holder.WorkerCalls{Start: e.workerClient.Start, Stop: e.workerClient.Stop, Hold: e.workerClient.Hold},
 			Log:   e.log(e.id), OnResult: e.deliverResult, CountCall: func(string) {},
-			MayBeReplaced: e.mayBeReplaced, TakeoverSuspected: e.takeoverSuspected,
+			MayBeReplaced: e.mayBeReplaced, LastContact: e.lastContact, TakeoverSuspected: e.takeoverSuspected,
 			OnConflict: func() bool {
 				e.claims.NoteConflict(e.hearsPeers(), e.hasMajority(), time.Now())
 				return e.claims.MaySchedule(group, time.Now())
--- a/member/table.go
+++ b/member/table.go
@@ -327,14 +327,25 @@
 // although it may be running, on another side of a partition. Members that were leaving, or whose address refuses
 // connections, do not count.
 func (t *Table) Unheard() bool {
+	_, unheard := t.UnheardSince()
+	return unheard
+}
+
+// UnheardSince returns when the last news of any member that Unheard counts came, directly or by way
+// of others, and whether there is such a member.
+func (t *Table) UnheardSince() (at time.Time, unheard bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, v := range t.views {
-		if v.record.Zone == t.self.Zone && t.effectiveState(v) != Alive && !v.record.Leaving && v.refusedCount < maxRefusals {
-			return true
+		if v.record.Zone != t.self.Zone || t.effectiveState(v) == Alive || v.record.Leaving || v.refusedCount >= maxRefusals {
+			continue
+		}
+		unheard = true
+		if v.heardAt.After(at) {
+			at = v.heardAt
 		}
 	}
-	return false
+	return at, unheard
 }
 
 // LostSince reports whether any member of the local zone but one has been lost since a time: it is
--- a/member/table_test.go
+++ b/member/table_test.go
@@ -280,6 +280,42 @@
 	}
 }
 
+// TestUnheardSince guards against a wait for a member that counts from news which other members have
+// heard since, or from a member whose process has ended.
+func TestUnheardSince(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const zone = "z0"
+		table := New(Options{Self: Record{ID: "a", Zone: zone, Incarnation: 1}})
+		record := func(id string, heartbeat uint64) Record {
+			return Record{ID: id, Zone: zone, PeerAddress: id, Incarnation: 1, Heartbeat: heartbeat}
+		}
+		table.Merge([]Record{record("b", 1)})
+		table.Merge([]Record{record("c", 1)})
+		time.Sleep(500 * time.Millisecond)
+		relayed := record("b", 2)
+		relayed.ReportedAt = time.Now().Add(-200 * time.Millisecond)
+		table.Merge([]Record{record("d", 1), relayed})
+		table.Merge([]Record{record("c", 2)})
+		reportedAt, heardAt := relayed.ReportedAt, time.Now()
+		if at, unheard := table.UnheardSince(); unheard {
+			t.Errorf("since %v while all are heard", at)
+		}
+		time.Sleep(4 * time.Second)
+		table.CheckTimeouts()
+		time.Sleep(time.Second)
+		table.CheckTimeouts()
+		if at, unheard := table.UnheardSince(); !unheard || !at.Equal(heardAt) {
+			t.Errorf("unheard %v since %v, want %v", unheard, at, heardAt)
+		}
+		for _, address := range []string{"c", "c", "d", "d"} {
+			table.NoteAddressRefused(address)
+		}
+		if at, unheard := table.UnheardSince(); !unheard || !at.Equal(reportedAt) {
+			t.Errorf("unheard %v since %v once two members have ended, want %v", unheard, at, reportedAt)
+		}
+	})
+}
+
 // Clients of a lost entry send their requests again, so the loss must be known for a while, also
 // if the entry is back by then. One that left as announced is not lost.
 func TestLostSince(t *testing.T) {
