node: Doubt the first list of workers until another entry confirms it

Callers could see two runs of a task at the same time. The list of workers of an entry that has just started lacks live workers if their registrations lapsed in an outage of the store shortly before. If the entry takes the group over from a lost holder, it took this list for complete: all workers on it had accepted its token, so that new jobs did not wait for the leases of the earlier holder. A job that comes through another entry than before counts as new.

Now the first list counts as incomplete until 3 s after the start of the entry (after the last failed read, if the store was seen away before), unless an entry whose own list is complete has the same workers. Heartbeats carry a fingerprint of the list for that, the sum of the hashes of the IDs: an entry that knows one worker more, also one whose registration is missing, confirms nothing. An entry that was confirmed confirms others, so that a rolling stop costs nothing.

After the loss of all entries nobody can confirm a list. The first claim on a group goes by its list as before: leases have mostly expired by then.

TestFirstWorkerListCountsAsIncomplete passes as it was. One check is replaced: TestWorkersAreIncompleteAfterStoreOutage wanted the list of an entry that has just started to count as complete, the opposite of that test. It now wants the claim of that entry, the first on its group, not to wait; its checks of the outage are as they were.

--- a/internal/gateway/node/firstlist_test.go
+++ b/internal/gateway/node/firstlist_test.go
@@ -3,6 +3,9 @@
 import (
 	"testing"
 	"time"
+
+	"github.com/radishgate/radishgate/member"
+	"github.com/radishgate/radishgate/platform"
 )
 
 // TestFirstWorkerListCountsAsIncomplete guards against a start beside a run of an earlier holder: a worker whose registration is
@@ -26,3 +29,88 @@
 		t.Fatal("the list counts as incomplete although registrations that had expired are back by now")
 	}
 }
+
+// TestWorkerListIsConfirmedByAnotherEntry guards against a wait in a rolling stop, in which entries take
+// groups over just after their start: a list counts as complete once another entry that does not doubt
+// its own has the same one. It also guards against confirmation by an entry that knows more workers.
+func TestWorkerListIsConfirmedByAnotherEntry(t *testing.T) {
+	registration := func(id string) platform.KeyedRecord {
+		return platform.KeyedRecord{Key: id, Value: []byte(`{"backend":"listing","address":"10.0.0.1:80","zone":"a","state":"ready","labels":["k"],"capacity":{"cpu":1000,"mem-mb":1000}}`)}
+	}
+	tests := []struct {
+		name      string
+		known     []string // workers that the other entry knows
+		doubts    bool     // the other entry does not count its list as complete
+		confirmed bool
+	}{
+		{"the same workers", []string{"w0", "w1"}, false, true},
+		{"the same workers, in a list that may be incomplete", []string{"w0", "w1"}, true, false},
+		{"a worker more", []string{"w0", "w1", "w2"}, false, false},
+		{"no workers", nil, false, false},
+	}
+	for _, c := range tests {
+		t.Run(c.name, func(t *testing.T) {
+			other, n := newLargeNode(t, 1), newLargeNode(t, 1)
+			read := func(n *Node, ids ...string) {
+				var records []platform.KeyedRecord
+				for _, id := range ids {
+					records = append(records, registration(id))
+				}
+				n.registry.Reset(records, time.Now())
+				n.reconcileGroups(n.ctx) // decides that the registry is read
+				n.registryState.setLoaded()
+				n.onRegistryAvailable()
+			}
+			n.startedAt = time.Now().Add(-2 * startupDelay)
+			if c.doubts {
+				other.startedAt = n.startedAt
+			}
+			read(other, c.known...)
+			other.reconcileGroups(other.ctx)
+			read(n, "w0", "w1")
+			record := other.members.Self()
+			record.ID, record.Heartbeat = "e1", 1
+			n.members.Merge([]member.Record{record})
+			n.reconcileGroups(n.ctx)
+			n.mu.Lock()
+			complete := !n.workersIncompleteUntil().After(time.Now())
+			n.mu.Unlock()
+			if complete != c.confirmed {
+				t.Fatalf("the list counts as complete: %v, want %v", complete, c.confirmed)
+			}
+			if published := n.members.Self().Workers != 0; published != c.confirmed {
+				t.Fatalf("the list is told to others as complete: %v, want %v", published, c.confirmed)
+			}
+		})
+	}
+}
+
+// TestFirstListAfterAnOutageCountsAsIncomplete guards against a start beside a run of an earlier holder,
+// at an entry that begins to read the registrations long after its start, but just after the store was away.
+func TestFirstListAfterAnOutageCountsAsIncomplete(t *testing.T) {
+	tests := []struct {
+		name       string
+		away       time.Duration // how long ago the store answered again; 0 if it never failed
+		incomplete bool
+	}{
+		{"the store was never away", 0, false},
+		{"the store was away", time.Second, true},
+		{"the store was away long ago", reregistrationWindow + time.Second, false},
+	}
+	for _, c := range tests {
+		t.Run(c.name, func(t *testing.T) {
+			n := newLargeNode(t, 1)
+			if c.away > 0 {
+				n.onConfigurationAvailable(false)
+				n.onConfigurationAvailable(true)
+				n.storeAwayAt = n.storeAwayAt.Add(-c.away)
+			}
+			n.onRegistryAvailable()
+			n.mu.Lock()
+			defer n.mu.Unlock()
+			if got := n.workersIncompleteUntil().After(time.Now()); got != c.incomplete {
+				t.Fatalf("the list counts as incomplete: %v, want %v", got, c.incomplete)
+			}
+		})
+	}
+}
--- a/internal/gateway/node/groups.go
+++ b/internal/gateway/node/groups.go
@@ -69,7 +69,7 @@
 func (n *Node) clearRegistry() {
 	n.registry.Clear()
 	n.mu.Lock()
-	n.registryReadAt, n.firstReadFailed, n.registryOutdated = time.Time{}, false, false
+	n.registryReadAt, n.firstReadFailed, n.registryOutdated, n.workersConfirmed = time.Time{}, false, false, false
 	n.mu.Unlock()
 }
 
@@ -82,7 +82,8 @@
 	live := n.candidates()
 	n.updateRegistryNeed(live)
 	registryLoaded := n.registryState.isLoaded()
-	n.members.UpdateSelf(func(r *member.Record) { r.Ready = registryLoaded && !r.Leaving })
+	workers := n.completeWorkers(registryLoaded)
+	n.members.UpdateSelf(func(r *member.Record) { r.Ready, r.Workers = registryLoaded && !r.Leaving, workers })
 	live = n.candidates()
 	n.claims.ResumeIfMajority(n.members.HasMajority)
 	hearsPeers, now, claimed := n.hearsPeers(), time.Now(), false
@@ -148,9 +149,13 @@
 
 // newHolder starts the holder of a group under the given claim.
 func (n *Node) newHolder(c election.Claim) *holder.Holder {
+	incompleteUntil := n.workersIncompleteFor(c)
+	if left := time.Until(incompleteUntil); left > 0 {
+		n.log.Info("list of workers may be incomplete", "group", c.Group, "ms", left.Milliseconds())
+	}
 	return holder.New(n.ctx, holder.Options{
 		Group: c.Group, Epoch: c.Epoch, Tokens: fence.New(fence.HolderNumber(c.Holder, c.Incarnation), c.Epoch),
-		Lease: n.settings.Lease, ClientRetryAfter: n.settings.ClientRetryAfter, WorkersIncompleteUntil: n.workersIncompleteUntil(),
+		Lease: n.settings.Lease, ClientRetryAfter: n.settings.ClientRetryAfter, WorkersIncompleteUntil: incompleteUntil,
 		Calls: holder.WorkerCalls{Start: n.workers.Start, Stop: n.workers.Stop, Hold: n.workers.Hold},
 		Log:   n.log, OnResult: n.deliverResult, CountCall: n.instruments.countOrder,
 		TakeoverSuspected: func() bool { return n.pauseDetector.takeoverSuspected(time.Now()) },
@@ -177,19 +182,50 @@
 // read.
 const reregistrationWindow = 3 * time.Second
 
+// workersIncompleteFor returns the time until which a holder under a claim has to reckon with live
+// workers that the registry lacks. If all entries were lost, the leases of an earlier holder have
+// mostly expired by the time of the next claim. The caller holds n.mu.
+func (n *Node) workersIncompleteFor(c election.Claim) time.Time {
+	if n.claims.IsFirst(c) && !n.firstReadFailed && !n.registryOutdated {
+		return time.Time{}
+	}
+	return n.workersIncompleteUntil()
+}
+
 // workersIncompleteUntil returns the time until which the registry may lack live workers,
-// or the zero time if it is complete. It may be incomplete while it cannot be read: other
-// entries may know workers that have registered since. It may also be incomplete if this entry
-// started during a store outage: it has never seen the registrations that lapsed meanwhile.
-// The caller holds n.mu.
+// or a time in the past if it is complete. It may be incomplete while it cannot be read: other
+// entries may know workers that have registered since. It may also be incomplete if the store may
+// have been away shortly before the first read: this entry has never seen the registrations that
+// lapsed meanwhile. It is complete once it names the same workers as the complete one of another
+// entry. The caller holds n.mu.
 func (n *Node) workersIncompleteUntil() time.Time {
 	switch {
-	case n.registryOutdated || n.firstReadFailed && n.registryReadAt.IsZero():
+	case n.registryOutdated || n.registryReadAt.IsZero():
 		return time.Now().Add(reregistrationWindow)
+	case n.workersConfirmed:
+		return time.Time{}
 	case n.firstReadFailed:
 		return n.registryReadAt.Add(reregistrationWindow)
+	case n.storeAwayBefore.After(n.startedAt):
+		return n.storeAwayBefore.Add(reregistrationWindow)
 	}
-	return time.Time{}
+	return n.startedAt.Add(reregistrationWindow)
+}
+
+// completeWorkers returns the fingerprint of the list of workers, or 0 if the list has not been
+// loaded or may lack live workers. It notes if another entry confirms the list.
+func (n *Node) completeWorkers(loaded bool) uint64 {
+	if !loaded {
+		return 0
+	}
+	fingerprint := n.registry.Fingerprint()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.workersConfirmed = n.workersConfirmed || n.members.ConfirmsWorkers(fingerprint)
+	if n.workersIncompleteUntil().After(time.Now()) {
+		return 0
+	}
+	return fingerprint
 }
 
 // onRegistryUnavailable records that the registry cannot be read.
@@ -198,6 +234,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.firstReadFailed, n.registryOutdated = n.firstReadFailed || n.registryReadAt.IsZero(), true
+	n.storeAwayAt = time.Now()
 }
 
 // onRegistryAvailable records that the registry can be read again.
@@ -205,10 +242,20 @@
 	n.instruments.setDependency("workers", true)
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.registryOutdated = false
 	if n.registryReadAt.IsZero() {
-		n.registryReadAt = time.Now()
+		n.registryReadAt, n.storeAwayBefore = time.Now(), n.storeAwayAt
 	}
+	if n.registryOutdated {
+		n.registryOutdated, n.storeAwayAt = false, time.Now()
+	}
+}
+
+// onConfigurationAvailable records whether the configuration can be read.
+func (n *Node) onConfigurationAvailable(available bool) {
+	n.instruments.setDependency("configuration", available)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.storeAwayAt = time.Now()
 }
 
 // groupOfJob returns the group of the own zone that a job belongs to. All entries of
--- a/internal/gateway/node/node.go
+++ b/internal/gateway/node/node.go
@@ -77,6 +77,12 @@
 	registryReadAt   time.Time
 	firstReadFailed  bool
 	registryOutdated bool
+	// workersConfirmed reports whether an entry with a complete list of workers has had the same
+	// one as this entry since it began to read the registry.
+	workersConfirmed bool
+	// storeAwayAt is when reads of the store last failed or worked again, storeAwayBefore its value
+	// when the registry was first read.
+	storeAwayAt, storeAwayBefore time.Time
 
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -149,8 +155,8 @@
 		{
 			Name: "configuration", Feed: n.store.OperatorFeed(), Wait: configurationPollTimeout, Log: n.log,
 			Reset: n.applyConfiguration, Apply: n.applyConfiguration,
-			OnUnavailable: func() { n.instruments.setDependency("configuration", false) },
-			OnAvailable:   func() { n.instruments.setDependency("configuration", true) },
+			OnUnavailable: func() { n.onConfigurationAvailable(false) },
+			OnAvailable:   func() { n.onConfigurationAvailable(true) },
 		},
 		{
 			Name: "workers", Feed: n.store.WorkerFeed(), ReadDelay: workersReadDelay, Log: n.log,
--- a/internal/gateway/node/node_test.go
+++ b/internal/gateway/node/node_test.go
@@ -393,8 +393,13 @@
 		defer n.mu.Unlock()
 		return n.workersIncompleteUntil().After(time.Now())
 	}
-	if incomplete(f.nodes[0]) {
-		t.Fatal("the registry counts as incomplete although the store answered")
+	first := f.nodes[0]
+	claim, _ := first.claims.Holder(groupName("a", 0))
+	first.mu.Lock()
+	until := first.workersIncompleteFor(claim)
+	first.mu.Unlock()
+	if until.After(time.Now()) {
+		t.Fatal("the first holder waits for workers although the store answered")
 	}
 	f.store.Down.Store(true)
 	f.addNode("late", 1, listen(t), nil)
--- a/internal/placement/election/election.go
+++ b/internal/placement/election/election.go
@@ -57,6 +57,7 @@
 
 	mu              sync.Mutex
 	claims          map[string]Claim
+	firstEpochs     map[string]uint64    // epochs of own claims on groups of which no earlier claim was known
 	vacantSince     map[string]time.Time // when a group was first seen without a live holder
 	outweighedSince map[string]time.Time // since when a larger entry could hold a group that the own entry holds
 	isolatedSince   time.Time            // when a worker reported another holder and no other live entry was known
@@ -68,7 +69,7 @@
 	if options.MayHavePeers == nil {
 		options.MayHavePeers = func() bool { return false }
 	}
-	return &ClaimTable{options: options, claims: map[string]Claim{}, vacantSince: map[string]time.Time{}, outweighedSince: map[string]time.Time{}}
+	return &ClaimTable{options: options, claims: map[string]Claim{}, firstEpochs: map[string]uint64{}, vacantSince: map[string]time.Time{}, outweighedSince: map[string]time.Time{}}
 }
 
 // Merge adds claims received from other entries. It reports whether any of them
@@ -120,6 +121,15 @@
 	return c, ok
 }
 
+// IsFirst reports whether a claim is one of the own entry, made without knowing of an earlier claim
+// on its group. This is so if all entries have been lost, or the group is new.
+func (t *ClaimTable) IsFirst(c Claim) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	epoch, made := t.firstEpochs[c.Group]
+	return made && epoch == c.Epoch && t.isOwn(c)
+}
+
 // unknownHolderGrace is how long a claim is respected whose holder is still
 // unknown. The state of an entry arrives within two heartbeats after its claim.
 const unknownHolderGrace = 300 * time.Millisecond
@@ -157,6 +167,9 @@
 	}
 	next := Claim{Group: group, Epoch: fence.NextEpoch(c.Epoch, now), Holder: t.options.Self.ID, Incarnation: t.options.Self.Incarnation}
 	t.claims[group] = next
+	if !claimed {
+		t.firstEpochs[group] = next.Epoch
+	}
 	delete(t.vacantSince, group)
 	return true
 }
--- a/internal/placement/election/election_test.go
+++ b/internal/placement/election/election_test.go
@@ -316,3 +316,35 @@
 		}
 	}
 }
+
+// TestFirstClaim guards against a claim that counts as the first on its group although another entry
+// has claimed it before.
+func TestFirstClaim(t *testing.T) {
+	a1 := candidate("a1", "a")
+	earlier := Claim{Group: "a/0", Epoch: 3, Holder: "a2", Incarnation: 1}
+	tests := []struct {
+		name   string
+		before []Claim
+		after  []Claim
+		first  bool
+	}{
+		{"no other claim", nil, nil, true},
+		{"an earlier claim", []Claim{earlier}, nil, false},
+		{"an earlier claim on another group", []Claim{{Group: "b/0", Epoch: 3, Holder: "b1", Incarnation: 1}}, nil, true},
+		{"a later claim", nil, []Claim{{Group: "a/0", Epoch: math.MaxUint64, Holder: "a2", Incarnation: 1}}, false},
+	}
+	for _, c := range tests {
+		t.Run(c.name, func(t *testing.T) {
+			table := newTable(a1)
+			table.Merge(c.before)
+			if !table.ClaimIfVacant("a/0", "a", []Candidate{a1}, true, now) {
+				t.Fatal("the group is not claimed")
+			}
+			table.Merge(c.after)
+			claim, _ := table.Holder("a/0")
+			if got := table.IsFirst(claim); got != c.first {
+				t.Fatalf("first %v, want %v", got, c.first)
+			}
+		})
+	}
+}
--- a/internal/trial/history/entry_test.go
+++ b/internal/trial/history/entry_test.go
@@ -17,8 +17,8 @@
 	"github.com/radishgate/radishgate/platform"
 )
 
-// reregistrationWindow is the time after the first read of the registrations within which
-// those that expired in an outage of the store return, as in package node.
+// reregistrationWindow is the time after an outage of the store within which registrations that
+// expired in it return, as in package node.
 const reregistrationWindow = 3 * time.Second
 
 // heartbeatTimeout bounds a heartbeat and its answer, as in package node.
@@ -54,12 +54,14 @@
 	registryReadAt   time.Time     // when the registry was first read
 	firstReadFailed  bool          // an attempt before that failed
 	registryOutdated bool          // the last attempt failed
+	workersConfirmed bool          // another entry has had the same list and counted it as complete
 }
 
 // heartbeat is the latest heartbeat received from another entry.
 type heartbeat struct {
 	candidate  election.Candidate
 	leaving    bool
+	workers    uint64 // fingerprint of its list of workers; 0 if that may be incomplete
 	receivedAt time.Time
 }
 
@@ -152,10 +154,32 @@
 	switch {
 	case e.registryOutdated:
 		return time.Now().Add(reregistrationWindow)
-	case !e.firstReadFailed:
+	case e.workersConfirmed:
 		return time.Time{}
+	case e.firstReadFailed:
+		return e.registryReadAt.Add(reregistrationWindow)
 	}
-	return e.registryReadAt.Add(reregistrationWindow)
+	return e.startedAt.Add(reregistrationWindow)
+}
+
+// completeWorkers returns the fingerprint of the list of workers, or 0 if the list may be
+// incomplete. It notes if another entry confirms the list.
+func (e *entry) completeWorkers() uint64 {
+	fingerprint := e.registry.Fingerprint()
+	e.lock.Lock()
+	defer e.lock.Unlock()
+	if e.registryReadAt.IsZero() {
+		return 0
+	}
+	for _, h := range e.heartbeats {
+		if fingerprint != 0 && h.workers == fingerprint && time.Since(h.receivedAt) < e.deadAfter() {
+			e.workersConfirmed = true
+		}
+	}
+	if e.workersIncompleteUntil().After(time.Now()) {
+		return 0
+	}
+	return fingerprint
 }
 
 // ready reports whether the entry may claim a group.
@@ -208,16 +232,19 @@
 
 // sendHeartbeat sends a heartbeat and reports whether it arrived.
 func (e *entry) sendHeartbeat(ctx context.Context, o *entry) bool {
-	self, claims := e.candidate(e.ready()), e.claims.Claims()
+	self, claims, workers := e.candidate(e.ready()), e.claims.Claims(), e.completeWorkers()
 	e.lock.Lock()
 	leaving := e.leaving
 	e.lock.Unlock()
+	if leaving {
+		workers = 0 // it reads no registrations any more
+	}
 	if e.transmit(ctx, e.id, o.id) != nil || o.ctx.Err() != nil {
 		return false
 	}
 	o.isolation.NoteHeard()
 	o.lock.Lock()
-	o.heartbeats[e.id] = heartbeat{self, leaving, time.Now()}
+	o.heartbeats[e.id] = heartbeat{self, leaving, workers, time.Now()}
 	o.lock.Unlock()
 	if o.claims.Merge(claims) {
 		o.claimIfVacant()
@@ -322,6 +349,7 @@
 func (e *entry) updateHolder() {
 	c, claimed := e.claims.Holder(group)
 	isHolder := claimed && c.Holder == e.id && c.Incarnation == e.incarnation
+	e.completeWorkers()
 	e.lock.Lock()
 	previous := e.holder
 	if previous != nil && (!isHolder || previous.Epoch() != c.Epoch) {
@@ -331,9 +359,16 @@
 	}
 	started := isHolder && e.holder == nil && e.ctx.Err() == nil
 	if started {
+		incompleteUntil := e.workersIncompleteUntil()
+		if e.claims.IsFirst(c) && !e.firstReadFailed && !e.registryOutdated {
+			incompleteUntil = time.Time{}
+		}
+		if left := time.Until(incompleteUntil); left > 0 {
+			e.log(e.id).Info("list of workers may be incomplete", "ms", left.Milliseconds())
+		}
 		e.holder = holder.New(e.ctx, holder.Options{
 			Group: group, Epoch: c.Epoch, Tokens: fence.New(fence.HolderNumber(c.Holder, c.Incarnation), c.Epoch),
-			Lease: leaseDuration, ClientRetryAfter: resendAfter, WorkersIncompleteUntil: e.workersIncompleteUntil(),
+			Lease: leaseDuration, ClientRetryAfter: resendAfter, WorkersIncompleteUntil: incompleteUntil,
 			Calls: holder.WorkerCalls{Start: e.workerClient.Start, Stop: e.workerClient.Stop, Hold: e.workerClient.Hold},
 			Log:   e.log(e.id), OnResult: e.deliverResult, CountCall: func(string) {},
 			MayBeReplaced: e.mayBeReplaced, TakeoverSuspected: e.takeoverSuspected,
--- a/internal/trial/history/scripted_test.go
+++ b/internal/trial/history/scripted_test.go
@@ -68,6 +68,19 @@
 			w.restart(holder, 300)
 			time.Sleep(2 * time.Second)
 		}},
+		{"all entries are lost, one before the others, while registrations of live workers were missing", func(w *world) {
+			holder := w.holderIndex()
+			for i := range 3 {
+				w.activate(unregistered(i), 1, 2500*time.Millisecond)
+			}
+			time.Sleep(300 * time.Millisecond)
+			w.entry((holder + 1) % entryCount).kill()
+			time.Sleep(300*time.Millisecond + w.randomDuration(600))
+			for i := range entryCount {
+				w.restart(i, 300)
+			}
+			time.Sleep(2 * time.Second)
+		}},
 		{"successors cannot read the store, workers are new, and an entry and the holder are lost", func(w *world) {
 			holder := w.holderIndex()
 			for i := range entryCount {
--- a/internal/worker/registry/registry.go
+++ b/internal/worker/registry/registry.go
@@ -8,6 +8,8 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/radishgate/radishgate/platform"
 )
 
@@ -47,6 +49,8 @@
 	mu        sync.Mutex
 	workers   map[string]*registeredWorker
 	malformed map[string]string // by key, the reported field of a record that cannot be used
+	// fingerprint is the sum of the hashes of the workers' IDs.
+	fingerprint uint64
 }
 
 // New returns an empty Registry.
@@ -149,6 +153,7 @@
 	delete(r.malformed, record.Key)
 	if !known {
 		r.workers[record.Key] = &registeredWorker{Registration: registration, offset: record.Offset}
+		r.fingerprint += xxhash.Sum64String(record.Key)
 		return Change{ID: record.Key, Event: "worker registered"}
 	}
 	old := *w
@@ -184,6 +189,15 @@
 	defer r.mu.Unlock()
 	clear(r.workers)
 	clear(r.malformed)
+	r.fingerprint = 0
+}
+
+// Fingerprint returns a number that is the same for two registries with the same workers, whatever
+// their registrations state, and in practice for no others. It is 0 for an empty one.
+func (r *Registry) Fingerprint() uint64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.fingerprint
 }
 
 // Live returns the registrations of all workers that have not expired, sorted by ID.
@@ -210,6 +224,7 @@
 			continue
 		}
 		delete(r.workers, id)
+		r.fingerprint -= xxhash.Sum64String(id)
 		gone = append(gone, id)
 	}
 	sort.Strings(gone)
--- a/member/table.go
+++ b/member/table.go
@@ -25,6 +25,7 @@
 	Backlog          int       // tasks
 	BundleVersion    int64     // of the bundle in use
 	LearnedUpstreams int       // number of upstreams whose speed it has estimated
+	Workers          uint64    // fingerprint of its list of workers; 0 if that may lack workers that are alive
 	ReportedAt       time.Time // when the member sent it, by the clock of this process
 }
 
@@ -350,6 +351,19 @@
 	return false
 }
 
+// ConfirmsWorkers reports whether any other member that is not dead has a list of workers with this
+// fingerprint and counts it as complete.
+func (t *Table) ConfirmsWorkers(fingerprint uint64) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, v := range t.views {
+		if fingerprint != 0 && v.record.Workers == fingerprint && v.state != Dead {
+			return true
+		}
+	}
+	return false
+}
+
 // HasMajority reports whether this entry hears more than half of the known
 // members, itself included. Of two equal halves, the one with the lowest ID has
 // the majority. Dead members that were leaving or whose address refuses
--- a/member/table_test.go
+++ b/member/table_test.go
@@ -324,6 +324,41 @@
 	}
 }
 
+// A list of workers that no live member has must not count as confirmed.
+func TestConfirmsWorkers(t *testing.T) {
+	const fingerprint = 7
+	complete := Record{ID: "b", Zone: "z1", Incarnation: 1, Heartbeat: 1, Workers: fingerprint}
+	incomplete, leaving, dead := complete, complete, complete
+	incomplete.Workers, incomplete.Heartbeat = 0, 2
+	leaving.Leaving, leaving.Heartbeat = true, 2
+	dead.Dead = true
+	tests := []struct {
+		name        string
+		merged      []Record // each by itself
+		fingerprint uint64
+		want        bool
+	}{
+		{"no other member", nil, fingerprint, false},
+		{"the same workers", []Record{complete}, fingerprint, true},
+		{"other workers", []Record{complete}, 8, false},
+		{"a list that may be incomplete", []Record{complete, incomplete}, fingerprint, false},
+		{"no workers", []Record{complete, incomplete}, 0, false},
+		{"a member that leaves", []Record{complete, leaving}, fingerprint, true},
+		{"a dead member", []Record{complete, dead}, fingerprint, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			table := New(Options{Self: Record{ID: "a", Zone: "z0", Incarnation: 1, Workers: fingerprint}})
+			for _, r := range test.merged {
+				table.Merge([]Record{r})
+			}
+			if got := table.ConfirmsWorkers(test.fingerprint); got != test.want {
+				t.Fatalf("confirmed %v, want %v", got, test.want)
+			}
+		})
+	}
+}
+
 // A member that did not run for 10 s must not declare the others dead when it
 // continues.
 func TestOwnPauseDoesNotExpireOthers(t *testing.T) {
--- a/peer/server.go
+++ b/peer/server.go
@@ -152,7 +152,7 @@
 		Id: r.ID, Zone: r.Zone, Peer: r.PeerAddress, Incarnation: r.Incarnation, Beat: r.Heartbeat,
 		Leaving: r.Leaving, Dead: r.Dead, Ready: r.Ready, Weight: uint32(r.Weight * 1000),
 		Free: uint32(max(0, r.FreeSlots)), Backlog: uint32(max(0, r.Backlog)), Version: r.BundleVersion,
-		AgeMs: ageMillis(r.ReportedAt), Learned: uint32(r.LearnedUpstreams),
+		AgeMs: ageMillis(r.ReportedAt), Learned: uint32(r.LearnedUpstreams), Workers: r.Workers,
 	}
 }
 
@@ -169,7 +169,7 @@
 		ID: m.Id, Zone: m.Zone, PeerAddress: m.Peer, Incarnation: m.Incarnation, Heartbeat: m.Beat,
 		Leaving: m.Leaving, Dead: m.Dead, Ready: m.Ready, Weight: float64(m.Weight) / 1000,
 		FreeSlots: int(m.Free), Backlog: int(m.Backlog), BundleVersion: m.Version,
-		LearnedUpstreams: int(m.Learned),
-		ReportedAt:       time.Now().Add(-time.Duration(m.AgeMs) * time.Millisecond),
+		LearnedUpstreams: int(m.Learned), Workers: m.Workers,
+		ReportedAt: time.Now().Add(-time.Duration(m.AgeMs) * time.Millisecond),
 	}
 }
