plan: Wait after the loss of all entries while runs of an earlier holder are listed

Callers could see two runs of a task at the same time: the first holder after the loss of all entries takes its list of workers for complete, since waiting in each such case costs a second of service. If an entry is back within a lease, another one was lost 0.2 to 1.2 s before the rest and registrations had lapsed, a job that its client sends again starts beside its run on a worker that is not on the list.

A worker that lists a run of an earlier holder shows that leases are still valid. The list counts as incomplete from then on, as after the loss of a holder alone, so that new jobs wait until 1.08 s after the takeover. Once all leases have expired, as after a loss of power of more than a second, no worker lists a run and nothing waits.

What is left, known red: the known workers are idle while the lost run goes on.

Ruled out: ends that are listed as well. After a loss of power each busy worker lists ends that nobody has acknowledged, so that every such loss would cost the second.

--- a/internal/gateway/node/groups.go
+++ b/internal/gateway/node/groups.go
@@ -149,13 +149,13 @@
 
 // newHolder starts the holder of a group under the given claim.
 func (n *Node) newHolder(c election.Claim) *holder.Holder {
-	incompleteUntil := n.workersIncompleteFor(c)
+	incompleteUntil, likelyComplete := n.workersIncompleteFor(c)
 	if left := time.Until(incompleteUntil); left > 0 {
-		n.log.Info("list of workers may be incomplete", "group", c.Group, "ms", left.Milliseconds())
+		n.log.Info("list of workers may be incomplete", "group", c.Group, "ms", left.Milliseconds(), "likely_complete", likelyComplete)
 	}
 	return holder.New(n.ctx, holder.Options{
 		Group: c.Group, Epoch: c.Epoch, Tokens: fence.New(fence.HolderNumber(c.Holder, c.Incarnation), c.Epoch),
-		Lease: n.settings.Lease, ClientRetryAfter: n.settings.ClientRetryAfter, WorkersIncompleteUntil: incompleteUntil,
+		Lease: n.settings.Lease, ClientRetryAfter: n.settings.ClientRetryAfter, WorkersIncompleteUntil: incompleteUntil, WorkersLikelyComplete: likelyComplete,
 		Calls: holder.WorkerCalls{Start: n.workers.Start, Stop: n.workers.Stop, Hold: n.workers.Hold},
 		Log:   n.log, OnResult: n.deliverResult, CountCall: n.instruments.countOrder,
 		TakeoverSuspected: func() bool { return n.pauseDetector.takeoverSuspected(time.Now()) },
@@ -183,13 +183,10 @@
 const reregistrationWindow = 3 * time.Second
 
 // workersIncompleteFor returns the time until which a holder under a claim has to reckon with live
-// workers that the registry lacks. If all entries were lost, the leases of an earlier holder have
-// mostly expired by the time of the next claim. The caller holds n.mu.
-func (n *Node) workersIncompleteFor(c election.Claim) time.Time {
-	if n.claims.IsFirst(c) && !n.firstReadFailed && !n.registryOutdated {
-		return time.Time{}
-	}
-	return n.workersIncompleteUntil()
+// workers that the registry lacks, and whether it is likely that there are none: if all entries were lost, leases of
+// an earlier holder have mostly expired by the time of the next claim. The caller holds n.mu.
+func (n *Node) workersIncompleteFor(c election.Claim) (until time.Time, likelyComplete bool) {
+	return n.workersIncompleteUntil(), n.claims.IsFirst(c) && !n.firstReadFailed && !n.registryOutdated
 }
 
 // workersIncompleteUntil returns the time until which the registry may lack live workers,
--- a/internal/placement/plan/plan.go
+++ b/internal/placement/plan/plan.go
@@ -71,6 +71,9 @@
 	// WorkersIncompleteUntil is the time until which the list of workers may lack some that
 	// are alive.
 	WorkersIncompleteUntil time.Time
+	// WorkersLikelyComplete restricts WorkersIncompleteUntil to the case that a worker lists a run
+	// that an earlier holder has started.
+	WorkersLikelyComplete bool
 }
 
 // Defaults of options that are zero.
@@ -116,6 +119,8 @@
 	// otherLeasesEnd is the time by which every lease that another holder may have granted
 	// has expired.
 	otherLeasesEnd time.Time
+	// earlierRunListed reports whether a worker has listed a run that this holder did not expect.
+	earlierRunListed bool
 	// replacementEnd is the time by which leases have expired that another holder, which may have
 	// taken over on the other side of a partition, may have renewed.
 	replacementEnd time.Time
@@ -226,7 +231,7 @@
 // allFenced reports whether the list of workers is complete, the service has workers, and
 // all of them have accepted this holder's fencing token.
 func (p *Plan) allFenced(service string) bool {
-	if p.now.Before(p.options.WorkersIncompleteUntil) {
+	if p.now.Before(p.options.WorkersIncompleteUntil) && (p.earlierRunListed || !p.options.WorkersLikelyComplete) {
 		return false
 	}
 	count := 0
--- a/internal/placement/plan/takeover_test.go
+++ b/internal/placement/plan/takeover_test.go
@@ -275,3 +275,41 @@
 		})
 	}
 }
+
+// TestLikelyCompleteWorkerListDelaysStarts takes a group over of which no earlier holder is known, since
+// all entries were lost. While a worker lists a run of an earlier holder, leases are valid, also on a
+// worker that is not on the list. Otherwise there must be no wait: clients send again at once.
+func TestLikelyCompleteWorkerListDelaysStarts(t *testing.T) {
+	tests := []struct {
+		name   string
+		likely bool
+		listed bool // the known worker lists a run of another job
+		at     int  // ms
+		starts int
+	}{
+		{"no run is listed", true, false, 50, 1},
+		{"a run is listed", true, true, 50, 0},
+		{"a run was listed, the earlier leases have expired", true, true, 1300, 1},
+		{"an earlier holder is known", false, false, 50, 0},
+	}
+	for _, c := range tests {
+		t.Run(c.name, func(t *testing.T) {
+			p := New(Options{WorkersIncompleteUntil: after(2500), WorkersLikelyComplete: c.likely}, start)
+			p.AddWorker(testWorker("w1", 4), start)
+			p.AddWorker(testWorker("w2", 4), start)
+			report := Report{Worker: "w1", Sent: start, Fenced: true}
+			if c.listed {
+				report.Running = []RunProgress{{Task: batch.TaskName("00000000000000bb", 0, 0, 0), Run: 1, Percent: 10}}
+			}
+			p.HandleReport(report, start)
+			p.HandleReport(Report{Worker: "w2", Sent: start, Fenced: true}, start)
+			b := testJob("00000000000000aa", 1, after(10))
+			p.Admit(b, nil, after(10))
+			p.KeepAlive(b.ID, after(c.at))
+			p.Tick(after(c.at))
+			if got := len(starts(p)); got != c.starts {
+				t.Fatalf("%d starts, want %d", got, c.starts)
+			}
+		})
+	}
+}
--- a/internal/trial/history/entry_test.go
+++ b/internal/trial/history/entry_test.go
@@ -360,15 +360,13 @@
 	started := isHolder && e.holder == nil && e.ctx.Err() == nil
 	if started {
 		incompleteUntil := e.workersIncompleteUntil()
-		if e.claims.IsFirst(c) && !e.firstReadFailed && !e.registryOutdated {
-			incompleteUntil = time.Time{}
-		}
+		allLost := e.claims.IsFirst(c) && !e.firstReadFailed && !e.registryOutdated
 		if left := time.Until(incompleteUntil); left > 0 {
-			e.log(e.id).Info("list of workers may be incomplete", "ms", left.Milliseconds())
+			e.log(e.id).Info("list of workers may be incomplete", "ms", left.Milliseconds(), "likely_complete", allLost)
 		}
 		e.holder = holder.New(e.ctx, holder.Options{
 			Group: group, Epoch: c.Epoch, Tokens: fence.New(fence.HolderNumber(c.Holder, c.Incarnation), c.Epoch),
-			Lease: leaseDuration, ClientRetryAfter: resendAfter, WorkersIncompleteUntil: incompleteUntil,
+			Lease: leaseDuration, ClientRetryAfter: resendAfter, WorkersIncompleteUntil: incompleteUntil, WorkersLikelyComplete: allLost,
 			Calls: holder.WorkerCalls{Start: e.workerClient.Start, Stop: e.workerClient.Stop, Hold: e.workerClient.Hold},
 			Log:   e.log(e.id), OnResult: e.deliverResult, CountCall: func(string) {},
 			MayBeReplaced: e.mayBeReplaced, TakeoverSuspected: e.takeoverSuspected,
