plan: Keep another holder's mark on a retired worker, without effect while it is retired

What callers could see: a task that starts nowhere until its client's time is over, and a worker that stays in the plan for good, so that a small entry never hands its group over (AllWorkersReady stays false). Cause: RetireWorker cleared the mark 'another holder may renew its lease', but a conflict seen at any other worker within the lease's time set it again. The lease then never expired, and nothing but a new registration ended that. The opposite fault has the same cause: a worker that obeys another holder, and whose registration is gone for a moment, came back without the mark, so that its lease counted as expired while the other holder may renew it, and the task started a second time.

The mark stays now and leaseLapsed ignores it for retired workers, as it already did for replacementEnd. Ruled out: clearing the mark in OtherHolderSeen for retired workers only, which leaves the second fault.

Tests, by the present code before the change: TestRetiredWorkerIsRemovedBeside- AnotherHolder '0 further starts, want 1' and 'still in the plan 1.4 s after its lease has expired'; TestRetiredWorkerThatIsBackMayBeRenewed 'run 2 starts on w2'.

--- a/internal/placement/plan/restart.go
+++ b/internal/placement/plan/restart.go
@@ -13,8 +13,7 @@
 	if !known {
 		return
 	}
-	// A worker that has been missing from the registrations counts as gone for every holder.
-	w.state, w.retired, w.foreign = unresponsive, true, false
+	w.state, w.retired = unresponsive, true
 	p.removeRetired()
 	p.placeAll()
 }
--- a/internal/placement/plan/worker.go
+++ b/internal/placement/plan/worker.go
@@ -322,7 +322,7 @@
 // nothing can be running there. Leases that another holder may renew do not expire, except on
 // workers that count as gone for every holder.
 func (p *Plan) leaseLapsed(w *worker) bool {
-	renewable := w.foreign || p.now.Before(p.replacementEnd) && !w.retired
+	renewable := !w.retired && (w.foreign || p.now.Before(p.replacementEnd))
 	return w.state != ready && !renewable && !p.now.Before(p.leaseEnd(w.renewedAt))
 }
 
