node: Call holders without the lock of their table

What callers could see: an entry with two groups or more of a zone (setting workers.groups) that answers nothing any more. Cause: syncWorkers called the holders with Node.mu held. A change in the list of workers lets a plan place its jobs; one that finds no room spills over to another group, and if this entry holds that one too, the job is placed there at once, in the same goroutine, which needs Node.mu. waitHolders could hang the end of an entry the same way. With one group a zone, the default, an entry holds groups of its own zone only, and the fault can't occur.

The holders are called with a copy of the table now. A mutex of its own keeps two calls of syncWorkers apart: an older list must not bring back a worker that the registry has expired meanwhile, which nothing would remove any more. Ruled out: delivering results in a goroutine, which lets an ended job be polled as unknown.

--- a/internal/gateway/node/groups.go
+++ b/internal/gateway/node/groups.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
@@ -237,13 +238,19 @@
 // waitHolders waits for the current holders to end after the node's context is
 // cancelled.
 func (n *Node) waitHolders() {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	for _, h := range n.holders {
+	for _, h := range n.currentHolders() {
 		h.Wait()
 	}
 }
 
+// currentHolders returns a copy of the holders that this entry runs, by group. Results of their
+// jobs may be delivered to another one of them, so they are not called with n.mu held.
+func (n *Node) currentHolders() map[string]*holder.Holder {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return maps.Clone(n.holders)
+}
+
 // load returns the total work of the groups that this entry holds.
 func (n *Node) load() plan.Load {
 	n.mu.Lock()
--- a/internal/gateway/node/node.go
+++ b/internal/gateway/node/node.go
@@ -70,6 +70,10 @@
 
 	freeSlots freeSlotsTable
 
+	// syncMutex is held while the list of workers is applied to the holders, so that no older list
+	// replaces a newer one. It is locked before mu.
+	syncMutex sync.Mutex
+
 	mu      sync.Mutex
 	holders map[string]*holder.Holder // by group
 	// registryReadAt is when the registry was first read; firstReadFailed reports
@@ -211,17 +215,18 @@
 // syncWorkers adds the registered workers to the holders of this entry and removes those
 // whose registrations have expired.
 func (n *Node) syncWorkers() {
+	n.syncMutex.Lock()
+	defer n.syncMutex.Unlock()
 	gone := n.registry.Expire(n.workerAnswers, time.Now())
 	live := n.registry.Live()
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	for _, h := range n.holders {
+	holders := n.currentHolders()
+	for _, h := range holders {
 		for _, id := range gone {
 			h.RemoveWorker(id, "its registration has gone")
 		}
 	}
 	for _, r := range live {
-		if h, own := n.holders[n.groupOfWorker(r)]; own {
+		if h, own := holders[n.groupOfWorker(r)]; own {
 			h.AddWorker(r)
 		}
 	}
