node: Take only another entry's answer for one

What callers could see: two runs of a task at the same time, and an entry that is cut off but takes jobs which it can't get served. Cause: whatever answered a heartbeat with 200 counted as another entry that is heard. An address in the topic of the entries may lead back to the entry itself, in another spelling or by another of its addresses ('[::ffff:10.0.0.1]:7000'), or to a server that answers anything. A holder that resumes after a pause then takes its own answer for news of others' claims, and starts tasks beside its successor; isolation.Detector never sees silence. Besides, such an address counted as one where an entry may be running, so that in a zone with one entry no lease expired.

A heartbeat counts now if its first member, the sender, is another entry; an address that answers otherwise has no other entry. Ruled out: comparing addresses after parsing, which doesn't know the host's other addresses.

--- a/internal/gateway/node/heartbeats.go
+++ b/internal/gateway/node/heartbeats.go
@@ -18,13 +18,13 @@
 type contacts struct {
 	mu        sync.Mutex
 	addresses map[string]bool
-	refusing  map[string]bool // nothing listened there at the last attempt
+	refusing  map[string]bool // no other entry listened there at the last attempt
 	reported  map[string]bool // texts that are no address and have been logged, shortened
 	offset    int
 	log       *slog.Logger
 }
 
-// noteAttempt records whether an address refused the last connection to it.
+// noteAttempt records whether the last attempt showed that no other entry listens at an address.
 func (c *contacts) noteAttempt(address string, refused bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -201,8 +201,8 @@
 	if id != "" {
 		n.members.NoteContact(id, err == nil)
 	}
-	refused := peer.IsConnectionRefused(err)
-	n.contacts.noteAttempt(address, refused)
+	refused, answered := peer.IsConnectionRefused(err), err == nil && n.isFromOther(answer)
+	n.contacts.noteAttempt(address, refused || err == nil && !answered)
 	if err != nil {
 		switch {
 		case !refused:
@@ -213,6 +213,9 @@
 		}
 		return
 	}
+	if !answered {
+		return
+	}
 	n.isolation.NoteHeard()
 	n.mergeHeartbeat(answer)
 	n.pauseDetector.recordAnswer(sent)
@@ -220,17 +223,22 @@
 
 // onHeartbeat merges a heartbeat and answers with one of this entry.
 func (n *Node) onHeartbeat(heartbeat *wire.Beat) *wire.Beat {
-	n.isolation.NoteHeard()
-	n.mergeHeartbeat(heartbeat)
+	if n.isFromOther(heartbeat) {
+		n.isolation.NoteHeard()
+		n.mergeHeartbeat(heartbeat)
+	}
 	return n.newHeartbeat(n.members.ReplyRecords())
 }
 
-// mergeHeartbeat merges the members, claims and free slots of a heartbeat, and reconciles
-// the groups if members or claims changed.
+// isFromOther reports whether a heartbeat, or the answer to one, is of another entry. Another
+// writer may have stored an address at which this entry itself answers, or some other server.
+func (n *Node) isFromOther(heartbeat *wire.Beat) bool {
+	return len(heartbeat.Members) > 0 && heartbeat.Members[0].Id != n.settings.VM
+}
+
+// mergeHeartbeat merges the members, claims and free slots of a heartbeat of another entry, and
+// reconciles the groups if members or claims changed.
 func (n *Node) mergeHeartbeat(heartbeat *wire.Beat) {
-	if len(heartbeat.Members) == 0 {
-		return
-	}
 	var records []member.Record
 	for _, m := range heartbeat.Members {
 		records = append(records, peer.UnpackMember(m))
