holder: Call a worker at the address at which it answers

What callers could see: the runs on a live worker are lost. Cause: a registration under the worker's ID with another address, which another writer left, ended the session with the worker at once.

A registration with another address is ignored while the worker answers at its own and has stated its start there. The list is applied again every second, so that a worker that has really moved is called at its new address once a call to the old one fails, which takes 0.7 s if it is silent. Ruled out: waiting until the last answer is 1.5 s old (session.answeringUntil), which is longer; only dropping registrations with the same start, since an odd one may state any.

TestOddAddressEndsNoContact failed before in its three cases ('1 starts on the worker and 1 on the other, want one in all'), and passes now; TestNewAddressIsCalledOnceTheOldOneIsSilent passes before and after.

--- a/internal/placement/holder/holder.go
+++ b/internal/placement/holder/holder.go
@@ -169,7 +169,8 @@
 
 // AddWorker adds a worker, or updates it from a newer registration. A worker whose
 // address or incarnation has changed gets a new session. A registration of an incarnation
-// before the one that answers is out of date and is ignored.
+// before the one that answers is out of date and is ignored, as is one with another address while
+// the worker answers at its own.
 func (h *Holder) AddWorker(r platform.Registration) {
 	h.update(func(p *plan.Plan, now time.Time) {
 		s, known := h.sessions[r.ID]
@@ -178,7 +179,7 @@
 		case !known:
 			p.AddWorker(planWorker(r), now)
 			h.startSession(r)
-		case s.isOutdated(r):
+		case s.isOutdated(r), r.Address != s.target.Address && s.startStated && p.Answers(r.ID):
 		case s.describes(r):
 			p.AddWorker(planWorker(r), now)
 			s.registration = r
--- a/internal/placement/plan/plan.go
+++ b/internal/placement/plan/plan.go
@@ -258,6 +258,12 @@
 // covers several calls to a worker that starts or is cut off for a moment.
 const firstAnswerLimit = 5 * time.Second
 
+// Answers reports whether a worker answered the last call to it, or a call is still pending.
+func (p *Plan) Answers(id string) bool {
+	w, known := p.workers[id]
+	return known && !w.unanswered
+}
+
 // AnyWorkerAnswers reports whether any known worker answered the last call to it.
 func (p *Plan) AnyWorkerAnswers() bool {
 	for _, w := range p.workers {
