registry, node: Give a worker one holder when its zone is stated differently

What callers could see: runs on a live worker are stopped, and no job starts in two groups for as long as both holders last. Cause: one registration under a worker's ID that states another zone let the holder of that zone call the worker as well. It stopped the runs there ('its job is not known here'), and each of the two took the worker from the other again and again; with each conflict neither starts jobs for a lease. The true registration did not end that: syncWorkers removed a worker from a holder only once its registration had expired.

A record with another zone, or with the same start and another address, replaces a registration only if a second one follows, as one with an earlier start does. A worker that is registered in another group is removed from its former holder. Ruled out: removing it from its former holder at once, which ends its contact through one odd record.

--- a/internal/gateway/node/node.go
+++ b/internal/gateway/node/node.go
@@ -213,7 +213,7 @@
 }
 
 // syncWorkers adds the registered workers to the holders of this entry and removes those
-// whose registrations have expired.
+// whose registrations have expired or belong to another group.
 func (n *Node) syncWorkers() {
 	n.syncMutex.Lock()
 	defer n.syncMutex.Unlock()
@@ -226,7 +226,12 @@
 		}
 	}
 	for _, r := range live {
-		if h, own := holders[n.groupOfWorker(r)]; own {
+		own := n.groupOfWorker(r)
+		for group, h := range holders {
+			if group != own {
+				h.RemoveWorker(r.ID, "it is registered in another group")
+				continue
+			}
 			h.AddWorker(r)
 		}
 	}
--- a/internal/placement/holder/holder.go
+++ b/internal/placement/holder/holder.go
@@ -207,9 +207,12 @@
 	return w
 }
 
-// RemoveWorker ends the session with a worker that is no longer registered. Its runs count as
-// lost once their lease has expired.
+// RemoveWorker ends the session with a worker that is no longer registered, if there is one. Its
+// runs count as lost once their lease has expired.
 func (h *Holder) RemoveWorker(id, reason string) {
+	if !h.knows(id) {
+		return
+	}
 	h.update(func(p *plan.Plan, now time.Time) {
 		delete(h.ended, id)
 		if s, known := h.sessions[id]; known {
@@ -220,6 +223,14 @@
 	})
 }
 
+// knows reports whether the holder has a session with a worker, or had one until the worker ended.
+func (h *Holder) knows(id string) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	_, ended := h.ended[id]
+	return ended || h.sessions[id] != nil
+}
+
 // removeEnded ends a session at whose address another worker answers. If the session's worker has
 // answered there it has ended, and its runs count as crashed. Otherwise its registration may be
 // wrong, and its runs count as lost once their lease has expired.
--- a/internal/worker/registry/registry.go
+++ b/internal/worker/registry/registry.go
@@ -17,9 +17,10 @@
 const absenceGrace = 2500 * time.Millisecond
 
 // Numbers of records after which a registration with a later start, or with a higher sequence
-// number, than theirs is given up. A worker that is alive publishes again within a heartbeat. The
-// store may append a record up to six seconds late, so that several of one incarnation can follow a
-// newer one.
+// number, than theirs is given up. The first also holds for records that state another zone, which a
+// worker keeps, or the same start but another address. A worker that is alive publishes again within
+// a heartbeat. The store may append a record up to six seconds late, so that several of one
+// incarnation can follow a newer one.
 const (
 	minEarlierStarts    = 2
 	minEarlierSequences = 6
@@ -30,7 +31,7 @@
 	platform.Registration
 	missingSince time.Time // when the registration was first missing, zero if it is present
 	// offset is that of the last record that was read. Contradictions counts the records since
-	// the registration that state an earlier start or sequence number.
+	// the registration that state an earlier start or sequence number, or that the worker has moved.
 	offset         int64
 	contradictedAt int64 // offset of the last such record
 	contradictions int
@@ -153,12 +154,15 @@
 	}
 	old := *w
 	w.offset = record.Offset
-	if registration.StartUnixMilli < old.StartUnixMilli || registration.StartUnixMilli == old.StartUnixMilli && registration.Sequence < old.Sequence {
+	sameStart := registration.StartUnixMilli == old.StartUnixMilli
+	earlierSequence := sameStart && registration.Sequence < old.Sequence
+	moved := old.StartUnixMilli != 0 && (registration.Zone != old.Zone || sameStart && registration.Address != old.Address)
+	if registration.StartUnixMilli < old.StartUnixMilli || earlierSequence || moved {
 		if record.Offset == old.offset || old.contradictions > 0 && record.Offset <= old.contradictedAt {
 			return Change{} // read before
 		}
 		enough := minEarlierStarts
-		if registration.StartUnixMilli == old.StartUnixMilli {
+		if earlierSequence {
 			enough = minEarlierSequences
 		}
 		w.contradictedAt = record.Offset
