holder: Let no lease expire right after a pause

What callers could see: two runs of a task at the same time. Schedule: a holder is paused, another entry takes its group over and renews the lease of a worker, and the first one resumes cut off from the other entries and from this worker. Its suspicion of a takeover times out after 0.4 s; but the members' timeouts are extended by the pause, so that it takes 0.6 s and, with more than five entries in the zone, longer until Unheard says that another entry may renew leases. In between the lease of the worker, renewed before the pause, counted as expired, and its task started on a worker that the next holder doesn't reach.

While a takeover is suspected, and for a lease after that, no lease expires now. Price: after a pause of 0.6 s and more, runs on workers that don't answer wait up to 1.08 s longer. Ruled out: a longer timeout of the suspicion, during which jobs are rejected.

--- a/internal/placement/holder/holder.go
+++ b/internal/placement/holder/holder.go
@@ -114,9 +114,10 @@
 		h.mu.Unlock()
 		return
 	}
-	h.plan.SetTakeoverSuspected(h.options.TakeoverSuspected())
-	now := time.Now()
-	h.plan.SetMayBeReplaced(h.options.MayBeReplaced(), now)
+	suspected, now := h.options.TakeoverSuspected(), time.Now()
+	h.plan.SetTakeoverSuspected(suspected)
+	// The suspicion may time out before it shows that other entries are not heard.
+	h.plan.SetMayBeReplaced(suspected || h.options.MayBeReplaced(), now)
 	change(h.plan, now)
 	results := h.dispatch(h.plan.Orders(), now)
 	h.mu.Unlock()
