node: Count a holder as one that may be replaced once it hears nobody

What callers could see: two runs of a task at the same time, in zones of many entries. mayBeReplaced asked whether a single entry is suspected, whose time grows with the zone (0.6 s for five entries, 2.4 s for twenty), and after a pause is extended by it; a lease counts as expired after 1.08 s. isolation.Detector knows after four heartbeats, 0.6 s, that no other entry is heard.

mayBeReplaced follows hearsPeers now, as ClaimIfVacant and NoteConflict do. Nothing changes if the addresses of the others refuse connections, as when all of them have ended. Ruled out: suspecting single members sooner, which moves groups.

TestSilentEntriesMayHaveReplacedTheHolder: before, 'not replaced although no other entry has been heard for four heartbeats'; after, it passes. go test -race ./internal/gateway/node without the known red test: passes.

--- a/internal/gateway/node/groups.go
+++ b/internal/gateway/node/groups.go
@@ -167,7 +167,7 @@
 // mayBeReplaced reports whether an entry that may be running is not heard: it may have taken over a
 // group of this one on the other side of a partition.
 func (n *Node) mayBeReplaced() bool {
-	return n.members.Unheard() || !n.hasPeers() && n.othersMayRun()
+	return n.members.Unheard() || !n.hearsPeers() && n.othersMayRun()
 }
 
 // othersMayRun reports whether another entry may be running at any known address.
