--- a/internal/placement/holder/holder.go
+++ b/internal/placement/holder/holder.go
@@ -124,10 +124,12 @@
 		h.mu.Unlock()
 		return
 	}
-	h.plan.SetTakeoverSuspected(h.options.TakeoverSuspected())
-	now := time.Now()
-	if h.options.MayBeReplaced() {
-		h.plan.SetMayBeReplaced(true, now)
+	suspected, now := h.options.TakeoverSuspected(), time.Now()
+	h.plan.SetTakeoverSuspected(suspected)
+	// The suspicion may time out before it shows that other entries are not heard.
+	mayBeReplaced := suspected || h.options.MayBeReplaced()
+	h.plan.SetMayBeReplaced(mayBeReplaced, now)
+	if mayBeReplaced {
 		h.plan.SetLastContact(h.options.LastContact())
 	}
 	change(h.plan, now)
@@ -182,7 +184,8 @@
 
 // AddWorker adds a worker, or updates it from a newer registration. A worker whose
 // address or incarnation has changed gets a new session. A registration of an incarnation
-// before the one that answers is out of date and is ignored.
+// before the one that answers is out of date and is ignored, as is one with another address while
+// the worker answers at its own.
 func (h *Holder) AddWorker(r platform.Registration) {
 	h.update(func(p *plan.Plan, now time.Time) {
 		s, known := h.sessions[r.ID]
@@ -191,7 +194,7 @@
 		case !known:
 			p.AddWorker(planWorker(r), now)
 			h.startSession(r)
-		case s.isOutdated(r):
+		case s.isOutdated(r), r.Address != s.target.Address && s.startStated && p.Answers(r.ID):
 		case s.describes(r):
 			p.AddWorker(planWorker(r), now)
 			s.registration = r
@@ -219,9 +222,12 @@
 	return w
 }
 
-// RemoveWorker ends the session with a worker that is no longer registered. Its runs count as
-// lost once their lease has expired.
+// RemoveWorker ends the session with a worker that is no longer registered, if there is one. Its
+// runs count as lost once their lease has expired.
 func (h *Holder) RemoveWorker(id, reason string) {
+	if !h.knows(id) {
+		return
+	}
 	h.update(func(p *plan.Plan, now time.Time) {
 		delete(h.ended, id)
 		if s, known := h.sessions[id]; known {
@@ -232,6 +238,14 @@
 	})
 }
 
+// knows reports whether the holder has a session with a worker, or had one until the worker ended.
+func (h *Holder) knows(id string) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	_, ended := h.ended[id]
+	return ended || h.sessions[id] != nil
+}
+
 // removeEnded ends a session at whose address another worker answers. If the session's worker has
 // answered there it has ended, and its runs count as crashed. Otherwise its registration may be
 // wrong, and its runs count as lost once their lease has expired.
