node: Confirm the list of workers before the takeover, and after it

Callers waited for a second at each takeover by an entry that has just started, and jobs that spilled over to another zone waited after the loss of all entries.

The takeover comes with the first reading of the registrations, before the reader reports that reading as done, so that the list counted as unread whether or not another entry had confirmed it; and a confirmation that came a heartbeat later changed nothing for a holder that had begun.

TestConfirmedListDelaysNoStarts fails without the change in two of three cases ("the holder reckons with further workers: true, want false").

--- a/internal/gateway/node/firstlist_test.go
+++ b/internal/gateway/node/firstlist_test.go
@@ -4,6 +4,8 @@
 	"testing"
 	"time"
 
+	"github.com/radishgate/radishgate/internal/placement/election"
+	"github.com/radishgate/radishgate/internal/worker/registry"
 	"github.com/radishgate/radishgate/member"
 	"github.com/radishgate/radishgate/platform"
 )
@@ -114,3 +116,55 @@
 		})
 	}
 }
+
+// TestConfirmedListDelaysNoStarts guards against a wait in a rolling stop: an entry takes a group over
+// with its first reading of the registrations, which another entry has confirmed by then or
+// confirms with its next heartbeat.
+func TestConfirmedListDelaysNoStarts(t *testing.T) {
+	registration := platform.KeyedRecord{Key: "w0", Value: []byte(`{"backend":"listing","address":"127.0.0.1:9","zone":"a","state":"ready","labels":["k"],"capacity":{"cpu":1000,"mem-mb":1000}}`)}
+	tests := []struct {
+		name   string
+		before bool // the confirmation comes before the first reading
+		after  bool
+		waits  bool
+	}{
+		{"confirmed before", true, false, false},
+		{"confirmed after the takeover", false, true, false},
+		{"not confirmed", false, false, true},
+	}
+	for _, c := range tests {
+		t.Run(c.name, func(t *testing.T) {
+			n := newLargeNode(t, 1)
+			n.startedAt = time.Now().Add(-2 * startupDelay)
+			confirm := func(is bool) {
+				if is {
+					known := registry.New()
+					known.Reset([]platform.KeyedRecord{registration}, time.Now())
+					n.members.Merge([]member.Record{{ID: "e1", Zone: "a", PeerAddress: "127.0.0.1:1001", Incarnation: 7, Heartbeat: 2, Weight: 1, Workers: known.Fingerprint()}})
+				}
+			}
+			n.isolation.NoteHeard()
+			n.members.Merge([]member.Record{
+				{ID: "e1", Zone: "a", PeerAddress: "127.0.0.1:1001", Incarnation: 7, Heartbeat: 1, Weight: 1},
+				{ID: "e2", Zone: "a", PeerAddress: "127.0.0.1:1002", Incarnation: 7, Heartbeat: 1, Weight: 1, Leaving: true},
+			})
+			n.claims.Merge([]election.Claim{{Group: groupName("a", 0), Epoch: 5, Holder: "e2", Incarnation: 7}})
+			n.reconcileGroups(n.ctx)
+			confirm(c.before)
+			for _, f := range n.followers() {
+				if f.Name == "workers" {
+					f.Reset([]platform.KeyedRecord{registration})
+				}
+			}
+			h, held := n.holder(groupName("a", 0))
+			if !held {
+				t.Fatal("the group is not taken over")
+			}
+			confirm(c.after)
+			n.reconcileGroups(n.ctx)
+			if waits := h.WorkersIncomplete(); waits != c.waits {
+				t.Fatalf("the holder reckons with further workers: %v, want %v", waits, c.waits)
+			}
+		})
+	}
+}
--- a/internal/gateway/node/groups.go
+++ b/internal/gateway/node/groups.go
@@ -222,21 +222,42 @@
 }
 
 // completeWorkers returns the fingerprint of the list of workers, or 0 if the list has not been
-// loaded or may lack live workers. It notes if another entry confirms the list.
+// loaded or may lack live workers. If another entry confirms the list for the first time, the holders
+// of this entry no longer reckon with further workers.
 func (n *Node) completeWorkers(loaded bool) uint64 {
 	if !loaded {
 		return 0
 	}
 	fingerprint := n.registry.Fingerprint()
 	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.workersConfirmed = n.workersConfirmed || n.members.ConfirmsWorkers(fingerprint)
-	if n.workersIncompleteUntil().After(time.Now()) {
+	before := n.workersConfirmed
+	n.workersConfirmed = before || !n.registryOutdated && n.members.ConfirmsWorkers(fingerprint)
+	confirmed := n.workersConfirmed && !before
+	complete := !n.workersIncompleteUntil().After(time.Now())
+	n.mu.Unlock()
+	if confirmed {
+		for group, h := range n.currentHolders() {
+			if h.WorkersIncomplete() {
+				n.log.Info("list of workers is complete", "group", group)
+				h.WorkersComplete()
+			}
+		}
+	}
+	if !complete {
 		return 0
 	}
 	return fingerprint
 }
 
+// onRegistryRead records that the whole registry has been read.
+func (n *Node) onRegistryRead() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.registryReadAt.IsZero() {
+		n.registryReadAt, n.storeAwayBefore = time.Now(), n.storeAwayAt
+	}
+}
+
 // onRegistryUnavailable records that the registry cannot be read.
 func (n *Node) onRegistryUnavailable() {
 	n.instruments.setDependency("workers", false)
@@ -249,11 +270,9 @@
 // onRegistryAvailable records that the registry can be read again.
 func (n *Node) onRegistryAvailable() {
 	n.instruments.setDependency("workers", true)
+	n.onRegistryRead()
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.registryReadAt.IsZero() {
-		n.registryReadAt, n.storeAwayBefore = time.Now(), n.storeAwayAt
-	}
 	if n.registryOutdated {
 		n.registryOutdated, n.storeAwayAt = false, time.Now()
 	}
--- a/internal/gateway/node/node.go
+++ b/internal/gateway/node/node.go
@@ -168,6 +168,7 @@
 			Reset: func(records []platform.KeyedRecord) {
 				n.applyWorkerChanges(n.registry.Reset(records, time.Now()))
 				n.registryState.setLoaded()
+				n.onRegistryRead()
 				n.reconcileGroups(n.ctx)
 			},
 			Apply:         func(records []platform.KeyedRecord) { n.applyWorkerChanges(n.registry.Apply(records, time.Now())) },
--- a/internal/placement/holder/holder.go
+++ b/internal/placement/holder/holder.go
@@ -335,6 +335,19 @@
 	h.plan.SetOtherFreeSlots(slots)
 }
 
+// WorkersIncomplete reports whether the list of workers may lack some on which runs of an earlier
+// holder go on.
+func (h *Holder) WorkersIncomplete() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.plan.WorkersIncomplete(time.Now())
+}
+
+// WorkersComplete records that the list of workers lacks none that is alive.
+func (h *Holder) WorkersComplete() {
+	h.update(func(p *plan.Plan, now time.Time) { p.WorkersComplete(now) })
+}
+
 // Load returns the present load of the group.
 func (h *Holder) Load() plan.Load {
 	h.mu.Lock()
--- a/internal/placement/plan/plan.go
+++ b/internal/placement/plan/plan.go
@@ -250,7 +250,7 @@
 // allFenced reports whether the list of workers is complete, the service has workers, and
 // all of them have accepted this holder's fencing token.
 func (p *Plan) allFenced(service string) bool {
-	if p.now.Before(p.options.WorkersIncompleteUntil) && (p.earlierRunListed || !p.options.WorkersLikelyComplete) {
+	if p.WorkersIncomplete(p.now) {
 		return false
 	}
 	count := 0
@@ -266,6 +266,18 @@
 	return count > 0
 }
 
+// WorkersIncomplete reports whether the list of workers may lack some on which runs of an earlier
+// holder go on.
+func (p *Plan) WorkersIncomplete(now time.Time) bool {
+	return now.Before(p.options.WorkersIncompleteUntil) && (p.earlierRunListed || !p.options.WorkersLikelyComplete)
+}
+
+// WorkersComplete records that the list of workers lacks none that is alive.
+func (p *Plan) WorkersComplete(now time.Time) {
+	p.now, p.options.WorkersIncompleteUntil = now, time.Time{}
+	p.placeAll()
+}
+
 // AllWorkersReady reports whether every known worker answers and has accepted this holder's
 // fencing token. One that has not answered since it was registered a while ago does not count:
 // its registration may be wrong.
--- a/internal/placement/plan/spillover.go
+++ b/internal/placement/plan/spillover.go
@@ -66,7 +66,7 @@
 	if !p.otherLeasesActive() {
 		return false
 	}
-	if p.now.Before(p.options.WorkersIncompleteUntil) {
+	if p.WorkersIncomplete(p.now) {
 		return true
 	}
 	return slices.ContainsFunc(p.workerList, func(w *worker) bool { return w.Service == service && w.state == fencing })
