--- a/internal/placement/plan/loss_test.go
+++ b/internal/placement/plan/loss_test.go
@@ -47,3 +47,23 @@
 		})
 	}
 }
+
+// TestRunThatIsLostTwiceCountsOnce guards against a task that waits for its client's whole time: its
+// only run is lost from sight, seen again and lost again, which counts as two workers that may have
+// crashed under it.
+func TestRunThatIsLostTwiceCountsOnce(t *testing.T) {
+	second := testWorker("w2", 4)
+	second.Draining = true
+	c := newCrashTest(testWorker("w1", 4), second)
+	first := c.started[0]
+	c.silence(StartAccepted)
+	c.plan.HandleReport(Report{Worker: "w1", Sent: c.now, Fenced: true, Running: []RunProgress{{Task: first.Task, Run: first.Run, Percent: 50}}}, c.now)
+	c.plan.RenewalSent("w1", c.now)
+	c.plan.MarkUnresponsive("w1", c.now)
+	second.Draining = false
+	c.plan.AddWorker(second, c.now)
+	c.wait(1200 * time.Millisecond)
+	if got := len(c.started); got != 2 || c.last() != "w2" {
+		t.Errorf("%d starts, the last on %s, want a second one on w2 once the lease of the first has expired again", got, c.last())
+	}
+}
