idempotency: Send a call again while the owner of its key is not settled

Cause: an entry that is held up for longer than four heartbeats is suspected by the entries that missed them, and by no other. For some hundred milliseconds they compute different owners of its partitions; a call that one entry forwards is refused by the other, which must not forward it again. Forced in a scratch copy: one entry's heartbeats and replies paused, chosen keys at 20 times the test's rate. Each refusal had its line "not settled, forwarded true, known true".

Such a call has started nothing, so the entry that the client called now tries again every 0.1 s, for 0.5 s or until the call's deadline.

Ruled out: two hops (two views that disagree twice would pass a call in a circle).

--- /dev/null
+++ b/idempotency/forward_test.go
@@ -0,0 +1,68 @@
+package idempotency
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/radishgate/radishgate/bundle"
+	"github.com/radishgate/radishgate/claim"
+	"github.com/radishgate/radishgate/job"
+	"github.com/radishgate/radishgate/member"
+	"github.com/radishgate/radishgate/origin"
+	"github.com/radishgate/radishgate/refusal"
+)
+
+// TestCallWaitsUntilTheOwnerIsSettled guards against calls that are refused while two entries
+// disagree for a moment about the owner of a partition, since only one of them has missed
+// heartbeats of a third. A call that nobody has started must be forwarded again.
+func TestCallWaitsUntilTheOwnerIsSettled(t *testing.T) {
+	unsettled := refusal.New(refusal.OwnerUnreachable, refusal.NotRun, "not settled")
+	tests := []struct {
+		name      string
+		answer    *refusal.Refusal // of the owner, until settledAt
+		settledAt time.Duration
+		forwarded bool
+		deadline  time.Duration // 0 for none
+		complete  bool
+		calls     int
+	}{
+		{"settled at once", unsettled, 0, false, 0, true, 1},
+		{"settled soon", unsettled, 300 * time.Millisecond, false, 0, true, 4},
+		{"not settled", unsettled, time.Hour, false, 0, false, 6},
+		{"its deadline is near", unsettled, time.Hour, false, 150 * time.Millisecond, false, 2},
+		{"it may have started", refusal.New(refusal.OwnerUnreachable, refusal.Unknown, "no answer"), time.Hour, false, 0, false, 1},
+		{"refused for another reason", refusal.New(refusal.Overloaded, refusal.NotRun, "full"), time.Hour, false, 0, false, 1},
+		{"forwarded before", unsettled, time.Hour, true, 0, false, 0},
+	}
+	for _, c := range tests {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				began, calls := time.Now(), 0
+				b := &bundle.Bundle{Rules: bundle.Rules{Partitions: 1, MaxJobTasks: 1}}
+				b.Services, b.Tenants = map[string]*bundle.Service{"hold": {}}, map[string]*bundle.Tenant{"lullaby": {}}
+				rt := New(Options{
+					Self: origin.Key{VM: "a"}, Bundle: func() *bundle.Bundle { return b }, PartitionOwner: func(int) string { return "b" },
+					Partition:  func(int) *claim.Partition[*job.Job] { return claim.New[*job.Job](claim.Options{Owner: "a"}) },
+					FindMember: func(id string) (member.Record, member.State, bool) { return member.Record{ID: id}, member.Alive, true },
+					ForwardSubmit: func(context.Context, member.Record, Submission) (Result, error) {
+						calls++
+						if time.Since(began) < c.settledAt {
+							return refused(c.answer), nil
+						}
+						return Result{State: job.Complete}, nil
+					},
+				})
+				s := Submission{Key: "x", Tenant: "lullaby", Service: "hold", Forwarded: c.forwarded}
+				if c.deadline > 0 {
+					s.Deadline = began.Add(c.deadline)
+				}
+				result := rt.Submit(t.Context(), s)
+				if (result.State == job.Complete) != c.complete || calls != c.calls {
+					t.Errorf("state %v, refusal %v, %d calls; want complete %v and %d calls", result.State, result.Refusal, calls, c.complete, c.calls)
+				}
+			})
+		})
+	}
+}
--- a/idempotency/router.go
+++ b/idempotency/router.go
@@ -14,6 +14,7 @@
 	"github.com/radishgate/radishgate/answercache"
 	"github.com/radishgate/radishgate/bundle"
 	"github.com/radishgate/radishgate/claim"
+	"github.com/radishgate/radishgate/common/wait"
 	"github.com/radishgate/radishgate/job"
 	"github.com/radishgate/radishgate/member"
 	"github.com/radishgate/radishgate/origin"
@@ -259,10 +260,37 @@
 	return int(xxhash.Sum64String(key) % uint64(b.Rules.Partitions))
 }
 
-// submitByPartition answers a submission with a client-chosen key: here if this entry
-// should own the key's partition, otherwise from a job that it claimed before or
-// through the owner.
+// Entries disagree about the owner of a partition while only some of them have missed the
+// heartbeats of a member, mostly for some hundred milliseconds.
+const (
+	settleTime     = 500 * time.Millisecond // how long a submission is tried again meanwhile
+	settleInterval = 100 * time.Millisecond
+)
+
+// submitByPartition answers a submission with a client-chosen key. It tries again while the
+// owner of the key's partition is not settled.
 func (rt *Router) submitByPartition(ctx context.Context, b *bundle.Bundle, s Submission) Result {
+	giveUpAt := rt.options.Now().Add(settleTime)
+	if !s.Deadline.IsZero() && s.Deadline.Before(giveUpAt) {
+		giveUpAt = s.Deadline
+	}
+	for {
+		result := rt.submitToOwner(ctx, b, s)
+		if s.Forwarded || !isUnsettled(result) || rt.options.Now().Add(settleInterval).After(giveUpAt) || !wait.For(ctx, settleInterval) {
+			return result
+		}
+	}
+}
+
+// isUnsettled reports whether a submission started nothing because no entry was found that
+// counts as the owner of its partition in its own view.
+func isUnsettled(r Result) bool {
+	return r.Refusal != nil && r.Refusal.Kind == refusal.OwnerUnreachable && r.Refusal.Outcome == refusal.NotRun
+}
+
+// submitToOwner answers a submission with a client-chosen key: here if this entry should own
+// the key's partition, otherwise from a job that it claimed before or through the owner.
+func (rt *Router) submitToOwner(ctx context.Context, b *bundle.Bundle, s Submission) Result {
 	index := partitionOf(b, s.Key)
 	partition := rt.options.Partition(index)
 	owner := rt.options.PartitionOwner(index)
