entry, claim: Test the recovery of claims without a bound in real time

TestLogOutageRefusesOnlyChosenKeys failed once beside heavy load: "26 calls with chosen keys were refused after the outage". It ended the outage of the log, slept 1.1 s and wanted no further refusal. A partition refuses claims for 1 s after an append has failed, counted from the moment when it learns that. The outage lasts as long as that second, so that the next attempts fall on its end; one that failed just before and is noticed over 0.1 s later, as on a busy machine, refuses claims for longer than the test slept. The entry does what it should: the test was wrong.

The test now waits until 64 keys, several for each partition, are claimed through all entries, and then wants no refusal, as before. The second itself is held to the millisecond by a new test of package claim in virtual time, which the old one didn't do: no append within it, and a claim that succeeds at its end.

--- a/claim/partition_test.go
+++ b/claim/partition_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"math/rand/v2"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/radishgate/radishgate/platform"
@@ -113,3 +114,40 @@
 		t.Errorf("error %v after %d reads, want a contradiction after one", err, reads)
 	}
 }
+
+// TestClaimsResumeOneSecondAfterAFailedAppend guards against claims that are refused for long after
+// an outage of the log, and against claims that each wait for a log that is down.
+func TestClaimsResumeOneSecondAfterAFailedAppend(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := store.New(store.Options{})
+		log, appends := s.Log("claims-0"), 0
+		counted := log
+		counted.Append = func(ctx context.Context, data []byte) (int64, error) {
+			appends++
+			return log.Append(ctx, data)
+		}
+		p := New[int](Options{Log: counted, Owner: "a~1", Nonce: rand.Uint64})
+		claim := func(key string) error {
+			_, _, err := p.Claim(t.Context(), key, "d", func() int { return 1 })
+			return err
+		}
+		if err := p.Acquire(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		s.SetFaults(store.Faults{Outage: true})
+		var failed *LogError
+		if err := claim("x"); !errors.As(err, &failed) {
+			t.Fatalf("error %v during the outage, want that of the log", err)
+		}
+		s.SetFaults(store.Faults{})
+		appends = 0
+		time.Sleep(time.Second - time.Millisecond)
+		if err := claim("x"); !errors.As(err, &failed) || appends > 0 {
+			t.Errorf("error %v and %d appends within a second, want the error of the log and none", err, appends)
+		}
+		time.Sleep(time.Millisecond)
+		if err := claim("x"); err != nil {
+			t.Errorf("error %v after a second, want none", err)
+		}
+	})
+}
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -220,14 +220,37 @@
 		}
 	}
 	f.Store.SetFaults(store.Faults{})
-	// After a log failure a partition refuses claims for one second without trying.
-	time.Sleep(1100 * time.Millisecond)
+	waitForClaims(t, f)
 	report = runLoad(t, f, time.Second, nil)
 	if left := failedCalls(report)["not-run:log-unavailable"]; left != 0 {
 		t.Errorf("%d calls with chosen keys were refused after the outage", left)
 	}
 }
 
+// waitForClaims waits until keys of all partitions are claimed again after an outage of the log. A
+// partition refuses claims for a second after an append has failed, and an append that was sent
+// during the outage may fail after it has ended.
+func waitForClaims(t *testing.T, f *fleet.Fleet) {
+	t.Helper()
+	const keys = 64 // several for each of the 8 partitions
+	cl := client.New("lullaby", f.CallerAddresses()...)
+	deadline := time.Now().Add(30 * time.Second)
+	for i := 0; i < keys; {
+		_, _, err := cl.Request(t.Context(), cl.NextEntry(), "hold", fmt.Sprint("claimable-", i), 0, []byte(`{"run":"1ms"}`))
+		var refused *client.RefusedError
+		switch {
+		case err == nil:
+			i++
+		case !errors.As(err, &refused) || refused.Kind != refusal.LogUnavailable:
+			t.Fatal(err)
+		case time.Now().After(deadline):
+			t.Fatalf("claims are still refused 30 s after the outage: %v", err)
+		default:
+			time.Sleep(20 * time.Millisecond)
+		}
+	}
+}
+
 // TestEntryStartedDuringPlatformOutageIsListedLater guards against an entry that
 // registers only once at its start. If the platform is down at that time, the entry
 // must retry; otherwise entries that all start during an outage never find each other.
