rollout: Trust no offset and no age that an unsigned record states

What operators could see: a new or restarted entry of radishgate serve that stays at an old bundle for good, or that finds none. Cause: records of the stream are signed, the envelope around them is not. Another writer can copy a chain that was in force into a checkpoint that names an offset far ahead; an entry whose records have expired starts with it, puts the old version in force and reads on from that offset, at which nothing ever comes. And any record that looks like a checkpoint, or like a complete version, signed or not, counted as one for lastFullState: with one every few seconds no entry wrote a true checkpoint, and the version in force expired from the stream.

A checkpoint must name an offset before its own; of several on the first page the highest version counts, so that a copy of an older chain with a likely offset loses against the true one. For the age of the last full state only a checkpoint of the present chain counts, and a complete version that came into force. What remains: if a copied older chain with a likely offset is the only checkpoint on the first page, it is used; signing the envelope would need the operators' key.

--- a/rollout/fold.go
+++ b/rollout/fold.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 
 	"github.com/radishgate/radishgate/bundle"
 	"github.com/radishgate/radishgate/platform"
@@ -56,32 +57,36 @@
 	return state{chain: chain, bundle: b}, nil
 }
 
-// restartFromCheckpoint continues from the first valid checkpoint on the page at
-// firstOffset for which every record after its ThroughOffset is still readable.
-// An older checkpoint could miss versions that have expired since. If there is
-// none, the next Poll tries again, or Adopt takes over a peer's chain.
+// restartFromCheckpoint continues from the valid checkpoint with the highest version on the
+// page at firstOffset for which every record after its ThroughOffset is still readable.
+// An older checkpoint could miss versions that have expired since. ThroughOffset is not
+// signed, but it precedes the checkpoint. If there is none, the next Poll tries again, or
+// Adopt takes over a peer's chain.
 func (r *Rollout) restartFromCheckpoint(ctx context.Context, firstOffset int64) error {
 	page, err := r.options.Log.Read(ctx, firstOffset, 0)
 	if err != nil {
 		return err
 	}
+	var latest state
+	next := int64(0)
 	for _, record := range page.Records {
 		envelope, ok := parseEnvelope(record.Data)
-		if !ok || envelope.Kind != kindCheckpoint || envelope.ThroughOffset+1 < page.FirstOffset {
+		if !ok || envelope.Kind != kindCheckpoint || envelope.ThroughOffset < page.FirstOffset-1 || envelope.ThroughOffset >= record.Offset {
 			continue
 		}
-		s, err := r.replayChain(envelope.Chain)
-		if err != nil {
-			continue
+		if s, err := r.replayChain(envelope.Chain); err == nil && s.version() > latest.version() {
+			latest, next = s, envelope.ThroughOffset+1
 		}
-		r.mu.Lock()
-		r.folded, r.nextOffset, r.started = s, envelope.ThroughOffset+1, true
-		r.mu.Unlock()
-		r.foldRecords(page.Records)
-		r.activateIfNewer(r.foldedState())
-		return nil
 	}
-	return &NoCheckpointError{FirstOffset: page.FirstOffset}
+	if latest.bundle == nil {
+		return &NoCheckpointError{FirstOffset: page.FirstOffset}
+	}
+	r.mu.Lock()
+	r.folded, r.nextOffset, r.started = latest, next, true
+	r.mu.Unlock()
+	r.foldRecords(page.Records)
+	r.activateIfNewer(r.foldedState())
+	return nil
 }
 
 // NoCheckpointError reports that the version in force can't be derived from the
@@ -115,11 +120,12 @@
 	}
 	r.nextOffset = record.Offset + 1
 	current := r.folded
+	r.mu.Unlock()
 	envelope, ok := parseEnvelope(record.Data)
-	if ok && (envelope.Kind == kindCheckpoint || !envelope.Chain[0].IsChange) {
-		r.lastFullState = r.options.Now()
+	// Other checkpoints do not let a new entry start with the present version.
+	if ok && envelope.Kind == kindCheckpoint && envelope.ThroughOffset < record.Offset && slices.Equal(envelope.Chain, current.chain) {
+		r.noteFullState()
 	}
-	r.mu.Unlock()
 	if !ok || envelope.Kind != kindVersion {
 		return
 	}
@@ -139,5 +145,15 @@
 	r.idByVersion[proposed.Version] = proposed.ID
 	delete(r.idByVersion, proposed.Version-maxChainLength)
 	r.mu.Unlock()
+	if !proposed.IsChange {
+		r.noteFullState()
+	}
 	r.activateIfNewer(next)
 }
+
+// noteFullState records that the present version can be derived from the last record read.
+func (r *Rollout) noteFullState() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.lastFullState = r.options.Now()
+}
