holder: See ends whatever their order in a list

What callers could see: a job that never ends although its tasks have, or a task that runs once more. Cause: a session compared each end of a report with the highest number seen so far in the same report. In a list that is not sorted the lower numbers counted as seen, and were acknowledged, so that the worker forgot them. The platform's pages state no order of the list; workers were only seen to sort it.

TestEndsInAnyOrderAreSeen: before '1 of 3 ends seen, up to number 3', passes now.

--- a/internal/placement/holder/session.go
+++ b/internal/placement/holder/session.go
@@ -316,11 +316,12 @@
 	for _, t := range report.Running {
 		translated.Running = append(translated.Running, plan.RunProgress{Task: t.Task, Run: t.Run, Percent: t.Percent})
 	}
+	seen := s.seenSequence
 	for _, e := range report.Ended {
-		if e.Sequence <= s.seenSequence {
+		if e.Sequence <= seen {
 			continue
 		}
-		s.seenSequence = e.Sequence
+		s.seenSequence = max(s.seenSequence, e.Sequence)
 		ending := plan.EndedRun{Task: e.Task, Run: e.Run, Outcome: plan.Aborted}
 		switch e.Outcome {
 		case platform.Done:
