plan: Count a run that is lost twice as one

What callers could see: a task that starts on no other worker while its own is silent. Cause: a run whose lease has expired is appended to task.detachedRuns. If its worker lists it as running all the same, since a renewal was executed late, it is adopted; lost again, it was appended a second time. waitsForProof then saw two runs on silent workers where there is one, and the task waited for the worker to answer or to be retired.

TestRunLostTwiceIsOneLoss: before '0 further starts, want 1', passes now; go test ./internal/placement/plan without the known red test: passes.

--- a/internal/placement/plan/worker.go
+++ b/internal/placement/plan/worker.go
@@ -334,7 +334,9 @@
 	p.unaccountedRuns[r.runKey.task] = append(p.unaccountedRuns[r.runKey.task], r)
 	if t != nil && t.activeRun == r {
 		t.activeRun = nil
-		t.detachedRuns = append(t.detachedRuns, r)
+		if !slices.Contains(t.detachedRuns, r) {
+			t.detachedRuns = append(t.detachedRuns, r)
+		}
 		t.previous = r.describeLoss(fmt.Sprintf("lease expired, renewed %d ms ago", p.now.Sub(r.worker.renewedAt).Milliseconds()))
 		p.requeue(t)
 	}
