--- a/internal/placement/holder/holder.go
+++ b/internal/placement/holder/holder.go
@@ -49,10 +49,11 @@
 	TakeoverSuspected func() bool
 	// MayBeReplaced reports whether another entry may have taken the group over on the other
 	// side of a partition. Runs on workers that do not answer are not taken for ended then.
-	// Nil means never.
+	// It is called in each tick. Nil means never.
 	MayBeReplaced func() bool
 	// LastContact returns when an entry that is not heard now may have been in contact with others
-	// for the last time, and the zero time if there is none. Nil means that there never is.
+	// for the last time, and the zero time if there is none. It is called in each tick while
+	// MayBeReplaced holds. Nil means that there never is.
 	LastContact func() time.Time
 	// CountCall counts a call to a worker, named after its kind and answer, for metrics.
 	CountCall func(kind string)
@@ -110,7 +111,13 @@
 		case <-h.ctx.Done():
 			return
 		case <-ticker.C:
-			h.update(func(p *plan.Plan, now time.Time) { p.Tick(now) })
+			h.update(func(p *plan.Plan, now time.Time) {
+				if h.options.MayBeReplaced() {
+					p.SetMayBeReplaced(true, now)
+					p.SetLastContact(h.options.LastContact())
+				}
+				p.Tick(now)
+			})
 		}
 	}
 }
@@ -126,12 +133,8 @@
 	}
 	suspected, now := h.options.TakeoverSuspected(), time.Now()
 	h.plan.SetTakeoverSuspected(suspected)
-	// The suspicion may time out before it shows that other entries are not heard.
-	mayBeReplaced := suspected || h.options.MayBeReplaced()
-	h.plan.SetMayBeReplaced(mayBeReplaced, now)
-	if mayBeReplaced {
-		h.plan.SetLastContact(h.options.LastContact())
-	}
+	// The suspicion may time out before MayBeReplaced shows that other entries are not heard.
+	h.plan.SetMayBeReplaced(suspected, now)
 	change(h.plan, now)
 	results := h.dispatch(h.plan.Orders(), now)
 	h.mu.Unlock()
