submission: Count no pause of the process as waiting for a holder

Clients of an entry that was paused during a takeover saw 503 with most of their time left.

Cause: a job whose group has no holder is refused 1.5 s after its arrival. If the process is paused meanwhile, the first check after the pause, within 25 ms, refuses it ("no entry places its tasks"); the takeover, which was paused too, follows within some ms.

The time is a deadline of the job now, which a gap of more than 0.1 s between two checks extends. Calls that hold a check up are not counted as a pause. Jobs of a group that stays without a holder are refused as before, after 1.5 s in which the process ran.

Ruled out: isolation of the entry, whose refusals have another text.

--- a/internal/gateway/submission/submission.go
+++ b/internal/gateway/submission/submission.go
@@ -17,7 +17,8 @@
 	sweepInterval = 25 * time.Millisecond   // between checks for jobs that must be placed again
 	silenceLimit  = 250 * time.Millisecond  // time without news of a job after which its holder is polled
 	callTimeout   = 400 * time.Millisecond  // for one call to a holder
-	maxHolderWait = 1500 * time.Millisecond // how long a job waits for its group to get a holder
+	maxHolderWait = 1500 * time.Millisecond // how long a job waits for its group to get a holder; pauses of this process do not count
+	shortestPause = 4 * sweepInterval       // a longer time between two checks is a pause of this process
 	// lostGroupDelay is how long a job in a group of another zone is waited for once that group
 	// has no reachable holder: the zone is cut off, and the holder there drops the job as well.
 	lostGroupDelay = 700 * time.Millisecond
@@ -45,6 +46,7 @@
 	losses          []batch.Losses
 	lastHeard       time.Time
 	lastPolled      time.Time
+	holderDue       time.Time // when it is refused unless its group has a holder
 }
 
 // Tracker tracks the jobs that clients of this entry are waiting for. It is safe
@@ -54,6 +56,8 @@
 
 	mu   sync.Mutex
 	jobs map[string]*pendingJob
+	// sweptAt is when the last call of Sweep ended.
+	sweptAt time.Time
 }
 
 // New returns a Tracker without jobs. Run must be called to place jobs again and
@@ -123,7 +127,7 @@
 		return job, true
 	}
 	b.WaitingEntry, b.Attempt = t.options.Self, t.options.RequestNumber()
-	job := &pendingJob{batch: b, group: t.options.GroupOf(b), clients: 1, done: make(chan struct{}), lastHeard: b.ArrivedAt}
+	job := &pendingJob{batch: b, group: t.options.GroupOf(b), clients: 1, done: make(chan struct{}), lastHeard: b.ArrivedAt, holderDue: b.ArrivedAt.Add(maxHolderWait)}
 	t.jobs[b.ID] = job
 	return job, false
 }
@@ -314,6 +318,7 @@
 	silentJobs := map[GroupHolder][]string{}
 	var final []batch.Result
 	t.mu.Lock()
+	t.extendHolderWaits(now)
 	for id, job := range t.jobs {
 		if job.placing {
 			continue
@@ -326,7 +331,7 @@
 			final = append(final, batch.Result{ID: id, Attempt: job.batch.Attempt, State: batch.Unknown, Reason: reasonResultsLost})
 		case !ok && job.maybeAccepted && job.batch.SpilledOver && now.Sub(job.lastHeard) > lostGroupDelay:
 			final = append(final, batch.Result{ID: id, Attempt: job.batch.Attempt, State: batch.Unknown, Reason: reasonResultsLost})
-		case !ok && !job.maybeAccepted && now.Sub(job.batch.ArrivedAt) > maxHolderWait:
+		case !ok && !job.maybeAccepted && now.After(job.holderDue):
 			final = append(final, job.refusal(reasonNoHolder, retryDelay))
 		case !ok:
 		case !job.accepted || job.holder.ID != holder.ID || job.holder.Epoch != holder.Epoch:
@@ -348,6 +353,24 @@
 		}
 		go t.poll(ctx, holder, ids)
 	}
+	t.mu.Lock()
+	t.sweptAt = time.Now()
+	t.mu.Unlock()
+}
+
+// extendHolderWaits extends the waits for a holder by the time in which this process was paused:
+// a takeover could not go on meanwhile either. The caller holds t.mu.
+func (t *Tracker) extendHolderWaits(now time.Time) {
+	if t.sweptAt.IsZero() || now.Sub(t.sweptAt) < shortestPause {
+		return
+	}
+	for _, job := range t.jobs {
+		pausedAt := t.sweptAt
+		if job.batch.ArrivedAt.After(pausedAt) {
+			pausedAt = job.batch.ArrivedAt
+		}
+		job.holderDue = job.holderDue.Add(max(0, now.Sub(pausedAt)))
+	}
 }
 
 // poll asks a holder for the results of jobs, which also keeps the holder from
--- a/internal/gateway/submission/submission_test.go
+++ b/internal/gateway/submission/submission_test.go
@@ -263,6 +263,53 @@
 	})
 }
 
+// TestPauseIsNoWaitForAHolder pauses the process of an entry while its group has no holder. Jobs
+// were refused as soon as it resumed, just before the takeover that had been paused, too.
+func TestPauseIsNoWaitForAHolder(t *testing.T) {
+	tests := []struct {
+		name       string
+		holderAt   time.Duration // after the pause; 0 for never
+		state      batch.State
+		resultWait time.Duration // from the end of the pause
+	}{
+		{"a holder comes after the pause", 300 * time.Millisecond, batch.Completed, 300 * time.Millisecond},
+		{"no holder comes", 0, batch.Refused, maxHolderWait},
+	}
+	for _, c := range tests {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFixture()
+				done := make(chan batch.Result, 1)
+				go func() { done <- f.Submit(t.Context(), newJob(15*time.Second)) }()
+				sweep := func(duration time.Duration) {
+					for end := time.Now().Add(duration); time.Now().Before(end); time.Sleep(sweepInterval) {
+						f.Sweep(t.Context())
+					}
+				}
+				sweep(200 * time.Millisecond)
+				time.Sleep(2700 * time.Millisecond)
+				if c.holderAt > 0 {
+					sweep(c.holderAt)
+					f.setHolder(firstHolder)
+					f.Sweep(t.Context())
+					f.DeliverResults([]batch.Result{currentResult(batch.Completed)})
+				} else {
+					sweep(c.resultWait)
+				}
+				synctest.Wait()
+				select {
+				case r := <-done:
+					if r.State != c.state {
+						t.Errorf("result %+v, want %s", r, c.state)
+					}
+				default:
+					t.Errorf("no result %v after the pause, want %s", c.resultWait, c.state)
+				}
+			})
+		})
+	}
+}
+
 // TestJobIsRefusedAtOnceWhenIsolated submits a job that no holder can accept. It must wait
 // for a takeover, but not on an entry that is cut off: there waiting would only delay the
 // refusal, also while the entry still believes in its holder.
