isolation: Let no pause of the process isolate an entry

An entry that was paused while its zone had no holder counted as isolated as soon as it resumed: the second in which a holder may come had passed by the clock. It refused the jobs that no holder had accepted, though the takeover had been paused as well and needed some more ms. The other limits of the detector count heartbeats for this reason.

A gap of a second or more between two calls of the detector, one of which comes with each check of the jobs (25 ms), now extends that second, unless it had passed before. Shorter pauses count as before.

--- a/internal/gateway/isolation/detector.go
+++ b/internal/gateway/isolation/detector.go
@@ -24,6 +24,7 @@
 	heard           bool      // another entry has been heard since the last heartbeat
 	silentBeats     int       // heartbeats in a row after which no other entry was heard
 	lastReported    bool      // result of isolated in the last call of Beat
+	askedAt         time.Time // last call of Beat, Update or Isolated
 }
 
 // holderGrace is how long no holder may be known before an entry counts as isolated, unless it
@@ -68,6 +69,7 @@
 
 // update is Update with d.mu held.
 func (d *Detector) update(view View, now time.Time) (changed bool) {
+	d.extendGrace(now)
 	d.view = view
 	switch {
 	case view.HolderKnown:
@@ -88,9 +90,20 @@
 func (d *Detector) Isolated(now time.Time) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.extendGrace(now)
 	return d.isolated(now)
 }
 
+// extendGrace extends the time in which a holder may come by a pause of the process that is
+// longer than that time: a takeover could not go on meanwhile either. The caller holds d.mu.
+func (d *Detector) extendGrace(now time.Time) {
+	pause := now.Sub(d.askedAt)
+	if pause >= holderGrace && d.askedAt.Before(d.holderMissingAt) {
+		d.holderMissingAt = d.holderMissingAt.Add(pause)
+	}
+	d.askedAt = now
+}
+
 // isolated is Isolated with d.mu held.
 func (d *Detector) isolated(now time.Time) bool {
 	return !d.holderMissingAt.IsZero() && !now.Before(d.holderMissingAt) || d.othersSilent(silentLimit) && !d.view.ServesAlone
--- a/internal/gateway/isolation/detector_test.go
+++ b/internal/gateway/isolation/detector_test.go
@@ -37,6 +37,31 @@
 	}
 }
 
+// TestPauseDoesNotIsolate pauses a process while its zone has no holder. Clients were refused when it
+// resumed, before the takeover, which was paused as well, could go on.
+func TestPauseDoesNotIsolate(t *testing.T) {
+	began := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	const resumedAt = 3 * time.Second
+	var d Detector
+	d.NoteHeard()
+	d.Beat(View{HolderKnown: true}, began)
+	d.NoteHeard()
+	d.Beat(View{}, began.Add(heartbeat))
+	if d.Isolated(began.Add(resumedAt)) {
+		t.Error("isolated as soon as the process resumes")
+	}
+	isolatedAt := time.Duration(0)
+	for at := resumedAt; at < 2*resumedAt; at += heartbeat {
+		d.NoteHeard()
+		if d.Beat(View{}, began.Add(at)); isolatedAt == 0 && d.Isolated(began.Add(at)) {
+			isolatedAt = at
+		}
+	}
+	if wait := isolatedAt - resumedAt; wait < holderGrace-heartbeat || wait > holderGrace+heartbeat {
+		t.Errorf("isolated %v after the pause, want about %v", wait, holderGrace)
+	}
+}
+
 // TestSuspensionIsolatesAtOnce suspends the holder of a zone, since a worker obeys another
 // one that it does not hear. Nothing can be placed here until the partition heals, so that
 // clients must be refused without the delay that a takeover gets.
