node: Complete the list of workers for holders once it has been read again

Callers of an entry that was cut off waited for over a second after the partition, and jobs were refused then ("the work ahead of it takes longer than its client waits").

Cause: an entry that takes a group over with a list of workers that cannot be read counts it as incomplete for three seconds, fixed at the takeover. The list is mostly read again a moment later, but told that to the holder only when the list had never been confirmed before.

Which of two entries claims first after the partition differs from build to build, and with it which one waits.

TestListThatIsReadAgainDelaysNoStarts fails without the change.

--- a/internal/gateway/node/firstlist_test.go
+++ b/internal/gateway/node/firstlist_test.go
@@ -168,3 +168,34 @@
 		})
 	}
 }
+
+// TestListThatIsReadAgainDelaysNoStarts guards against a wait of seconds after a partition: an entry that
+// was cut off from the store takes a group over with its old list, and reads the registrations again a
+// moment later.
+func TestListThatIsReadAgainDelaysNoStarts(t *testing.T) {
+	n := newLargeNode(t, 1)
+	n.reconcileGroups(n.ctx)
+	n.registryState.setLoaded()
+	n.onRegistryAvailable()
+	n.onRegistryUnavailable()
+	n.claims.Merge([]election.Claim{{Group: groupName("a", 0), Epoch: 5, Holder: "e2", Incarnation: 7}})
+	n.members.Merge([]member.Record{
+		{ID: "e1", Zone: "b", PeerAddress: "127.0.0.1:1001", Incarnation: 7, Heartbeat: 1, Weight: 1},
+		{ID: "e2", Zone: "a", PeerAddress: "127.0.0.1:1002", Incarnation: 7, Heartbeat: 1, Weight: 1, Leaving: true},
+	})
+	n.isolation.NoteHeard()
+	n.reconcileGroups(n.ctx)
+	n.reconcileGroups(n.ctx)
+	h, held := n.holder(groupName("a", 0))
+	if !held {
+		t.Fatal("the group is not taken over")
+	}
+	if !h.WorkersIncomplete() {
+		t.Fatal("the holder takes a list that cannot be read for complete")
+	}
+	n.onRegistryAvailable()
+	n.reconcileGroups(n.ctx)
+	if h.WorkersIncomplete() {
+		t.Fatal("the holder reckons with further workers although the list has been read again")
+	}
+}
--- a/internal/gateway/node/groups.go
+++ b/internal/gateway/node/groups.go
@@ -222,30 +222,26 @@
 }
 
 // completeWorkers returns the fingerprint of the list of workers, or 0 if the list has not been
-// loaded or may lack live workers. If another entry confirms the list for the first time, the holders
-// of this entry no longer reckon with further workers.
+// loaded or may lack live workers. Once the list is complete, the holders of this entry no longer
+// reckon with further workers.
 func (n *Node) completeWorkers(loaded bool) uint64 {
 	if !loaded {
 		return 0
 	}
 	fingerprint := n.registry.Fingerprint()
 	n.mu.Lock()
-	before := n.workersConfirmed
-	n.workersConfirmed = before || !n.registryOutdated && n.members.ConfirmsWorkers(fingerprint)
-	confirmed := n.workersConfirmed && !before
+	n.workersConfirmed = n.workersConfirmed || !n.registryOutdated && n.members.ConfirmsWorkers(fingerprint)
 	complete := !n.workersIncompleteUntil().After(time.Now())
 	n.mu.Unlock()
-	if confirmed {
-		for group, h := range n.currentHolders() {
-			if h.WorkersIncomplete() {
-				n.log.Info("list of workers is complete", "group", group)
-				h.WorkersComplete()
-			}
-		}
-	}
 	if !complete {
 		return 0
 	}
+	for group, h := range n.currentHolders() {
+		if h.WorkersIncomplete() {
+			n.log.Info("list of workers is complete", "group", group)
+			h.WorkersComplete()
+		}
+	}
 	return fingerprint
 }
 
