--- /dev/null
+++ b/internal/gateway/node/workerlist.go
@@ -0,0 +1,101 @@
+package node
+
+import (
+	"time"
+
+	"github.com/radishgate/radishgate/internal/placement/election"
+)
+
+// reregistrationWindow is the time after a store outage within which workers whose
+// registrations lapsed during it have registered again, plus one second for the next
+// read.
+const reregistrationWindow = 3 * time.Second
+
+// workersIncompleteFor returns the time until which a holder under a claim has to reckon with live
+// workers that the registry lacks, and whether it is likely that there are none: if all entries
+// were lost, leases of an earlier holder have mostly expired by the time of the next claim. The
+// caller holds n.mu.
+func (n *Node) workersIncompleteFor(c election.Claim) (until time.Time, likelyComplete bool) {
+	return n.workersIncompleteUntil(), n.claims.IsFirst(c) && !n.firstReadFailed && !n.registryOutdated
+}
+
+// workersIncompleteUntil returns the time until which the registry may lack live workers,
+// or a time in the past if it is complete. It may be incomplete while it cannot be read: other
+// entries may know workers that have registered since. It may also be incomplete if the store may
+// have been away shortly before the first read: this entry has never seen the registrations that
+// lapsed meanwhile. It is complete once it names the same workers as the complete one of another
+// entry. The caller holds n.mu.
+func (n *Node) workersIncompleteUntil() time.Time {
+	switch {
+	case n.registryOutdated || n.registryReadAt.IsZero():
+		return time.Now().Add(reregistrationWindow)
+	case n.workersConfirmed:
+		return time.Time{}
+	case n.firstReadFailed:
+		return n.registryReadAt.Add(reregistrationWindow)
+	case n.storeAwayBefore.After(n.startedAt):
+		return n.storeAwayBefore.Add(reregistrationWindow)
+	}
+	return n.startedAt.Add(reregistrationWindow)
+}
+
+// completeWorkers returns the fingerprint of the list of workers, or 0 if the list has not been
+// loaded or may lack live workers. Once the list is complete, the holders of this entry no longer
+// reckon with further workers.
+func (n *Node) completeWorkers(loaded bool) uint64 {
+	if !loaded {
+		return 0
+	}
+	fingerprint := n.registry.Fingerprint()
+	n.mu.Lock()
+	n.workersConfirmed = n.workersConfirmed || !n.registryOutdated && n.members.ConfirmsWorkers(fingerprint)
+	complete := !n.workersIncompleteUntil().After(time.Now())
+	n.mu.Unlock()
+	if !complete {
+		return 0
+	}
+	for group, h := range n.currentHolders() {
+		if h.WorkersIncomplete() {
+			n.log.Info("list of workers is complete", "group", group)
+			h.WorkersComplete()
+		}
+	}
+	return fingerprint
+}
+
+// onRegistryRead records that the whole registry has been read.
+func (n *Node) onRegistryRead() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.registryReadAt.IsZero() {
+		n.registryReadAt, n.storeAwayBefore = time.Now(), n.storeAwayAt
+	}
+}
+
+// onRegistryUnavailable records that the registry cannot be read.
+func (n *Node) onRegistryUnavailable() {
+	n.instruments.setDependency("workers", false)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.firstReadFailed, n.registryOutdated = n.firstReadFailed || n.registryReadAt.IsZero(), true
+	n.storeAwayAt = time.Now()
+}
+
+// onRegistryAvailable records that the registry can be read again.
+func (n *Node) onRegistryAvailable() {
+	n.instruments.setDependency("workers", true)
+	n.onRegistryRead()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.registryOutdated {
+		n.registryOutdated, n.storeAwayAt = false, time.Now()
+	}
+}
+
+// onConfigurationAvailable records whether the configuration can be read.
+func (n *Node) onConfigurationAvailable(available bool) {
+	n.instruments.setDependency("configuration", available)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.storeAwayAt = time.Now()
+}
