--- a/internal/gateway/node/firstlist_test.go
+++ b/internal/gateway/node/firstlist_test.go
@@ -163,7 +163,7 @@
 			confirm(c.after)
 			n.reconcileGroups(n.ctx)
 			if waits := h.WorkersIncomplete(); waits != c.waits {
-				t.Fatalf("the holder reckons with further workers: %v, want %v", waits, c.waits)
+				t.Fatalf("the holder expects further workers: %v, want %v", waits, c.waits)
 			}
 		})
 	}
@@ -196,6 +196,6 @@
 	n.onRegistryAvailable()
 	n.reconcileGroups(n.ctx)
 	if h.WorkersIncomplete() {
-		t.Fatal("the holder reckons with further workers although the list has been read again")
+		t.Fatal("the holder expects further workers although the list has been read again")
 	}
 }
--- a/internal/gateway/node/workerlist.go
+++ b/internal/gateway/node/workerlist.go
@@ -11,10 +11,9 @@
 // read.
 const reregistrationWindow = 3 * time.Second
 
-// workersIncompleteFor returns the time until which a holder under a claim has to reckon with live
-// workers that the registry lacks, and whether it is likely that there are none: if all entries
-// were lost, leases of an earlier holder have mostly expired by the time of the next claim. The
-// caller holds n.mu.
+// workersIncompleteFor returns the time until which a holder under a claim must expect live workers
+// that the registry lacks, and whether there are most likely none: if all entries were lost, leases
+// of an earlier holder have mostly expired by the time of the next claim. The caller holds n.mu.
 func (n *Node) workersIncompleteFor(c election.Claim) (until time.Time, likelyComplete bool) {
 	return n.workersIncompleteUntil(), n.claims.IsFirst(c) && !n.firstReadFailed && !n.registryOutdated
 }
@@ -41,7 +40,7 @@
 
 // completeWorkers returns the fingerprint of the list of workers, or 0 if the list has not been
 // loaded or may lack live workers. Once the list is complete, the holders of this entry no longer
-// reckon with further workers.
+// expect further workers.
 func (n *Node) completeWorkers(loaded bool) uint64 {
 	if !loaded {
 		return 0
--- a/internal/placement/plan/plan.go
+++ b/internal/placement/plan/plan.go
@@ -1,4 +1,5 @@
-// Package plan decides which task runs on which worker. It does no I/O: callers pass in events with their times and carry out the orders it returns.
+// Package plan decides which task runs on which worker. It does no I/O: callers pass in events
+// with their times and carry out the orders it returns.
 package plan
 
 import (
--- a/internal/placement/plan/restart.go
+++ b/internal/placement/plan/restart.go
@@ -27,16 +27,6 @@
 	}
 }
 
-// runsLapsed reports whether nothing can be running on a worker that does not answer.
-func (p *Plan) runsLapsed(w *worker) bool {
-	for _, r := range w.runs {
-		if !p.runLapsed(r) {
-			return false
-		}
-	}
-	return true
-}
-
 // RestartWorker records that a worker has started again under its ID, as registered. Its runs
 // are kept until the new incarnation has accepted the fencing token and reports what it runs:
 // a start may have reached either incarnation.
