Revert "plan: Wait after the loss of all entries while runs of an earlier holder are listed"

Its price: after the loss of all entries that are back within a lease, each holder waits until 1.08 s after its takeover, since busy workers list runs of the earlier holder.

--- a/internal/gateway/node/groups.go
+++ b/internal/gateway/node/groups.go
@@ -150,13 +150,13 @@
 
 // newHolder starts the holder of a group under the given claim.
 func (n *Node) newHolder(c election.Claim) *holder.Holder {
-	incompleteUntil, likelyComplete := n.workersIncompleteFor(c)
+	incompleteUntil := n.workersIncompleteFor(c)
 	if left := time.Until(incompleteUntil); left > 0 {
-		n.log.Info("list of workers may be incomplete", "group", c.Group, "ms", left.Milliseconds(), "likely_complete", likelyComplete)
+		n.log.Info("list of workers may be incomplete", "group", c.Group, "ms", left.Milliseconds())
 	}
 	return holder.New(n.ctx, holder.Options{
 		Group: c.Group, Epoch: c.Epoch, Tokens: fence.New(fence.HolderNumber(c.Holder, c.Incarnation), c.Epoch),
-		Lease: n.settings.Lease, ClientRetryAfter: n.settings.ClientRetryAfter, WorkersIncompleteUntil: incompleteUntil, WorkersLikelyComplete: likelyComplete,
+		Lease: n.settings.Lease, ClientRetryAfter: n.settings.ClientRetryAfter, WorkersIncompleteUntil: incompleteUntil,
 		Calls: holder.WorkerCalls{Start: n.workers.Start, Stop: n.workers.Stop, Hold: n.workers.Hold},
 		Log:   n.log, OnResult: n.deliverResult, CountCall: n.instruments.countOrder,
 		TakeoverSuspected: func() bool { return n.pauseDetector.takeoverSuspected(time.Now()) },
--- a/internal/gateway/node/node_test.go
+++ b/internal/gateway/node/node_test.go
@@ -396,9 +396,9 @@
 	first := f.nodes[0]
 	claim, _ := first.claims.Holder(groupName("a", 0))
 	first.mu.Lock()
-	until, likelyComplete := first.workersIncompleteFor(claim)
+	until := first.workersIncompleteFor(claim)
 	first.mu.Unlock()
-	if until.After(time.Now()) && !likelyComplete {
+	if until.After(time.Now()) {
 		t.Fatal("the first holder waits for workers although the store answered")
 	}
 	f.store.Down.Store(true)
--- a/internal/gateway/node/workerlist.go
+++ b/internal/gateway/node/workerlist.go
@@ -12,10 +12,13 @@
 const reregistrationWindow = 3 * time.Second
 
 // workersIncompleteFor returns the time until which a holder under a claim must expect live workers
-// that the registry lacks, and whether there are most likely none: if all entries were lost, leases
-// of an earlier holder have mostly expired by the time of the next claim. The caller holds n.mu.
-func (n *Node) workersIncompleteFor(c election.Claim) (until time.Time, likelyComplete bool) {
-	return n.workersIncompleteUntil(), n.claims.IsFirst(c) && !n.firstReadFailed && !n.registryOutdated
+// that the registry lacks. If all entries were lost, leases of an earlier holder have mostly expired
+// by the time of the next claim. The caller holds n.mu.
+func (n *Node) workersIncompleteFor(c election.Claim) time.Time {
+	if n.claims.IsFirst(c) && !n.firstReadFailed && !n.registryOutdated {
+		return time.Time{}
+	}
+	return n.workersIncompleteUntil()
 }
 
 // workersIncompleteUntil returns the time until which the registry may lack live workers,
--- a/internal/placement/holder/holder.go
+++ b/internal/placement/holder/holder.go
@@ -33,11 +33,8 @@
 	// WorkersIncompleteUntil is the time until which the list of workers may lack some
 	// that are alive.
 	WorkersIncompleteUntil time.Time
-	// WorkersLikelyComplete is set if leases of an earlier holder have most likely expired, see
-	// package plan.
-	WorkersLikelyComplete bool
-	Calls                 WorkerCalls
-	Log                   *slog.Logger
+	Calls                  WorkerCalls
+	Log                    *slog.Logger
 	// OnResult receives the result of each job.
 	OnResult func(b *batch.Batch, r batch.Result)
 	// OnConflict is called when a worker obeys another holder. It reports whether
@@ -91,7 +88,6 @@
 		options: options, sessions: map[string]*session{}, ended: map[string]endedWorker{},
 		plan: plan.New(plan.Options{
 			Lease: options.Lease, ClientRetryAfter: options.ClientRetryAfter, WorkersIncompleteUntil: options.WorkersIncompleteUntil,
-			WorkersLikelyComplete: options.WorkersLikelyComplete,
 		}, now),
 	}
 	h.ctx, h.cancel = context.WithCancel(ctx)
--- a/internal/placement/plan/plan.go
+++ b/internal/placement/plan/plan.go
@@ -72,9 +72,6 @@
 	// WorkersIncompleteUntil is the time until which the list of workers may lack some that
 	// are alive.
 	WorkersIncompleteUntil time.Time
-	// WorkersLikelyComplete restricts WorkersIncompleteUntil to the case that a worker lists a run
-	// that an earlier holder has started.
-	WorkersLikelyComplete bool
 }
 
 // Defaults of options that are zero.
@@ -120,8 +117,6 @@
 	// otherLeasesEnd is the time by which every lease that another holder may have granted
 	// has expired.
 	otherLeasesEnd time.Time
-	// earlierRunListed reports whether a worker has listed a run that this holder did not expect.
-	earlierRunListed bool
 	// replacementEnd is the time by which leases have expired that another holder, which may have
 	// taken over on the other side of a partition, may have renewed.
 	replacementEnd time.Time
@@ -270,7 +265,7 @@
 // WorkersIncomplete reports whether the list of workers may lack some on which runs of an earlier
 // holder go on.
 func (p *Plan) WorkersIncomplete(now time.Time) bool {
-	return now.Before(p.options.WorkersIncompleteUntil) && (p.earlierRunListed || !p.options.WorkersLikelyComplete)
+	return now.Before(p.options.WorkersIncompleteUntil)
 }
 
 // WorkersComplete records that the list of workers lacks none that is alive.
--- a/internal/placement/plan/report.go
+++ b/internal/placement/plan/report.go
@@ -116,7 +116,6 @@
 func (p *Plan) addUnaccountedRun(w *worker, key runKey, percent int) {
 	r := &run{runKey: key, worker: w, phase: unaccounted, resources: resources.Resources{}, sentAt: p.now, startedAt: p.now, percent: percent}
 	p.addRun(r)
-	p.earlierRunListed = true
 	p.unaccountedRuns[key.task] = append(p.unaccountedRuns[key.task], r)
 	p.matchRun(r)
 }
--- a/internal/trial/history/entry_test.go
+++ b/internal/trial/history/entry_test.go
@@ -377,13 +377,15 @@
 	started := isHolder && e.holder == nil && e.ctx.Err() == nil
 	if started {
 		incompleteUntil := e.workersIncompleteUntil()
-		allLost := e.claims.IsFirst(c) && !e.firstReadFailed && !e.registryOutdated
+		if e.claims.IsFirst(c) && !e.firstReadFailed && !e.registryOutdated {
+			incompleteUntil = time.Time{}
+		}
 		if left := time.Until(incompleteUntil); left > 0 {
-			e.log(e.id).Info("list of workers may be incomplete", "ms", left.Milliseconds(), "likely_complete", allLost)
+			e.log(e.id).Info("list of workers may be incomplete", "ms", left.Milliseconds())
 		}
 		e.holder = holder.New(e.ctx, holder.Options{
 			Group: group, Epoch: c.Epoch, Tokens: fence.New(fence.HolderNumber(c.Holder, c.Incarnation), c.Epoch),
-			Lease: leaseDuration, ClientRetryAfter: resendAfter, WorkersIncompleteUntil: incompleteUntil, WorkersLikelyComplete: allLost,
+			Lease: leaseDuration, ClientRetryAfter: resendAfter, WorkersIncompleteUntil: incompleteUntil,
 			Calls: holder.WorkerCalls{Start: e.workerClient.Start, Stop: e.workerClient.Stop, Hold: e.workerClient.Hold},
 			Log:   e.log(e.id), OnResult: e.deliverResult, CountCall: func(string) {},
 			MayBeReplaced: e.mayBeReplaced, LastContact: e.lastContact, TakeoverSuspected: e.takeoverSuspected,
--- a/internal/trial/history/rolling_test.go
+++ b/internal/trial/history/rolling_test.go
@@ -74,7 +74,7 @@
 	w.calm.Store(true)
 	clients.Wait()
 	takeovers := strings.Count(w.matchingLogLines("group taken"), "\n") - 1
-	incomplete := strings.Count(w.matchingLogLines("likely_complete=false"), "\n")
+	incomplete := strings.Count(w.matchingLogLines("list of workers may be incomplete"), "\n")
 	t.Logf("%d takeovers, %d with an incomplete list; %d of %d jobs completed, %d after more than 1 s, mean %d ms, slowest %d ms",
 		takeovers, incomplete, completed, jobs, late, (sum / time.Duration(jobs)).Milliseconds(), slowest.Milliseconds())
 	if takeovers == 0 || incomplete > 0 {
