holder: One set-up for the tests of odd addresses in registrations

TestOddRegistrationKeepsRuns and TestOddAddressEndsNoContact each wrapped the holds of their bench in the same way. Tests only, their checks are unchanged; go test -race -count=2 ./internal/placement/holder passes.

--- a/internal/placement/holder/odd_test.go
+++ b/internal/placement/holder/odd_test.go
@@ -27,15 +27,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				ctx, cancel := context.WithCancel(t.Context())
-				b := newChangedBench(ctx, func(o *Options) {
-					hold := o.Calls.Hold
-					o.Calls.Hold = func(ctx context.Context, to platform.Target, request platform.HoldRequest) (platform.Report, error) {
-						if to.ID != to.Address {
-							return platform.Report{Verdict: platform.OtherIncarnation}, nil
-						}
-						return hold(ctx, to, request)
-					}
-				})
+				b := newChangedBench(ctx, rejectOddAddresses)
 				b.workers["w1"].runtime = 400 * time.Millisecond
 				b.admit()
 				time.Sleep(20 * time.Millisecond)
@@ -76,3 +68,15 @@
 		h.Wait()
 	})
 }
+
+// rejectOddAddresses lets a worker of the bench answer a hold for another worker that it is not
+// meant. The address of each worker is its ID.
+func rejectOddAddresses(o *Options) {
+	hold := o.Calls.Hold
+	o.Calls.Hold = func(ctx context.Context, to platform.Target, request platform.HoldRequest) (platform.Report, error) {
+		if to.ID != to.Address {
+			return platform.Report{Verdict: platform.OtherIncarnation}, nil
+		}
+		return hold(ctx, to, request)
+	}
+}
--- a/internal/placement/holder/oddaddress_test.go
+++ b/internal/placement/holder/oddaddress_test.go
@@ -28,15 +28,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				ctx, cancel := context.WithCancel(t.Context())
-				b := newChangedBench(ctx, func(o *Options) {
-					hold := o.Calls.Hold
-					o.Calls.Hold = func(ctx context.Context, to platform.Target, request platform.HoldRequest) (platform.Report, error) {
-						if to.ID != to.Address {
-							return platform.Report{Verdict: platform.OtherIncarnation}, nil
-						}
-						return hold(ctx, to, request)
-					}
-				})
+				b := newChangedBench(ctx, rejectOddAddresses)
 				b.workers["w1"].runtime = 3 * time.Second
 				b.jobs++
 				b.Admit(oneTask(fmt.Sprintf("%016x", b.jobs), 3*time.Second), nil)
