feed, platform: Log each failed attempt to read a topic of the store

Each of the first 20 failures has a line now, with the time that it took, whether its connection had been open before, and when the next attempt begins; the line of the return says how long the outage was. Nothing else changes.

--- a/internal/gateway/feed/follower.go
+++ b/internal/gateway/feed/follower.go
@@ -44,8 +44,9 @@
 	OnDisabled     func()
 	Log            *slog.Logger
 
-	offset      int64 // of the next record to read; negative if Reset must come first
-	failures    int   // consecutive failed reads
+	offset      int64     // of the next record to read; negative if Reset must come first
+	failures    int       // consecutive failed reads
+	failedAt    time.Time // first of these failures
 	truncations int   // losses of history without a read of records in between
 	hasRead     bool  // whether a read has succeeded since reading was enabled
 }
@@ -68,8 +69,9 @@
 			}
 			continue
 		}
+		startedAt := time.Now()
 		if err := f.readOnce(ctx); err != nil {
-			f.handleFailure(ctx, err)
+			f.handleFailure(ctx, startedAt, err)
 			continue
 		}
 		f.recordSuccess()
@@ -93,7 +95,7 @@
 		return
 	}
 	if f.failures > 0 {
-		f.Log.Info("topic can be read again", "topic", f.Name, "missed", f.failures)
+		f.Log.Info("topic can be read again", "topic", f.Name, "missed", f.failures, "ms", time.Since(f.failedAt).Milliseconds())
 	}
 	f.hasRead, f.failures = true, 0
 	f.OnAvailable()
@@ -139,16 +141,25 @@
 	return nil
 }
 
+// maxLoggedFailures is the number of consecutive failures of which each is logged.
+const maxLoggedFailures = 20
+
 // handleFailure calls OnUnavailable after the first of a series of failures and
 // waits before the next read.
-func (f *Follower) handleFailure(ctx context.Context, err error) {
+func (f *Follower) handleFailure(ctx context.Context, startedAt time.Time, err error) {
 	if ctx.Err() != nil {
 		return
 	}
-	f.failures++
+	delay := min(maxRetryDelay, minRetryDelay<<min(f.failures, 4))
+	if f.failures++; f.failures <= maxLoggedFailures {
+		var call *platform.Error
+		reused := errors.As(err, &call) && call.Reused
+		f.Log.Warn("topic cannot be read", "topic", f.Name, "failures", f.failures, "ms", time.Since(startedAt).Milliseconds(),
+			"reused", reused, "retry_ms", delay.Milliseconds(), "error", err)
+	}
 	if f.failures == 1 {
-		f.Log.Warn("topic cannot be read", "topic", f.Name, "error", err)
+		f.failedAt = time.Now()
 		f.OnUnavailable()
 	}
-	wait.For(ctx, min(maxRetryDelay, minRetryDelay<<min(f.failures-1, 4)))
+	wait.For(ctx, delay)
 }
