feed: Read the store again while an attempt is not answered

What callers saw: 404 for a route more than two seconds after the operators got its configuration confirmed. Cause: the limit of an attempt to read grew with each failure up to 3.3 s, and the pause after it up to 0.8 s. An attempt that began just before a silent store answered again was awaited to its end, so that records were read up to 4.0 s after the return. That the limit grows is needed for a slow store, and was never held against the two seconds within which a configuration must be in force, or a draining worker get nothing more.

An attempt that is not answered in the usual time goes on now, while another one begins beside it every 0.5 s, over a new connection. Whichever is answered first counts. Retries don't wait for new records.

Ruled out: shorter limits without overlap, which a slow store would never meet.

--- a/internal/gateway/feed/follower.go
+++ b/internal/gateway/feed/follower.go
@@ -6,17 +6,20 @@
 	"context"
 	"errors"
 	"log/slog"
+	"sync"
 	"time"
 
 	"github.com/radishgate/radishgate/common/wait"
 	"github.com/radishgate/radishgate/platform"
 )
 
-// Time limits and retry delays of reads.
+// Time limits and retry delays of reads. After an outage of the store the next read begins
+// within the larger one of answerTimeout and maxRetryDelay, whatever has failed before.
 const (
-	answerTimeout = 500 * time.Millisecond // for a response, in addition to Wait; the store needs a few milliseconds
-	minRetryDelay = 100 * time.Millisecond
-	maxRetryDelay = 800 * time.Millisecond
+	answerTimeout    = 500 * time.Millisecond  // for a response, in addition to Wait, until another read begins beside; the store needs a few milliseconds
+	maxAnswerTimeout = 2500 * time.Millisecond // for a response, in addition to Wait; the store may be slow
+	minRetryDelay    = 100 * time.Millisecond
+	maxRetryDelay    = 800 * time.Millisecond
 )
 
 // Follower reads one topic. It passes the newest record of every key to Reset and
@@ -47,12 +50,14 @@
 	offset      int64     // of the next record to read; negative if Reset must come first
 	failures    int       // consecutive failed reads
 	failedAt    time.Time // first of these failures
-	truncations int   // losses of history without a read of records in between
-	hasRead     bool  // whether a read has succeeded since reading was enabled
+	attempts    sync.WaitGroup
+	truncations int  // losses of history without a read of records in between
+	hasRead     bool // whether a read has succeeded since reading was enabled
 }
 
 // Run follows the topic until the context ends.
 func (f *Follower) Run(ctx context.Context) {
+	defer f.attempts.Wait()
 	f.offset = -1
 	for ctx.Err() == nil {
 		select {
@@ -69,11 +74,12 @@
 			}
 			continue
 		}
-		startedAt := time.Now()
-		if err := f.readOnce(ctx); err != nil {
-			f.handleFailure(ctx, startedAt, err)
+		r, answered := f.read(ctx)
+		if !answered {
+			f.offset = -1 // Enabled has changed, or the context has ended
 			continue
 		}
+		f.deliver(r)
 		f.recordSuccess()
 		wait.For(ctx, max(f.ReadDelay, f.truncationDelay()))
 	}
@@ -101,56 +107,43 @@
 	f.OnAvailable()
 }
 
-// readOnce reads either the newest record of every key or the next records. Its
-// timeout grows with the number of consecutive failures.
-func (f *Follower) readOnce(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, f.Wait+answerTimeout*time.Duration(1+min(f.failures, 4)))
-	defer cancel()
-	if f.offset < 0 {
-		records, end, err := f.Feed.Newest(ctx)
-		var incomplete *platform.IncompleteError
-		switch {
-		case errors.As(err, &incomplete):
-			// Later records bring the rest, since what is alive publishes again.
-			f.Log.Warn("topic can be read only in part", "topic", f.Name, "records", len(records), "error", err)
-			f.OnUnavailable()
-			f.hasRead = false // for OnAvailable
-		case err != nil:
-			return err
-		}
-		f.Reset(records)
-		f.offset = end
-		return nil
-	}
-	records, next, err := f.Feed.Read(ctx, f.offset, f.Wait)
+// deliver passes the records of an answer to Reset or Apply.
+func (f *Follower) deliver(r reply) {
 	var truncated *platform.TruncatedError
-	if errors.As(err, &truncated) {
+	var incomplete *platform.IncompleteError
+	switch {
+	case errors.As(r.err, &truncated):
 		if f.truncations++; f.truncations <= 2 {
 			f.Log.Info("history of topic is gone", "topic", f.Name, "offset", f.offset, "times", f.truncations)
 		}
 		f.offset = -1
-		return nil
-	}
-	if err != nil {
-		return err
-	}
-	f.offset, f.truncations = next, 0
-	if len(records) > 0 {
-		f.Apply(records)
+	case f.offset < 0:
+		if errors.As(r.err, &incomplete) {
+			// Later records bring the rest, since what is alive publishes again.
+			f.Log.Warn("topic can be read only in part", "topic", f.Name, "records", len(r.records), "error", r.err)
+			f.OnUnavailable()
+			f.hasRead = false // for OnAvailable
+		}
+		f.Reset(r.records)
+		f.offset = r.next
+	default:
+		f.offset, f.truncations = r.next, 0
+		if len(r.records) > 0 {
+			f.Apply(r.records)
+		}
 	}
-	return nil
 }
 
 // maxLoggedFailures is the number of consecutive failures of which each is logged.
 const maxLoggedFailures = 20
 
-// handleFailure calls OnUnavailable after the first of a series of failures and
-// waits before the next read.
-func (f *Follower) handleFailure(ctx context.Context, startedAt time.Time, err error) {
-	if ctx.Err() != nil {
-		return
-	}
+// recordFailure calls OnUnavailable after the first of a series of failures. It returns the
+// time to wait before the next read.
+func (f *Follower) recordFailure(startedAt time.Time, err error) time.Duration {
 	delay := min(maxRetryDelay, minRetryDelay<<min(f.failures, 4))
+	if errors.As(err, new(unansweredError)) {
+		delay = 0
+	}
 	if f.failures++; f.failures <= maxLoggedFailures {
 		var call *platform.Error
 		reused := errors.As(err, &call) && call.Reused
@@ -161,5 +154,5 @@
 		f.failedAt = time.Now()
 		f.OnUnavailable()
 	}
-	wait.For(ctx, delay)
+	return delay
 }
--- a/internal/gateway/feed/follower_test.go
+++ b/internal/gateway/feed/follower_test.go
@@ -107,7 +107,8 @@
 		Name: "workers", ReadDelay: readDelay, Log: slog.New(slog.NewTextHandler(io.Discard, nil)),
 		EnabledChanged: changed, Enabled: func() bool { c.enabled.Add(1); return enabled() },
 		Feed: platform.Feed{
-			Newest: func(context.Context) ([]platform.KeyedRecord, int64, error) { c.newest.Add(1); return nil, 7, nil },
+			Reconnect: func() {},
+			Newest:    func(context.Context) ([]platform.KeyedRecord, int64, error) { c.newest.Add(1); return nil, 7, nil },
 			Read: func(_ context.Context, from int64, _ time.Duration) ([]platform.KeyedRecord, int64, error) {
 				c.reads.Add(1)
 				return nil, from, nil
--- a/internal/gateway/feed/log_test.go
+++ b/internal/gateway/feed/log_test.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -20,9 +21,10 @@
 		var lines strings.Builder
 		f, _ := newIdleFollower(time.Second, nil, func() bool { return true })
 		f.Log = slog.New(slog.NewTextHandler(&lines, nil))
-		failing := true
+		var failing atomic.Bool
+		failing.Store(true)
 		f.Feed.Newest = func(context.Context) ([]platform.KeyedRecord, int64, error) {
-			if failing {
+			if failing.Load() {
 				return nil, 0, &platform.Error{Call: "store", Status: 503, Reused: true}
 			}
 			return nil, 7, nil
@@ -31,7 +33,7 @@
 		done.Go(func() { f.Run(ctx) })
 		time.Sleep(time.Minute)
 		synctest.Wait()
-		failing = false
+		failing.Store(false)
 		time.Sleep(2 * time.Second)
 		cancel()
 		done.Wait()
--- a/internal/gateway/feed/silent_test.go
+++ b/internal/gateway/feed/silent_test.go
@@ -55,6 +55,7 @@
 
 func (s *outageStore) feed() platform.Feed {
 	return platform.Feed{
+		Reconnect: func() {},
 		Newest: func(ctx context.Context) ([]platform.KeyedRecord, int64, error) {
 			if err := s.call(ctx); err != nil {
 				return nil, 0, err
--- a/internal/gateway/feed/truncated_test.go
+++ b/internal/gateway/feed/truncated_test.go
@@ -24,6 +24,7 @@
 			Reset: func([]platform.KeyedRecord) { resets++ }, Apply: func([]platform.KeyedRecord) {},
 			OnUnavailable: func() {}, OnAvailable: func() {},
 			Feed: platform.Feed{
+				Reconnect: func() {},
 				Newest: func(context.Context) ([]platform.KeyedRecord, int64, error) {
 					lists++
 					if lists > 1000 {
