--- a/standin/proxy/proxy.go
+++ b/standin/proxy/proxy.go
@@ -31,6 +31,7 @@
 	listener net.Listener
 	target   string
 	fault    atomic.Int32
+	silences atomic.Int64 // calls of SilenceOpenConnections
 
 	mu          sync.Mutex
 	connections map[net.Conn]bool
@@ -61,6 +62,10 @@
 	}
 }
 
+// SilenceOpenConnections drops all further bytes of the connections that are open. It neither
+// closes nor resets them, and new connections work.
+func (p *Proxy) SilenceOpenConnections() { p.silences.Add(1) }
+
 // ResetConnections resets all open connections to clients and to the server.
 func (p *Proxy) ResetConnections() {
 	p.mu.Lock()
@@ -124,15 +129,17 @@
 		return
 	}
 	defer p.closeTracked(server)
+	silences := p.silences.Load()
+	silent := func() bool { return p.silences.Load() != silences }
 	ended := make(chan struct{}, 2)
-	go p.copyOneWay(client, server, DropToServer, ended)
-	go p.copyOneWay(server, client, DropToClient, ended)
+	go p.copyOneWay(client, server, DropToServer, silent, ended)
+	go p.copyOneWay(server, client, DropToClient, silent, ended)
 	<-ended
 }
 
 // copyOneWay copies bytes from one connection to the other until either fails.
 // Once it has dropped bytes it drops the rest of the stream too.
-func (p *Proxy) copyOneWay(from, to net.Conn, dropFault Fault, ended chan<- struct{}) {
+func (p *Proxy) copyOneWay(from, to net.Conn, dropFault Fault, silent func() bool, ended chan<- struct{}) {
 	defer func() { ended <- struct{}{} }()
 	buffer := make([]byte, 32<<10)
 	dropping := false
@@ -142,7 +149,7 @@
 			return
 		}
 		f := Fault(p.fault.Load())
-		dropping = dropping || f == dropFault || f == DropAll
+		dropping = dropping || silent() || f == dropFault || f == DropAll
 		if dropping {
 			continue
 		}
