feed, node: Get the operators' records again after a partial list

A list of newest records can end before it is complete (IncompleteError). The reader then read on from the end, since what is alive publishes again; that holds for workers, not for the operators. A configuration missing from the part stayed unknown until the next change, for a process that had just started perhaps for good. The workers are read as before.

--- a/internal/gateway/feed/attempts.go
+++ b/internal/gateway/feed/attempts.go
@@ -38,6 +38,9 @@
 	defer cancel()
 	replies := make(chan reply)
 	attempt, startedAt, poll := 0, time.Time{}, f.Wait
+	if !f.relistAt.IsZero() {
+		poll = max(0, min(poll, time.Until(f.relistAt)))
+	}
 	start := func() time.Duration {
 		attempt++
 		startedAt = time.Now()
--- a/internal/gateway/feed/follower.go
+++ b/internal/gateway/feed/follower.go
@@ -38,6 +38,9 @@
 	// the first one that follows OnUnavailable.
 	OnUnavailable func()
 	OnAvailable   func()
+	// Relist makes the follower get the newest records again until it has got all of them. It
+	// is for topics whose records are not published again by themselves.
+	Relist bool
 	// Enabled reports whether to read the topic; nil means always. EnabledChanged
 	// receives a value after each change of Enabled. After a change the follower starts
 	// over with Reset, even if Enabled was false too briefly to be noticed. OnDisabled
@@ -50,6 +53,7 @@
 	offset      int64     // of the next record to read; negative if Reset must come first
 	failures    int       // consecutive failed reads
 	failedAt    time.Time // first of these failures
+	relistAt    time.Time // when to get the newest records again, zero if the last list was complete
 	attempts    sync.WaitGroup
 	truncations int  // losses of history without a read of records in between
 	hasRead     bool // whether a read has succeeded since reading was enabled
@@ -74,6 +78,9 @@
 			}
 			continue
 		}
+		if !f.relistAt.IsZero() && !time.Now().Before(f.relistAt) {
+			f.offset = -1
+		}
 		r, answered := f.read(ctx)
 		if !answered {
 			f.offset = -1 // Enabled has changed, or the context has ended
@@ -118,12 +125,17 @@
 		}
 		f.offset = -1
 	case f.offset < 0:
-		if errors.As(r.err, &incomplete) {
-			// Later records bring the rest, since what is alive publishes again.
+		partial := errors.As(r.err, &incomplete)
+		if partial && f.relistAt.IsZero() {
+			// Unless Relist is set, later records bring the rest.
 			f.Log.Warn("topic can be read only in part", "topic", f.Name, "records", len(r.records), "error", r.err)
 			f.OnUnavailable()
 			f.hasRead = false // for OnAvailable
 		}
+		f.relistAt = time.Time{}
+		if partial && f.Relist {
+			f.relistAt = time.Now().Add(maxRetryDelay)
+		}
 		f.Reset(r.records)
 		f.offset = r.next
 	default:
--- a/internal/gateway/node/node.go
+++ b/internal/gateway/node/node.go
@@ -157,7 +157,7 @@
 func (n *Node) followers() []*feed.Follower {
 	return []*feed.Follower{
 		{
-			Name: "configuration", Feed: n.store.OperatorFeed(), Wait: configurationPollTimeout, Log: n.log,
+			Name: "configuration", Feed: n.store.OperatorFeed(), Wait: configurationPollTimeout, Relist: true, Log: n.log,
 			Reset: n.applyConfiguration, Apply: n.applyConfiguration,
 			OnUnavailable: func() { n.onConfigurationAvailable(false) },
 			OnAvailable:   func() { n.onConfigurationAvailable(true) },
