submission: Refuse a job in the step that finds that it was not sent

Both now check that nothing was sent, and end the job, under one lock. If the job was sent meanwhile, Submit waits for its result like for any other job.

--- a/internal/gateway/submission/submission.go
+++ b/internal/gateway/submission/submission.go
@@ -87,7 +87,7 @@
 	switch {
 	case joined:
 	case t.options.Isolated():
-		t.DeliverResults([]batch.Result{job.refusal(reasonIsolated, isolatedRetryDelay)})
+		t.refuseUnlessSent(job, reasonIsolated, isolatedRetryDelay)
 	default:
 		t.place(context.WithoutCancel(ctx), job)
 	}
@@ -105,18 +105,6 @@
 	return job.result
 }
 
-// Reasons for results that this entry decides without a holder.
-const (
-	reasonNoHolder    = "no entry places its tasks"
-	reasonIsolated    = "this entry reaches no other one"
-	reasonResultsLost = "the entry that places its tasks cannot be reached"
-)
-
-// refusal returns the result for a job that no holder has accepted.
-func (j *pendingJob) refusal(reason string, retryDelay time.Duration) batch.Result {
-	return batch.Result{ID: j.batch.ID, Attempt: j.batch.Attempt, State: batch.Refused, Reason: reason, RetryAt: time.Now().Add(retryDelay)}
-}
-
 // join adds a client to the pending job with the ID of b, or adds b as a new job.
 // It reports whether the job was already pending.
 func (t *Tracker) join(b *batch.Batch) (*pendingJob, bool) {
@@ -132,17 +120,6 @@
 	return job, false
 }
 
-// expiredResult returns the result of a job whose deadline has passed. It is
-// unknown if a holder may have started the job, and otherwise a refusal.
-func (t *Tracker) expiredResult(job *pendingJob) batch.Result {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if job.maybeAccepted {
-		return batch.Result{ID: job.batch.ID, State: batch.Unknown, Reason: "its client's time is over"}
-	}
-	return batch.Result{ID: job.batch.ID, State: batch.Refused, RetryAt: time.Now().Add(retryDelay)}
-}
-
 // removeClient removes one client from a job. When the last client leaves, the job
 // is cancelled and withdrawn from its holder.
 func (t *Tracker) removeClient(job *pendingJob, reason string) {
@@ -275,10 +252,7 @@
 			job.accepted = false
 			job.completedTasks = append(job.completedTasks, r.CompletedTasks...)
 		case r.State.Ended():
-			delete(t.jobs, r.ID)
-			job.result = r
-			close(job.done)
-			t.options.OnEnd(job.batch, r, job.tries)
+			t.end(job, r)
 		}
 		t.mu.Unlock()
 	}
@@ -316,9 +290,10 @@
 	now, isolated, resultsLost := time.Now(), t.options.Isolated(), t.options.ResultsLost()
 	var unplaced []*pendingJob
 	silentJobs := map[GroupHolder][]string{}
-	var final []batch.Result
 	t.mu.Lock()
 	t.extendHolderWaits(now)
+	// A job is ended under the lock under which it was found not to be sent, so that no holder
+	// gets it in between.
 	for id, job := range t.jobs {
 		if job.placing {
 			continue
@@ -326,13 +301,13 @@
 		holder, ok := t.options.FindHolder(job.group)
 		switch {
 		case isolated && !job.maybeAccepted:
-			final = append(final, job.refusal(reasonIsolated, isolatedRetryDelay))
+			t.end(job, job.refusal(reasonIsolated, isolatedRetryDelay))
 		case resultsLost && job.maybeAccepted && !job.holder.Local:
-			final = append(final, batch.Result{ID: id, Attempt: job.batch.Attempt, State: batch.Unknown, Reason: reasonResultsLost})
+			t.end(job, job.lost())
 		case !ok && job.maybeAccepted && job.batch.SpilledOver && now.Sub(job.lastHeard) > lostGroupDelay:
-			final = append(final, batch.Result{ID: id, Attempt: job.batch.Attempt, State: batch.Unknown, Reason: reasonResultsLost})
+			t.end(job, job.lost())
 		case !ok && !job.maybeAccepted && now.After(job.holderDue):
-			final = append(final, job.refusal(reasonNoHolder, retryDelay))
+			t.end(job, job.refusal(reasonNoHolder, retryDelay))
 		case !ok:
 		case !job.accepted || job.holder.ID != holder.ID || job.holder.Epoch != holder.Epoch:
 			unplaced = append(unplaced, job)
@@ -342,7 +317,6 @@
 		}
 	}
 	t.mu.Unlock()
-	t.DeliverResults(final)
 	for _, job := range unplaced {
 		t.place(ctx, job)
 	}
