--- a/internal/trial/soak/soak_test.go
+++ b/internal/trial/soak/soak_test.go
@@ -60,6 +60,7 @@
 	storeProxy    *proxy.Proxy
 	ended         chan struct{} // closed once the process has exited
 	down          bool
+	faults        faultHistory
 }
 
 // soak is the state of the run with one seed.
@@ -84,10 +85,7 @@
 // that have started, jobs wrongly reported as completed, and entries that no longer
 // serve jobs after the faults.
 func TestSoak(t *testing.T) {
-	binary := filepath.Join(t.TempDir(), "radishgate")
-	if out, err := exec.Command("go", "build", "-o", binary, "../../..").CombinedOutput(); err != nil {
-		t.Fatalf("building the program failed: %v: %s", err, out)
-	}
+	binary := buildProgram(t)
 	run := func(seed uint64, cause string) {
 		t.Run(fmt.Sprintf("seed %d %s", seed, cause), func(t *testing.T) { newSoak(t, binary, seed).run() })
 	}
@@ -99,6 +97,15 @@
 	}
 }
 
+// buildProgram builds the program and returns the path of its binary.
+func buildProgram(t *testing.T) string {
+	binary := filepath.Join(t.TempDir(), "radishgate")
+	if out, err := exec.Command("go", "build", "-o", binary, "../../..").CombinedOutput(); err != nil {
+		t.Fatalf("building the program failed: %v: %s", err, out)
+	}
+	return binary
+}
+
 func newSoak(t *testing.T, binary string, seed uint64) *soak {
 	s := &soak{
 		t: t, random: rand.New(rand.NewPCG(seed, 1)), binary: binary, dir: t.TempDir(),
@@ -112,7 +119,7 @@
 	}
 	store := httptest.NewServer(s.store)
 	t.Cleanup(store.Close)
-	s.store.Put("keyed.op", "config", []byte(`{"version":1,"routes":[{"name":"hold","host":"hold.example","path-prefix":"/hold/","slo-ms":60,"backend":"listing","max-attempts":3,"slack-factor":1.6}],"services":[{"name":"listing"}]}`))
+	s.store.Put("keyed.op", "config", []byte(configuration(1)))
 	for i := range workerCount {
 		s.addWorker(fmt.Sprintf("w%d", i), zoneName(i), seed+uint64(i))
 	}
@@ -288,6 +295,11 @@
 	if len(overlapping)+len(overloaded) > 0 {
 		s.recordViolation("tasks with concurrent runs: %v; overloaded workers: %v; want none", overlapping, overloaded)
 	}
+	s.report()
+}
+
+// report fails the test if there were violations, and logs the events then.
+func (s *soak) report() {
 	for _, line := range s.violations {
 		s.t.Error(line)
 	}
