node, registry: Doubt the list of a group whose holder may keep a forgotten worker

A worker that is cut off from the store, but not from its holder, loses its registration. The holder keeps it, since it answers; the successors forgot it after 2.5 s and counted their lists as complete. After a takeover a job that was sent again through another entry could start beside its run.

An entry that forgets a worker of a group that another entry holds now doubts its list for that group, until the holder is heard to have the same complete list, which it has as soon as it has given the worker up too. If the entry takes the group over before, new jobs wait for the earlier leases, as after an incomplete first list. The holder's own list is not doubted: it knows that the worker does not answer and renews no lease of it.

Ruled out: counting the lists of all successors as incomplete, which costs a wait in every takeover. The doubt is kept by group, since holders of two groups that each lose a worker would otherwise never confirm each other.

Suspected and open: an entry that only begins to read the registrations after one has lapsed does not know that it is missing.

--- a/internal/gateway/node/node.go
+++ b/internal/gateway/node/node.go
@@ -84,6 +84,8 @@
 	// workersConfirmed reports whether an entry with a complete list of workers has had the same
 	// one as this entry since it began to read the registry.
 	workersConfirmed bool
+	// doubtedGroups are the groups for which the list of workers lacks one that may be alive.
+	doubtedGroups doubtedGroups
 	// storeAwayAt is when reads of the store last failed or worked again, storeAwayBefore its value
 	// when the registry was first read.
 	storeAwayAt, storeAwayBefore time.Time
@@ -104,6 +106,7 @@
 		contacts:      newContacts(options.Log),
 		registryState: registryState{changed: make(chan struct{}, 1)},
 		pauseDetector: pauseDetector{threshold: suspectHeartbeats * s.HeartbeatInterval},
+		doubtedGroups: doubtedGroups{},
 		freeSlots:     freeSlotsTable{groups: map[string]groupFreeSlots{}},
 	}
 	n.ctx, n.cancel = context.WithCancel(context.Background())
@@ -227,9 +230,13 @@
 	gone := n.registry.Expire(n.workerAnswers, time.Now())
 	live := n.registry.Live()
 	holders := n.currentHolders()
-	for _, h := range holders {
-		for _, id := range gone {
-			h.RemoveWorker(id, "its registration has gone")
+	for _, r := range gone {
+		group := n.groupOfWorker(r)
+		if _, held := holders[group]; !held {
+			n.doubtWorkers(group, r.ID)
+		}
+		for _, h := range holders {
+			h.RemoveWorker(r.ID, "its registration has gone")
 		}
 	}
 	for _, r := range live {
--- a/internal/gateway/node/workerlist.go
+++ b/internal/gateway/node/workerlist.go
@@ -1,9 +1,11 @@
 package node
 
 import (
+	"maps"
 	"time"
 
 	"github.com/radishgate/radishgate/internal/placement/election"
+	"github.com/radishgate/radishgate/member"
 )
 
 // reregistrationWindow is the time after a store outage within which workers whose
@@ -18,16 +20,32 @@
 	if n.claims.IsFirst(c) && !n.firstReadFailed && !n.registryOutdated {
 		return time.Time{}
 	}
-	return n.workersIncompleteUntil()
+	until := n.firstListIncompleteUntil()
+	if doubt := n.doubtedGroups.takeOver(c.Group, time.Now()); doubt.After(until) {
+		until = doubt
+	}
+	return until
+}
+
+// workersIncompleteUntil returns the time until which the registry may lack live workers of the own
+// zone, or a time in the past if it is complete. The caller holds n.mu.
+func (n *Node) workersIncompleteUntil() time.Time {
+	until := n.firstListIncompleteUntil()
+	for i := range n.settings.Groups {
+		if doubt := n.doubtedGroups.until(groupName(n.settings.Zone, i), time.Now()); doubt.After(until) {
+			until = doubt
+		}
+	}
+	return until
 }
 
-// workersIncompleteUntil returns the time until which the registry may lack live workers,
-// or a time in the past if it is complete. It may be incomplete while it cannot be read: other
+// firstListIncompleteUntil returns the time until which the registry may lack live workers since
+// this entry began to read it, or a time in the past. It may be incomplete while it cannot be read: other
 // entries may know workers that have registered since. It may also be incomplete if the store may
 // have been away shortly before the first read: this entry has never seen the registrations that
 // lapsed meanwhile. It is complete once it names the same workers as the complete one of another
 // entry. The caller holds n.mu.
-func (n *Node) workersIncompleteUntil() time.Time {
+func (n *Node) firstListIncompleteUntil() time.Time {
 	switch {
 	case n.registryOutdated || n.registryReadAt.IsZero():
 		return time.Now().Add(reregistrationWindow)
@@ -51,13 +69,16 @@
 	fingerprint := n.registry.Fingerprint()
 	n.mu.Lock()
 	n.workersConfirmed = n.workersConfirmed || !n.registryOutdated && n.members.ConfirmsWorkers(fingerprint)
-	complete := !n.workersIncompleteUntil().After(time.Now())
+	now := time.Now()
+	complete := !n.firstListIncompleteUntil().After(now)
+	n.doubtedGroups.settle(func(group string) bool { return n.holderHasWorkers(group, fingerprint) }, now)
+	doubted := maps.Clone(n.doubtedGroups)
 	n.mu.Unlock()
 	if !complete {
 		return 0
 	}
 	for group, h := range n.currentHolders() {
-		if h.WorkersIncomplete() {
+		if _, doubt := doubted[group]; !doubt && h.WorkersIncomplete() {
 			n.log.Info("list of workers is complete", "group", group)
 			h.WorkersComplete()
 		}
@@ -65,6 +86,27 @@
 	return fingerprint
 }
 
+// doubtWorkers records that the registry no longer has a worker of a group that another entry holds.
+// The worker may be alive: it may be cut off from the store alone, and its holder keeps it then.
+func (n *Node) doubtWorkers(group, worker string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.doubtedGroups.add(group) {
+		n.log.Info("list of workers is doubted", "group", group, "worker", worker)
+	}
+}
+
+// holderHasWorkers reports whether the holder of a group has a complete list of workers with this
+// fingerprint.
+func (n *Node) holderHasWorkers(group string, fingerprint uint64) bool {
+	c, claimed := n.claims.Holder(group)
+	if !claimed || fingerprint == 0 {
+		return false
+	}
+	r, state, known := n.members.Find(c.Holder)
+	return known && state != member.Dead && r.Incarnation == c.Incarnation && r.Workers == fingerprint
+}
+
 // onRegistryRead records that the whole registry has been read.
 func (n *Node) onRegistryRead() {
 	n.mu.Lock()
--- a/internal/trial/history/entry_test.go
+++ b/internal/trial/history/entry_test.go
@@ -418,8 +418,8 @@
 	if h == nil {
 		return
 	}
-	for _, id := range gone {
-		h.RemoveWorker(id, "its registration has gone")
+	for _, r := range gone {
+		h.RemoveWorker(r.ID, "its registration has gone")
 	}
 	for _, r := range e.registry.Live() {
 		h.AddWorker(r)
--- a/internal/worker/registry/registry.go
+++ b/internal/worker/registry/registry.go
@@ -217,25 +217,29 @@
 	for _, w := range r.workers {
 		live = append(live, w.Registration)
 	}
-	sort.Slice(live, func(a, b int) bool { return live[a].ID < live[b].ID })
+	sortByID(live)
 	return live
 }
 
+func sortByID(list []platform.Registration) {
+	sort.Slice(list, func(a, b int) bool { return list[a].ID < list[b].ID })
+}
+
 // Expire removes workers whose registration has been missing for absenceGrace and
-// that do not answer any more. It returns their IDs, sorted. answering is called with
-// the lock of the registry held.
-func (r *Registry) Expire(answering func(id string) bool, now time.Time) []string {
+// that do not answer any more. It returns their registrations, sorted by ID. answering is
+// called with the lock of the registry held.
+func (r *Registry) Expire(answering func(id string) bool, now time.Time) []platform.Registration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	var gone []string
+	var gone []platform.Registration
 	for id, w := range r.workers {
 		if w.missingSince.IsZero() || now.Sub(w.missingSince) < absenceGrace || answering(id) {
 			continue
 		}
 		delete(r.workers, id)
 		r.fingerprint -= xxhash.Sum64String(id)
-		gone = append(gone, id)
+		gone = append(gone, w.Registration)
 	}
-	sort.Strings(gone)
+	sortByID(gone)
 	return gone
 }
