peer: Close a peer's idle connections after a call without an answer

Open connections between entries may go silent together while new ones work. The pool keeps up to eight to each entry, and each heartbeat took the next silent one and waited 300 ms for it; a member counts as dead after six heartbeats, 0.9 s. With six idle connections six heartbeats failed one after the other; now one does.

Each address has a transport of its own, so that a peer that is down costs no connections to others.

--- a/peer/client.go
+++ b/peer/client.go
@@ -102,49 +102,75 @@
 // Client sends messages to other entries by address. It is safe for concurrent
 // use.
 type Client struct {
-	scheme    string
-	http      *http.Client
-	closeIdle func()
+	scheme       string
+	newTransport func() *http.Transport
+	wrap         func(http.RoundTripper) http.RoundTripper
 
 	mu    sync.Mutex
-	peers map[string]wire.Peer
+	peers map[string]*connectedPeer
+}
+
+// connectedPeer is the RPC client of one address, with connections of its own.
+type connectedPeer struct {
+	wire.Peer
+	transport *http.Transport
 }
 
 // NewClient makes a client. Without a tlsConfig it uses plain TCP. counter counts
 // the bytes of all connections and must not be nil. If wrap is not nil, it is applied
-// to the transport.
+// to the transport of each address.
 func NewClient(tlsConfig *tls.Config, counter *counted.Counter, wrap func(http.RoundTripper) http.RoundTripper) *Client {
 	dialer := &net.Dialer{Timeout: dialTimeout, KeepAliveConfig: net.KeepAliveConfig{
 		Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount,
 	}}
-	transport := &http.Transport{
-		DialContext: counter.WrapDialer(dialer), TLSClientConfig: tlsConfig,
-		MaxIdleConnsPerHost: 8, IdleConnTimeout: idleConnTimeout, DisableCompression: true,
+	newTransport := func() *http.Transport {
+		return &http.Transport{
+			DialContext: counter.WrapDialer(dialer), TLSClientConfig: tlsConfig,
+			MaxIdleConnsPerHost: 8, IdleConnTimeout: idleConnTimeout, DisableCompression: true,
+		}
 	}
-	var roundTripper http.RoundTripper = transport
-	if wrap != nil {
-		roundTripper = wrap(transport)
+	if wrap == nil {
+		wrap = func(inner http.RoundTripper) http.RoundTripper { return inner }
 	}
-	roundTripper = &noUserAgent{inner: roundTripper}
 	scheme := "http://"
 	if tlsConfig != nil {
 		scheme = "https://"
 	}
-	return &Client{scheme: scheme, http: &http.Client{Transport: roundTripper}, closeIdle: transport.CloseIdleConnections, peers: map[string]wire.Peer{}}
+	return &Client{scheme: scheme, newTransport: newTransport, wrap: wrap, peers: map[string]*connectedPeer{}}
 }
 
-// noUserAgent omits the User-Agent header: heartbeats are small and frequent,
-// and the control traffic of an entry is limited.
-type noUserAgent struct{ inner http.RoundTripper }
+// peerTransport sends requests to one address. It omits the User-Agent header: heartbeats are
+// small and frequent, and the control traffic of an entry is limited.
+type peerTransport struct {
+	inner     http.RoundTripper
+	closeIdle func()
+}
 
-// RoundTrip sends the request without a User-Agent.
-func (t *noUserAgent) RoundTrip(r *http.Request) (*http.Response, error) {
+// RoundTrip sends the request without a User-Agent. After a request without an answer it closes the
+// idle connections, since what broke its connection, or made it silent, has most likely broken
+// them too. A request that was cancelled says nothing about them.
+func (t *peerTransport) RoundTrip(r *http.Request) (*http.Response, error) {
 	r.Header.Set("User-Agent", "")
-	return t.inner.RoundTrip(r)
+	response, err := t.inner.RoundTrip(r)
+	if err != nil && !errors.Is(r.Context().Err(), context.Canceled) {
+		t.closeIdle()
+	}
+	return response, err
 }
 
 // Close closes the idle connections.
-func (c *Client) Close() { c.closeIdle() }
+func (c *Client) Close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.closeIdle()
+}
+
+// closeIdle is Close with c.mu held.
+func (c *Client) closeIdle() {
+	for _, p := range c.peers {
+		p.transport.CloseIdleConnections()
+	}
+}
 
 // maxPeers bounds the number of cached RPC clients, one for each address.
 const maxPeers = 4096
@@ -156,9 +182,12 @@
 	p, ok := c.peers[address]
 	if !ok {
 		if len(c.peers) >= maxPeers {
+			c.closeIdle()
 			clear(c.peers)
 		}
-		p = wire.NewPeerProtobufClient(c.scheme+address, c.http)
+		transport := c.newTransport()
+		client := &http.Client{Transport: &peerTransport{inner: c.wrap(transport), closeIdle: transport.CloseIdleConnections}}
+		p = &connectedPeer{Peer: wire.NewPeerProtobufClient(c.scheme+address, client), transport: transport}
 		c.peers[address] = p
 	}
 	return p
