--- a/internal/gateway/node/node.go
+++ b/internal/gateway/node/node.go
@@ -189,27 +189,6 @@
 	workersReadDelay         = 800 * time.Millisecond
 )
 
-// applyConfiguration applies the configurations among the records if they are newer.
-func (n *Node) applyConfiguration(records []platform.KeyedRecord) {
-	for _, k := range records {
-		if k.Key != platform.KeyConfiguration || len(k.Value) == 0 && k.Err == nil {
-			continue
-		}
-		c, err := platform.Configuration{}, k.Err
-		if err == nil {
-			c, err = platform.ParseConfiguration(k.Value)
-		}
-		if err != nil {
-			n.log.Error("configuration refused", "offset", k.Offset, "error", err)
-			continue
-		}
-		before := n.routes.Version()
-		if n.routes.Apply(c) {
-			n.log.Info("configuration in force", "version", c.Version, "before", before, "queues", len(c.Queues), "offset", k.Offset)
-		}
-	}
-}
-
 // applyWorkerChanges logs changes of the registry and passes them to the holders.
 func (n *Node) applyWorkerChanges(changes []registry.Change) {
 	for _, c := range changes {
--- a/internal/gateway/routes/table.go
+++ b/internal/gateway/routes/table.go
@@ -3,6 +3,7 @@
 package routes
 
 import (
+	"sort"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -39,7 +40,10 @@
 	n := &index{Configuration: c, hosts: map[string][]platform.Queue{}, services: map[string]platform.Service{}}
 	for _, q := range c.Queues {
 		host := strings.ToLower(q.Host)
-		n.hosts[host] = insertByPrefixLength(n.hosts[host], q)
+		n.hosts[host] = append(n.hosts[host], q)
+	}
+	for _, queues := range n.hosts {
+		sort.SliceStable(queues, func(a, b int) bool { return len(queues[a].Prefix) > len(queues[b].Prefix) })
 	}
 	for _, s := range c.Services {
 		n.services[s.Name] = s
@@ -48,19 +52,6 @@
 	return true
 }
 
-// insertByPrefixLength inserts q into the queues of a host, which are ordered by
-// decreasing prefix length.
-func insertByPrefixLength(queues []platform.Queue, q platform.Queue) []platform.Queue {
-	at := 0
-	for at < len(queues) && len(queues[at].Prefix) >= len(q.Prefix) {
-		at++
-	}
-	queues = append(queues, platform.Queue{})
-	copy(queues[at+1:], queues[at:])
-	queues[at] = q
-	return queues
-}
-
 // Version returns the version of the current configuration, or 0 if there is none.
 func (t *Table) Version() int64 {
 	if n := t.current.Load(); n != nil {
