idempotency, entry: Try again for as long as entries may disagree about an owner

What callers saw: "not-run:owner-unreachable" for calls with chosen keys while one entry was held up for more than a second, though every entry was up. Cause: the time for further attempts was a constant of 0.5 s, counted from the call's arrival. Entries disagree about a member from its first suspicion until its death is known to all, four heartbeats, which is 2.4 s with the default settings; and an attempt that was forwarded to the entry that is held up had used the time up before it was answered.

The time is four heartbeats now, and begins with the first answer that says that the owner is not settled. The call's deadline still ends it.

A case of TestCallWaitsUntilTheOwnerIsSettled fails without the change.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -159,12 +159,20 @@
 	return nil
 }
 
+// Heartbeats without news of a member after which it is suspected and counts as dead, and those
+// in which the members agree about it: until its death, and two more for the news of it to spread.
+const (
+	suspectHeartbeats = 4
+	deadHeartbeats    = 6
+	settleHeartbeats  = deadHeartbeats - suspectHeartbeats + 2
+)
+
 // build creates the components in the order of their dependencies.
 func (e *Entry) build(wrapTransport func(http.RoundTripper) http.RoundTripper) {
 	s := e.settings
 	e.peerClient = peer.NewClient(e.tlsConfig, e.peerBytes, wrapTransport)
 	e.members = member.New(member.Options{
-		SuspectAfter: 4 * s.HeartbeatInterval, DeadAfter: 6 * s.HeartbeatInterval,
+		SuspectAfter: suspectHeartbeats * s.HeartbeatInterval, DeadAfter: deadHeartbeats * s.HeartbeatInterval,
 		Self: member.Record{
 			ID: s.VM, Zone: s.Zone, PeerAddress: e.peerListener.Addr().String(), Incarnation: e.incarnation, Weight: s.Weight,
 		},
@@ -206,7 +214,7 @@
 		Self:        origin.Key{Zone: e.settings.Zone, VM: e.settings.VM, Incarnation: e.incarnation},
 		BaseContext: e.baseCtx, MaxAnswerBytes: e.settings.AnswerCacheBytes, Window: e.keyWindow, AnswerCache: answercache.New(e.settings.AnswerCacheBytes, e.settings.KeyRetention),
 		Partition: e.partition, PartitionOwner: e.partitionOwner, FindMember: e.members.Find, Bundle: e.rollout.Bundle,
-		Admit: e.admit,
+		Admit: e.admit, SettleTime: settleHeartbeats * e.settings.HeartbeatInterval,
 		ForwardSubmit: func(ctx context.Context, to member.Record, s idempotency.Submission) (idempotency.Result, error) {
 			e.metrics.Messages.WithLabelValues("forward").Inc()
 			return e.peerClient.Submit(ctx, to.PeerAddress, s)
--- a/idempotency/forward_test.go
+++ b/idempotency/forward_test.go
@@ -22,19 +22,21 @@
 	tests := []struct {
 		name      string
 		answer    *refusal.Refusal // of the owner, until settledAt
+		takes     time.Duration    // until the first answer
 		settledAt time.Duration
 		forwarded bool
 		deadline  time.Duration // 0 for none
 		complete  bool
 		calls     int
 	}{
-		{"settled at once", unsettled, 0, false, 0, true, 1},
-		{"settled soon", unsettled, 300 * time.Millisecond, false, 0, true, 4},
-		{"not settled", unsettled, time.Hour, false, 0, false, 6},
-		{"its deadline is near", unsettled, time.Hour, false, 150 * time.Millisecond, false, 2},
-		{"it may have started", refusal.New(refusal.OwnerUnreachable, refusal.Unknown, "no answer"), time.Hour, false, 0, false, 1},
-		{"refused for another reason", refusal.New(refusal.Overloaded, refusal.NotRun, "full"), time.Hour, false, 0, false, 1},
-		{"forwarded before", unsettled, time.Hour, true, 0, false, 0},
+		{"settled at once", unsettled, 0, 0, false, 0, true, 1},
+		{"settled soon", unsettled, 0, 300 * time.Millisecond, false, 0, true, 4},
+		{"settled soon after an owner that is held up answers", unsettled, 800 * time.Millisecond, 1100 * time.Millisecond, false, 0, true, 4},
+		{"not settled", unsettled, 0, time.Hour, false, 0, false, 6},
+		{"its deadline is near", unsettled, 0, time.Hour, false, 150 * time.Millisecond, false, 2},
+		{"it may have started", refusal.New(refusal.OwnerUnreachable, refusal.Unknown, "no answer"), 0, time.Hour, false, 0, false, 1},
+		{"refused for another reason", refusal.New(refusal.Overloaded, refusal.NotRun, "full"), 0, time.Hour, false, 0, false, 1},
+		{"forwarded before", unsettled, 0, time.Hour, true, 0, false, 0},
 	}
 	for _, c := range tests {
 		t.Run(c.name, func(t *testing.T) {
@@ -43,11 +45,14 @@
 				b := &bundle.Bundle{Rules: bundle.Rules{Partitions: 1, MaxJobTasks: 1}}
 				b.Services, b.Tenants = map[string]*bundle.Service{"hold": {}}, map[string]*bundle.Tenant{"lullaby": {}}
 				rt := New(Options{
-					Self: origin.Key{VM: "a"}, Bundle: func() *bundle.Bundle { return b }, PartitionOwner: func(int) string { return "b" },
+					SettleTime: 500 * time.Millisecond,
+					Self:       origin.Key{VM: "a"}, Bundle: func() *bundle.Bundle { return b }, PartitionOwner: func(int) string { return "b" },
 					Partition:  func(int) *claim.Partition[*job.Job] { return claim.New[*job.Job](claim.Options{Owner: "a"}) },
 					FindMember: func(id string) (member.Record, member.State, bool) { return member.Record{ID: id}, member.Alive, true },
 					ForwardSubmit: func(context.Context, member.Record, Submission) (Result, error) {
-						calls++
+						if calls++; calls == 1 {
+							time.Sleep(c.takes)
+						}
 						if time.Since(began) < c.settledAt {
 							return refused(c.answer), nil
 						}
--- a/idempotency/router.go
+++ b/idempotency/router.go
@@ -65,7 +65,10 @@
 	ForwardSubmit  func(ctx context.Context, to member.Record, s Submission) (Result, error)
 	ForwardQuery   func(ctx context.Context, to member.Record, q Query) (Result, error)
 	Accepting      func() bool // reports whether new jobs may start here
-	Now            func() time.Time
+	// SettleTime is how long entries may disagree about the owner of a partition: only some of
+	// them have missed the heartbeats of a member, and count it as suspected or dead.
+	SettleTime time.Duration
+	Now        func() time.Time
 }
 
 // Router answers submissions and queries of jobs, here or through another member.
@@ -260,23 +263,27 @@
 	return int(xxhash.Sum64String(key) % uint64(b.Rules.Partitions))
 }
 
-// Entries disagree about the owner of a partition while only some of them have missed the
-// heartbeats of a member, mostly for some hundred milliseconds.
-const (
-	settleTime     = 500 * time.Millisecond // how long a submission is tried again meanwhile
-	settleInterval = 100 * time.Millisecond
-)
+// settleInterval is the time between attempts while the owner of a partition is not settled.
+const settleInterval = 100 * time.Millisecond
 
 // submitByPartition answers a submission with a client-chosen key. It tries again while the
-// owner of the key's partition is not settled.
+// owner of the key's partition is not settled. The first attempt may have waited for a member that is
+// held up, so the time for further ones begins with its answer.
 func (rt *Router) submitByPartition(ctx context.Context, b *bundle.Bundle, s Submission) Result {
-	giveUpAt := rt.options.Now().Add(settleTime)
-	if !s.Deadline.IsZero() && s.Deadline.Before(giveUpAt) {
-		giveUpAt = s.Deadline
-	}
+	var giveUpAt time.Time // zero until an attempt was not settled
 	for {
 		result := rt.submitToOwner(ctx, b, s)
-		if s.Forwarded || !isUnsettled(result) || rt.options.Now().Add(settleInterval).After(giveUpAt) || !wait.For(ctx, settleInterval) {
+		if s.Forwarded || !isUnsettled(result) {
+			return result
+		}
+		now := rt.options.Now()
+		if giveUpAt.IsZero() {
+			giveUpAt = now.Add(rt.options.SettleTime)
+		}
+		if !s.Deadline.IsZero() && s.Deadline.Before(giveUpAt) {
+			giveUpAt = s.Deadline
+		}
+		if now.Add(settleInterval).After(giveUpAt) || !wait.For(ctx, settleInterval) {
 			return result
 		}
 	}
