idempotency: Ask an earlier owner that counts as dead for the outcome of a key

What callers saw: "unknown:lost" for a job that ran and ended, since the entry that had claimed its key was held up for two seconds. The next owner of the partition sees the claim in the log, and asked the earlier one only if that counted as alive. An entry counts as dead after six heartbeats without news, and only it knows the outcome; keys with an origin have always been forwarded to such entries.

It is asked now unless its process has been replaced. The call gives up one second after the member was found dead, as forwarded calls do; a process that has ended refuses the connection at once.

Two cases of TestEarlierOwnerThatCountsAsDeadIsAsked fail without the change.

--- a/idempotency/forward.go
+++ b/idempotency/forward.go
@@ -103,16 +103,16 @@
 	return result
 }
 
-// askEarlierOwner sends the call to the earlier owner that claimed the key, if that
-// process still runs: only it knows the outcome of the job. Otherwise, or without an
-// answer, it returns the given result.
+// askEarlierOwner sends the call to the earlier owner that claimed the key, unless that
+// process has been replaced: only it knows the outcome of the job. It is asked also if it
+// counts as dead, since it may only have been held up. Without an answer the given result is returned.
 func (rt *Router) askEarlierOwner(ctx context.Context, result Result, forwarded bool, send sendFunc) Result {
 	if result.EarlierOwner == "" || forwarded {
 		return result
 	}
 	vm, incarnation, _ := strings.Cut(result.EarlierOwner, "~")
-	to, state, known := rt.options.FindMember(vm)
-	if !known || state == member.Dead || strconv.FormatUint(to.Incarnation, 16) != incarnation || vm == rt.options.Self.VM {
+	to, _, known := rt.options.FindMember(vm)
+	if !known || strconv.FormatUint(to.Incarnation, 16) != incarnation || vm == rt.options.Self.VM {
 		return result
 	}
 	ctx, cancel := rt.cancelWhenDead(ctx, to)
--- a/idempotency/forward_test.go
+++ b/idempotency/forward_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/radishgate/radishgate/bundle"
 	"github.com/radishgate/radishgate/claim"
+	"github.com/radishgate/radishgate/common/wait"
 	"github.com/radishgate/radishgate/job"
 	"github.com/radishgate/radishgate/member"
 	"github.com/radishgate/radishgate/origin"
@@ -71,3 +72,62 @@
 		})
 	}
 }
+
+// TestEarlierOwnerThatCountsAsDeadIsAsked guards against "lost" as the answer for a job whose owner was
+// only held up: other entries count it as dead, and another one has become the owner of its
+// partitions. An earlier owner that does not answer must not hold the call for long.
+func TestEarlierOwnerThatCountsAsDeadIsAsked(t *testing.T) {
+	const claimedBy = "c~5"
+	tests := []struct {
+		name        string
+		state       member.State
+		incarnation uint64
+		answersAt   time.Duration
+		complete    bool
+		asked       bool
+	}{
+		{"alive", member.Alive, 5, 0, true, true},
+		{"held up", member.Dead, 5, 600 * time.Millisecond, true, true},
+		{"gone", member.Dead, 5, time.Hour, false, true},
+		{"replaced", member.Alive, 6, 0, false, false},
+	}
+	for _, c := range tests {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				began, asked := time.Now(), false
+				b := &bundle.Bundle{Rules: bundle.Rules{Partitions: 1, MaxJobTasks: 1}}
+				b.Services, b.Tenants = map[string]*bundle.Service{"hold": {}}, map[string]*bundle.Tenant{"lullaby": {}}
+				rt := New(Options{
+					Self: origin.Key{VM: "a"}, Bundle: func() *bundle.Bundle { return b }, PartitionOwner: func(int) string { return "b" },
+					Partition: func(int) *claim.Partition[*job.Job] { return claim.New[*job.Job](claim.Options{Owner: "a"}) },
+					FindMember: func(id string) (member.Record, member.State, bool) {
+						if id == "c" {
+							return member.Record{ID: id, Incarnation: c.incarnation}, c.state, true
+						}
+						return member.Record{ID: id}, member.Alive, true
+					},
+					ForwardSubmit: func(ctx context.Context, to member.Record, _ Submission) (Result, error) {
+						if to.ID != "c" {
+							result := refused(refusal.New(refusal.Lost, refusal.Unknown, "claimed by %s", claimedBy))
+							result.EarlierOwner = claimedBy
+							return result, nil
+						}
+						asked = true
+						if !wait.For(ctx, c.answersAt) {
+							return Result{}, ctx.Err()
+						}
+						return Result{State: job.Complete}, nil
+					},
+				})
+				result := rt.Submit(t.Context(), Submission{Key: "x", Tenant: "lullaby", Service: "hold"})
+				if (result.State == job.Complete) != c.complete || asked != c.asked {
+					t.Errorf("state %v, refusal %v, asked %v; want complete %v, asked %v", result.State, result.Refusal, asked, c.complete, c.asked)
+				}
+				if took := time.Since(began); took > 2*deadGracePeriod {
+					t.Errorf("the call took %s, want at most %s", took, 2*deadGracePeriod)
+				}
+				time.Sleep(2 * livenessInterval) // ends the checks of the members
+			})
+		})
+	}
+}
