--- a/internal/trial/soak/configuration_test.go
+++ b/internal/trial/soak/configuration_test.go
@@ -98,12 +98,25 @@
 // version is in force within the limits, and that no process goes back to an older one.
 func TestConfigurationSoak(t *testing.T) {
 	binary := buildProgram(t)
+	run := func(seed uint64, cause string) {
+		t.Run(fmt.Sprintf("seed %d %s", seed, cause), func(t *testing.T) { newSoak(t, binary, seed).runConfigurations(seed) })
+	}
+	for _, r := range configurationRegressions {
+		run(r.seed, r.cause)
+	}
 	for i := range *seedCount {
-		seed := *firstSeed + uint64(i)
-		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) { newSoak(t, binary, seed).runConfigurations(seed) })
+		run(*firstSeed+uint64(i), "")
 	}
 }
 
+// configurationRegressions lists seeds that failed in the past, with the cause of each failure.
+var configurationRegressions = []struct {
+	seed  uint64
+	cause string
+}{
+	{5, "a read of a silent store was waited for after its return"},
+}
+
 func (s *soak) runConfigurations(seed uint64) {
 	ctx, stop := context.WithCancel(context.Background())
 	var checks, faults sync.WaitGroup
