--- a/claim/partition_test.go
+++ b/claim/partition_test.go
@@ -8,6 +8,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/radishgate/radishgate/common/wait"
 	"github.com/radishgate/radishgate/platform"
 	"github.com/radishgate/radishgate/standin/store"
 )
@@ -97,6 +98,32 @@
 	}
 }
 
+// TestCallerThatLeavesDuringAcquireFailsNoOthers guards against claims that are refused for a second
+// although the log works: the caller for which a partition is acquired leaves during the append.
+func TestCallerThatLeavesDuringAcquireFailsNoOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := store.New(store.Options{})
+		log := s.Log("claims-0")
+		slow := log
+		slow.Append = func(ctx context.Context, data []byte) (int64, error) {
+			if !wait.For(ctx, 50*time.Millisecond) {
+				return 0, &platform.Error{Call: "append", Uncertain: true, Cause: ctx.Err()}
+			}
+			return log.Append(ctx, data)
+		}
+		p := New[int](Options{Log: slow, Owner: "a~1", Nonce: rand.Uint64})
+		ctx, leave := context.WithTimeout(t.Context(), 10*time.Millisecond)
+		defer leave()
+		_ = p.Acquire(ctx) // may fail or not
+		if err := p.Acquire(t.Context()); err != nil {
+			t.Fatalf("the next caller gets %v", err)
+		}
+		if _, claimed, err := p.Claim(t.Context(), "x", "d", func() int { return 1 }); !claimed || err != nil {
+			t.Fatalf("claimed %v, error %v", claimed, err)
+		}
+	})
+}
+
 // TestReplayEndsWhenTheLogContradictsItself guards against a loop without a pause: the log
 // calls an offset truncated and names a first offset that is not higher.
 func TestReplayEndsWhenTheLogContradictsItself(t *testing.T) {
