--- a/internal/gateway/node/doubt.go
+++ b/internal/gateway/node/doubt.go
@@ -25,16 +25,6 @@
 	return d[group]
 }
 
-// until returns when the doubt of a group would end if this entry took it over now, or a zero time if
-// there is none.
-func (d doubtedGroups) until(group string, now time.Time) time.Time {
-	end, known := d[group]
-	if known && end.IsZero() {
-		return now.Add(reregistrationWindow)
-	}
-	return end
-}
-
 // settle removes the groups whose doubt has ended, or whose holder has the same workers.
 func (d doubtedGroups) settle(holderHasWorkers func(group string) bool, now time.Time) {
 	for group, end := range d {
--- a/internal/gateway/node/workerlist.go
+++ b/internal/gateway/node/workerlist.go
@@ -27,18 +27,6 @@
 	return until
 }
 
-// workersIncompleteUntil returns the time until which the registry may lack live workers of the own
-// zone, or a time in the past if it is complete. The caller holds n.mu.
-func (n *Node) workersIncompleteUntil() time.Time {
-	until := n.firstListIncompleteUntil()
-	for i := range n.settings.Groups {
-		if doubt := n.doubtedGroups.until(groupName(n.settings.Zone, i), time.Now()); doubt.After(until) {
-			until = doubt
-		}
-	}
-	return until
-}
-
 // firstListIncompleteUntil returns the time until which the registry may lack live workers since
 // this entry began to read it, or a time in the past. It may be incomplete while it cannot be read: other
 // entries may know workers that have registered since. It may also be incomplete if the store may
