--- a/claim/commit.go
+++ b/claim/commit.go
@@ -32,10 +32,10 @@
 	}
 }
 
-// appendRecord appends a record, returns its offset and notes whether the log works. It goes on if
-// ctx ends, for appendTimeout at most: a caller that leaves says nothing about the log.
+// appendRecord appends a record, returns its offset and notes whether the log works. ctx must not end
+// with a caller, since a caller that leaves says nothing about the log.
 func (p *Partition[V]) appendRecord(ctx context.Context, r record) (int64, error) {
-	offset, err := p.appendOrFind(context.WithoutCancel(ctx), r)
+	offset, err := p.appendOrFind(ctx, r)
 	p.recordAppendResult(err)
 	return offset, err
 }
--- a/claim/partition.go
+++ b/claim/partition.go
@@ -141,8 +141,24 @@
 
 // Acquire makes this process the owner, unless it is already. It appends an
 // ownership record and applies the log up to it, so that every claim whose job may
-// have been started is known. Errors: *LogError and *NotOwnerError.
+// have been started is known. It returns when ctx ends, but goes on with what it has
+// begun: other callers wait for it. Errors: *LogError and *NotOwnerError.
 func (p *Partition[V]) Acquire(ctx context.Context) error {
+	if ctx.Err() != nil {
+		return &LogError{Cause: ctx.Err()}
+	}
+	done := make(chan error, 1)
+	go func() { done <- p.acquire(context.WithoutCancel(ctx)) }()
+	select {
+	case err := <-done:
+		return err
+	case <-ctx.Done():
+		return &LogError{Cause: ctx.Err()}
+	}
+}
+
+// acquire is Acquire for a ctx that does not end.
+func (p *Partition[V]) acquire(ctx context.Context) error {
 	p.appendMu.Lock()
 	defer p.appendMu.Unlock()
 	if p.Owned() {
--- a/claim/partition_test.go
+++ b/claim/partition_test.go
@@ -114,7 +114,12 @@
 		p := New[int](Options{Log: slow, Owner: "a~1", Nonce: rand.Uint64})
 		ctx, leave := context.WithTimeout(t.Context(), 10*time.Millisecond)
 		defer leave()
-		_ = p.Acquire(ctx) // may fail or not
+		began := time.Now()
+		var notAcquired *LogError
+		if err := p.Acquire(ctx); !errors.As(err, &notAcquired) || time.Since(began) != 10*time.Millisecond {
+			t.Fatalf("the caller that leaves gets %v after %s", err, time.Since(began))
+		}
+		time.Sleep(100 * time.Millisecond) // a wait for a mutex would stop the time of the test
 		if err := p.Acquire(t.Context()); err != nil {
 			t.Fatalf("the next caller gets %v", err)
 		}
