--- a/internal/trial/soak/soak_test.go
+++ b/internal/trial/soak/soak_test.go
@@ -6,12 +6,14 @@
 	"context"
 	"flag"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http/httptest"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -123,10 +125,7 @@
 	for i := range workerCount {
 		s.addWorker(fmt.Sprintf("w%d", i), zoneName(i), seed+uint64(i))
 	}
-	var ports []string
-	for range entryCount * 4 {
-		ports = append(ports, freeAddress(t))
-	}
+	ports := freeAddresses(t, entryCount*4)
 	for i := range entryCount {
 		s.entries = append(s.entries, &entry{
 			index: i, binary: s.binaryFor(i, seed), callerAddress: ports[4*i], peerProxy: s.newProxy(ports[4*i+1]), storeProxy: s.newProxy(strings.TrimPrefix(store.URL, "http://")),
@@ -156,13 +155,25 @@
 
 func zoneName(i int) string { return string(rune('a' + i%zoneCount)) }
 
-func freeAddress(t *testing.T) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+// freeAddresses returns addresses at which nothing listens. Their ports are below the range that the
+// system gives to connections and to listeners without a port, so that nothing takes the
+// port of an entry that has not started yet, or is down.
+func freeAddresses(t *testing.T, count int) []string {
+	const firstPort, portCount, maxTries = 15000, 17000, 1000
+	found := map[string]bool{}
+	for range maxTries {
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(portCount)))
+		if err != nil {
+			continue // the port is taken
+		}
+		found[l.Addr().String()] = true
+		_ = l.Close() // nothing was accepted
+		if len(found) == count {
+			return slices.Collect(maps.Keys(found))
+		}
 	}
-	defer l.Close()
-	return l.Addr().String()
+	t.Fatalf("only %d of %d free ports found", len(found), count)
+	return nil
 }
 
 func (s *soak) newProxy(target string) *proxy.Proxy {
