--- /dev/null
+++ b/review/stand/cases.go
@@ -0,0 +1,101 @@
+package main
+
+import (
+	"context"
+	"net/http"
+	"time"
+)
+
+// caseJob is the ID of the job of a case.
+const caseJob = "5c0e7a21d94b36f8"
+
+// Times of the cases.
+const (
+	warmUp      = 3 * time.Second        // of usual traffic before the job is sent
+	jobDeadline = 6 * time.Second        // how long the client of the job waits
+	leadTime    = 300 * time.Millisecond // from the job to the first disruption
+	restTime    = 6 * time.Second        // from the last disruption to the end
+)
+
+// jobTasks is the number of tasks of the job, jobMillis the work of each.
+const (
+	jobTasks  = 4
+	jobMillis = 2500
+)
+
+// killTwo sends a job to an entry of a zone with two, kills this entry, and some time later the other one, which
+// schedules the zone's tasks. Both start again. The client sends its job again to the machine that resendTo chooses.
+func killTwo(ctx context.Context, r *record, trouble bool, gap time.Duration, resendTo func(w *world, first *machine) *machine) (bool, error) {
+	w, err := newWorld(ctx, r)
+	defer w.close()
+	if err != nil {
+		return false, err
+	}
+	w.serveUsual()
+	w.pause(warmUp)
+	scheduler, first, err := w.pair("taoyuan-b")
+	if err != nil {
+		return false, err
+	}
+	w.running.Go(func() { w.submit(caseJob, job(jobTasks, jobMillis), jobDeadline, first, resendTo(w, first)) })
+	w.pause(leadTime)
+	if len(w.runsOf(caseJob)) == 0 {
+		return false, errNoRun
+	}
+	if trouble {
+		w.kill(first)
+		w.pause(gap)
+		w.kill(scheduler)
+	}
+	w.pause(restTime)
+	return w.noteOverlaps(), ctx.Err()
+}
+
+// resendToRestarted is case 1: the client sends its job again to the entry that has started again.
+func resendToRestarted(ctx context.Context, r *record, trouble bool) (bool, error) {
+	return killTwo(ctx, r, trouble, 1050*time.Millisecond, func(_ *world, first *machine) *machine { return first })
+}
+
+// resendElsewhere is case 2: the client sends its job again to an entry of another zone.
+func resendElsewhere(ctx context.Context, r *record, trouble bool) (bool, error) {
+	return killTwo(ctx, r, trouble, 900*time.Millisecond, func(w *world, _ *machine) *machine { return w.machinesOf("hsinchu-c")[0] })
+}
+
+// cancelLimit is the time after the acknowledgement of a cancel from which no task of the job starts any more.
+const cancelLimit = 3 * time.Second
+
+// cancelJob is case 3: the client cancels a job whose tasks run in several rounds.
+func cancelJob(ctx context.Context, r *record, trouble bool) (bool, error) {
+	w, err := newWorld(ctx, r)
+	defer w.close()
+	if err != nil {
+		return false, err
+	}
+	w.pause(time.Second)
+	m := w.machines[0]
+	w.running.Go(func() { w.submit(caseJob, job(80, 1500), 20*time.Second, m) })
+	w.pause(leadTime)
+	if len(w.runsOf(caseJob)) == 0 {
+		return false, errNoRun
+	}
+	if !trouble {
+		w.pause(10 * time.Second)
+		return false, ctx.Err()
+	}
+	w.note("the client gets for GET of job %s from %s: %s", caseJob, m.name, w.call(m, http.MethodGet, caseRoute+caseJob, "", time.Second))
+	a := w.call(m, http.MethodDelete, caseRoute+caseJob, "", time.Second)
+	cancelledAt := time.Now()
+	w.note("the client gets for DELETE of job %s from %s: %s", caseJob, m.name, a)
+	w.pause(10 * time.Second)
+	if a.status != http.StatusGone && a.status/100 != 2 {
+		return false, ctx.Err() // the cancel was not acknowledged
+	}
+	broken := false
+	for _, s := range w.runsOf(caseJob) {
+		if after := s.begin.Sub(cancelledAt); after > cancelLimit {
+			broken = true
+			w.note("UNASKED: %s started on %s %d ms after the cancel was acknowledged", s.task, s.runner, after.Milliseconds())
+		}
+	}
+	return broken, ctx.Err()
+}
