--- a/review/stand/cases.go
+++ b/review/stand/cases.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"time"
 )
@@ -64,7 +65,7 @@
 // cancelLimit is the time after the acknowledgement of a cancel from which no task of the job starts any more.
 const cancelLimit = 3 * time.Second
 
-// cancelJob is case 3: the client cancels a job whose tasks run in several rounds.
+// cancelJob is case 4: the client cancels a job whose tasks run in several rounds.
 func cancelJob(ctx context.Context, r *record, trouble bool) (bool, error) {
 	w, err := newWorld(ctx, r)
 	defer w.close()
@@ -99,3 +100,60 @@
 	}
 	return broken, ctx.Err()
 }
+
+// tooLarge is what no runner has room for, in thousandths of a core.
+const tooLarge = 900000
+
+// changeJob is case 3: a job is refused since no runner has room for its tasks, and the client sends a smaller one
+// under the ID that was refused. Afterwards some jobs lose a step in the same way; what becomes of the zone then is
+// noted, but not judged.
+func changeJob(ctx context.Context, r *record, trouble bool) (bool, error) {
+	w, err := newWorld(ctx, r)
+	defer w.close()
+	if err != nil {
+		return false, err
+	}
+	w.pause(time.Second)
+	m := w.machinesOf("taipei-a")[0]
+	if trouble {
+		w.submit(caseJob, fmt.Sprintf(`{"spec":"700","steps":[{"count":20,"cpu":%d,"mem-mb":64,"est-runtime-ms":700}],"best-effort":true}`, tooLarge), jobDeadline, m)
+	}
+	const tasks = 4
+	w.submit(caseJob, job(tasks, 500), jobDeadline, m)
+	broken := false
+	for _, s := range w.runsOf(caseJob) {
+		var index int
+		if _, err := fmt.Sscanf(s.task, caseJob+".0.0.%d", &index); err != nil || index >= tasks {
+			broken = true
+			w.note("UNASKED: %s was started on %s, but the accepted job has %d tasks", s.task, s.runner, tasks)
+		}
+	}
+	const shortened = 4 // one more than the zone has entries
+	for n := 0; trouble && n < shortened && ctx.Err() == nil; n++ {
+		id := fmt.Sprintf("7d1f8b32e05c47%02x", n)
+		w.submit(id, fmt.Sprintf(`{"spec":"500","steps":[{"count":1,"cpu":%d,"mem-mb":64},{"count":1,"cpu":%d,"mem-mb":64,"after":[0]}],"best-effort":true}`, taskCores, tooLarge), usualDeadline, m)
+		w.submit(id, job(1, 500), usualDeadline, m)
+		w.pause(time.Second)
+	}
+	w.noteService("taipei-a")
+	return broken, ctx.Err()
+}
+
+// noteService sends short jobs to all entries of a zone for ten seconds and notes the answers.
+func (w *world) noteService(zone string) {
+	for round := range 10 {
+		for i, m := range w.machinesOf(zone) {
+			path := fmt.Sprintf("%s%s%06x%08x", usualRoute, usualPrefix, 0xff0000+i, round)
+			w.running.Go(func() {
+				if a := w.call(m, http.MethodPost, path, job(1, usualTaskMillis), usualDeadline); w.ctx.Err() == nil {
+					w.countUsual(a)
+				}
+			})
+		}
+		w.pause(time.Second)
+	}
+	w.pause(usualDeadline)
+	for _, m := range w.machinesOf(zone) {
+		w.note("%s says that it is ready: %t", m.name, m.isReady())
+	}
+}
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -17,6 +17,7 @@
 	"resend-to-restarted": resendToRestarted,
 	"resend-elsewhere":    resendElsewhere,
 	"cancel":              cancelJob,
+	"change-job":          changeJob,
 }
 
 // Exit statuses.
