review: case 4, a job runs twice after the loss of all entries

The cancel is case 5 now.

Case 3 checks that a job that is answered as completed has run; before, that no task of the refused body runs.

--- a/review/stand/cases.go
+++ b/review/stand/cases.go
@@ -65,7 +65,7 @@
 // cancelLimit is the time after the acknowledgement of a cancel from which no task of the job starts any more.
 const cancelLimit = 3 * time.Second
 
-// cancelJob is case 4: the client cancels a job whose tasks run in several rounds.
+// cancelJob is case 5: the client cancels a job whose tasks run in several rounds.
 func cancelJob(ctx context.Context, r *record, trouble bool) (bool, error) {
 	w, err := newWorld(ctx, r)
 	defer w.close()
@@ -104,9 +104,19 @@
 // tooLarge is what no runner has room for, in thousandths of a core.
 const tooLarge = 900000
 
-// changeJob is case 3: a job is refused since no runner has room for its tasks, and the client sends a smaller one
-// under the ID that was refused. Afterwards some jobs lose a step in the same way; what becomes of the zone then is
-// noted, but not judged.
+// refusedBody returns the body of a job that no runner has room for.
+func refusedBody(tasks int) string {
+	return fmt.Sprintf(`{"spec":"500","steps":[{"count":%d,"cpu":%d,"mem-mb":64,"est-runtime-ms":500}],"best-effort":true}`, tasks, tooLarge)
+}
+
+// shortenedBody returns the body of a job whose second step no runner has room for.
+func shortenedBody() string {
+	return fmt.Sprintf(`{"spec":"500","steps":[{"count":1,"cpu":%d,"mem-mb":64},{"count":1,"cpu":%d,"mem-mb":64,"after":[0]}],"best-effort":true}`, taskCores, tooLarge)
+}
+
+// changeJob is case 3: a job is refused since no runner has room for its tasks, and the client splits it into more and
+// smaller ones and sends it under the ID that was refused. Afterwards some jobs lose a step in the same way; what
+// becomes of the zone then is noted, but not judged.
 func changeJob(ctx context.Context, r *record, trouble bool) (bool, error) {
 	w, err := newWorld(ctx, r)
 	defer w.close()
@@ -116,22 +126,25 @@
 	w.pause(time.Second)
 	m := w.machinesOf("taipei-a")[0]
 	if trouble {
-		w.submit(caseJob, fmt.Sprintf(`{"spec":"700","steps":[{"count":20,"cpu":%d,"mem-mb":64,"est-runtime-ms":700}],"best-effort":true}`, tooLarge), jobDeadline, m)
+		w.submit(caseJob, refusedBody(2), jobDeadline, m)
 	}
-	const tasks = 4
-	w.submit(caseJob, job(tasks, 500), jobDeadline, m)
-	broken := false
+	const tasks = 12
+	a := w.submit(caseJob, job(tasks, 500), jobDeadline, m)
+	done := map[string]bool{}
 	for _, s := range w.runsOf(caseJob) {
-		var index int
-		if _, err := fmt.Sscanf(s.task, caseJob+".0.0.%d", &index); err != nil || index >= tasks {
+		done[s.task] = done[s.task] || s.how == "done"
+	}
+	broken := false
+	for i := 0; i < tasks && a.isCompleted(); i++ {
+		if task := fmt.Sprintf("%s.0.0.%d", caseJob, i); !done[task] {
 			broken = true
-			w.note("UNASKED: %s was started on %s, but the accepted job has %d tasks", s.task, s.runner, tasks)
+			w.note("MIXED: the job is shown as completed, but no run of %s has ended done", task)
 		}
 	}
 	const shortened = 4 // one more than the zone has entries
 	for n := 0; trouble && n < shortened && ctx.Err() == nil; n++ {
 		id := fmt.Sprintf("7d1f8b32e05c47%02x", n)
-		w.submit(id, fmt.Sprintf(`{"spec":"500","steps":[{"count":1,"cpu":%d,"mem-mb":64},{"count":1,"cpu":%d,"mem-mb":64,"after":[0]}],"best-effort":true}`, taskCores, tooLarge), usualDeadline, m)
+		w.submit(id, shortenedBody(), usualDeadline, m)
 		w.submit(id, job(1, 500), usualDeadline, m)
 		w.pause(time.Second)
 	}
@@ -157,3 +170,59 @@
 		w.note("%s says that it is ready: %t", m.name, m.isReady())
 	}
 }
+
+// Times of case 4.
+const (
+	outage      = 4500 * time.Millisecond // of the store: three heartbeats, after which the registrations have lapsed
+	earlyReturn = 200 * time.Millisecond  // from the end of the outage to the registrations of most runners
+	lateReturn  = 1900 * time.Millisecond // to those of the others
+	killDelay   = 100 * time.Millisecond  // to the loss of the first entry
+	killGap     = 600 * time.Millisecond  // from there to the loss of all
+)
+
+// loseAll is case 4: after an outage of the store, while some live runners have not registered again, an entry is
+// killed, and soon after all of them.
+func loseAll(ctx context.Context, r *record, trouble bool) (bool, error) {
+	w, err := newWorld(ctx, r)
+	defer w.close()
+	if err != nil {
+		return false, err
+	}
+	w.serveUsual()
+	w.pause(warmUp)
+	_, first, err := w.pair("taoyuan-b")
+	if err != nil {
+		return false, err
+	}
+	if trouble {
+		w.note("the store is down")
+		w.store.Down.Store(true)
+	}
+	w.pause(outage - leadTime)
+	w.running.Go(func() { w.submit(caseJob, spreadJob(jobTasks, jobMillis), jobDeadline, first, first) })
+	w.pause(leadTime)
+	used := map[string]bool{}
+	for _, s := range w.runsOf(caseJob) {
+		used[s.runner] = true
+	}
+	if len(used) == 0 {
+		return false, errNoRun
+	}
+	if trouble {
+		now := time.Now()
+		for _, n := range w.runners {
+			if n.delayBeat(now.Add(earlyReturn)); used[n.id] {
+				n.delayBeat(now.Add(lateReturn))
+			}
+			w.store.Put(workerTopic, n.id, nil)
+		}
+		w.store.Down.Store(false)
+		w.note("the store is back, without the registrations; the runners of the job register again after %s, the others after %s", lateReturn, earlyReturn)
+		w.pause(killDelay)
+		w.kill(first)
+		w.pause(killGap)
+		w.kill(w.machines...)
+	}
+	w.pause(restTime)
+	return w.noteOverlaps(), ctx.Err()
+}
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -18,6 +18,7 @@
 	"resend-elsewhere":    resendElsewhere,
 	"cancel":              cancelJob,
 	"change-job":          changeJob,
+	"lose-all":            loseAll,
 }
 
 // Exit statuses.
--- a/review/stand/runner.go
+++ b/review/stand/runner.go
@@ -52,6 +52,7 @@
 	lastEnd   int
 	runEnded  chan struct{} // closed with the next end
 	published int
+	nextBeat  time.Time // when the next registration is due
 }
 
 func newRunner(id, zone string, r *record) (*runner, error) {
@@ -77,6 +78,24 @@
 		serviceName, n.listener.Addr(), n.zone, runnerCores, runnerMemory, n.zone, n.clock(), n.born.UnixMilli(), n.published)
 }
 
+// beatIsDue reports whether a registration is due, and sets when the next one is.
+func (n *runner) beatIsDue(now time.Time) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if now.Before(n.nextBeat) {
+		return false
+	}
+	n.nextBeat = now.Add(heartbeat)
+	return true
+}
+
+// delayBeat sets when the next registration is due.
+func (n *runner) delayBeat(until time.Time) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.nextBeat = until
+}
+
 func (n *runner) clock() int64 { return time.Since(n.born).Milliseconds() }
 
 type order struct {
