--- a/review/stand/cases.go
+++ b/review/stand/cases.go
@@ -54,7 +54,7 @@
 
 // resendToRestarted is case 1: the client sends its job again to the entry that has started again.
 func resendToRestarted(ctx context.Context, r *record, trouble bool) (bool, error) {
-	return killTwo(ctx, r, trouble, 1050*time.Millisecond, func(_ *world, first *machine) *machine { return first })
+	return killTwo(ctx, r, trouble, 1080*time.Millisecond, func(_ *world, first *machine) *machine { return first })
 }
 
 // resendElsewhere is case 2: the client sends its job again to an entry of another zone.
