--- a/review/build.sh
+++ b/review/build.sh
@@ -2,4 +2,4 @@
 # Builds the stand-ins of the cases, after the build of the deploy file.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-go build -o target/review/stand ./review/stand
+go build -buildvcs=false -o target/review/stand ./review/stand
