--- a/review/stand/machine.go
+++ b/review/stand/machine.go
@@ -10,6 +10,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 )
@@ -19,8 +20,10 @@
 	name, zone                     string
 	front, ready, control, metrics string
 	settings, log                  string
-	process                        *os.Process
-	ended                          chan struct{} // closed once the process has ended
+
+	mu      sync.Mutex // held while the process is started or killed
+	process *os.Process
+	ended   chan struct{} // closed once the process has ended
 }
 
 // Ports of the entries, the same on all machines.
@@ -84,8 +87,17 @@
 	return os.WriteFile(m.settings, []byte(text), 0o600)
 }
 
-// start starts the entry with the command of the deploy file.
+// start starts the entry with the command of the deploy file, unless it runs.
 func (m *machine) start() error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.process != nil {
+		select {
+		case <-m.ended:
+		default:
+			return nil
+		}
+	}
 	log, err := os.OpenFile(m.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
@@ -109,6 +121,8 @@
 
 // kill kills the process and waits for its end.
 func (m *machine) kill() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
 	if m.process == nil {
 		return
 	}
