peer, peerclock, node: Log how old a message about jobs is when it is read

The answers to Place and Await state the time on the receiver's clock. The sender of a later message adds the time that has passed since, which bounds the age of the message from above, whatever the clocks of the two show and however long the answer took. A sender that has no recent reading asks first, with a poll for no jobs: one round trip after a change of holder. Earlier builds state no time; their messages count from the reading, as before.

ArrivedAt and ExpiresAt of a job count from the sending now, which is where both were measured.

--- a/internal/gateway/node/groups.go
+++ b/internal/gateway/node/groups.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"maps"
 	"sync"
 	"time"
@@ -15,6 +16,7 @@
 	"github.com/radishgate/radishgate/internal/work/batch"
 	"github.com/radishgate/radishgate/internal/worker/fence"
 	"github.com/radishgate/radishgate/member"
+	"github.com/radishgate/radishgate/peer"
 	"github.com/radishgate/radishgate/platform"
 )
 
@@ -258,12 +260,18 @@
 // it. completed names the tasks that completed under an earlier holder.
 func (n *Node) placeAt(ctx context.Context, to submission.GroupHolder, b *batch.Batch, completed []string) (bool, error) {
 	if to.Local {
-		return n.onPlace(to.Group, to.Epoch, b, completed), nil
+		local := *b
+		local.AskedAt = time.Now()
+		return n.onPlace(to.Group, to.Epoch, &local, completed), nil
 	}
 	n.instruments.countMessage("place")
 	n.silence.Begin(to.ID, time.Now())
 	accepted, err := n.client.Place(ctx, to.Address, to.Group, to.Epoch, b, completed)
 	n.silence.End(to.ID, err == nil, time.Now())
+	if unsent := new(peer.NotSentError); errors.As(err, &unsent) {
+		n.log.Warn("job not sent", "job", b.ID, "to", to.ID, "error", unsent.Cause)
+		return false, nil
+	}
 	return accepted, err
 }
 
@@ -272,7 +280,7 @@
 // the group under this epoch.
 func (n *Node) awaitAt(ctx context.Context, to submission.GroupHolder, ids []string) ([]batch.Result, []string, bool, error) {
 	if to.Local {
-		results, unknown, held := n.onAwait(to.Group, to.Epoch, ids)
+		results, unknown, held := n.onAwait(to.Group, to.Epoch, ids, time.Now())
 		return results, unknown, held, nil
 	}
 	n.instruments.countMessage("await")
@@ -299,20 +307,32 @@
 	if !held || h.Epoch() != epoch || n.pauseDetector.takeoverSuspected(time.Now()) {
 		return false
 	}
+	n.logLateMessage(b.AskedAt, "group", group, "job", b.ID, "from", b.WaitingEntry)
 	h.Admit(b, completed)
 	return true
 }
 
 // onAwait answers an awaitAt call of this or another entry.
-func (n *Node) onAwait(group string, epoch uint64, ids []string) ([]batch.Result, []string, bool) {
+func (n *Node) onAwait(group string, epoch uint64, ids []string, askedAt time.Time) ([]batch.Result, []string, bool) {
 	h, held := n.holder(group)
 	if !held || h.Epoch() != epoch {
 		return nil, nil, false
 	}
+	n.logLateMessage(askedAt, "group", group, "jobs", len(ids))
 	results, unknown := h.KeepAlive(ids)
 	return results, unknown, true
 }
 
+// lateMessage is the age from which a message about jobs is logged.
+const lateMessage = 150 * time.Millisecond
+
+// logLateMessage logs a message of another entry that was under way, or waited here, for long.
+func (n *Node) logLateMessage(sentAt time.Time, values ...any) {
+	if age := time.Since(sentAt); age > lateMessage {
+		n.log.Warn("late message about jobs", append(values, "age_ms", age.Milliseconds())...)
+	}
+}
+
 // onWithdraw cancels a job if this entry holds the group.
 func (n *Node) onWithdraw(group, id string, attempt uint64) {
 	if h, held := n.holder(group); held {
--- a/internal/gateway/node/node_test.go
+++ b/internal/gateway/node/node_test.go
@@ -374,7 +374,7 @@
 	if n.onPlace(current.Group, current.Epoch-1, b, nil) || n.onPlace(current.Group, current.Epoch+1, b, nil) {
 		t.Fatal("a job under another claim was accepted")
 	}
-	if _, _, held := n.onAwait(current.Group, current.Epoch+1, []string{b.ID}); held {
+	if _, _, held := n.onAwait(current.Group, current.Epoch+1, []string{b.ID}, time.Now()); held {
 		t.Fatal("a poll under another claim was answered")
 	}
 	if !n.onPlace(current.Group, current.Epoch, b, nil) {
--- a/internal/work/batch/batch.go
+++ b/internal/work/batch/batch.go
@@ -50,6 +50,7 @@
 	Attempt      uint64 // distinguishes requests of the client for the same job
 	ArrivedAt    time.Time
 	ExpiresAt    time.Time // when the client stops waiting
+	AskedAt      time.Time // when WaitingEntry sent the job to the present holder, at the latest
 	MaybeStarted bool      // a holder may have started tasks of it before
 	SpilledOver  bool      // comes from another availability zone that lacked free resources
 	Losses       []Losses  // counted by earlier holders
--- a/peer/client.go
+++ b/peer/client.go
@@ -19,6 +19,7 @@
 	"github.com/radishgate/radishgate/common/counted"
 	"github.com/radishgate/radishgate/estimate"
 	"github.com/radishgate/radishgate/idempotency"
+	"github.com/radishgate/radishgate/internal/gateway/peerclock"
 	"github.com/radishgate/radishgate/loan"
 	"github.com/radishgate/radishgate/peer/wire"
 )
@@ -105,6 +106,7 @@
 	scheme       string
 	newTransport func() *http.Transport
 	wrap         func(http.RoundTripper) http.RoundTripper
+	clocks       peerclock.Table
 
 	mu    sync.Mutex
 	peers map[string]*connectedPeer
--- a/peer/jobs.go
+++ b/peer/jobs.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"strconv"
 	"time"
 
+	"github.com/radishgate/radishgate/internal/gateway/peerclock"
 	"github.com/radishgate/radishgate/internal/placement/election"
 	"github.com/radishgate/radishgate/internal/work/batch"
 	"github.com/radishgate/radishgate/internal/work/resources"
@@ -14,23 +16,23 @@
 // of workers. OnPlace and OnAwait report with their last result whether this
 // entry is the holder of the group under the claim of that epoch: a message
 // that refers to an earlier claim may be about a job that has since moved to
-// another entry.
+// another entry. OnAwait gets the time at which the entry asked, at the latest.
 type JobHandlers struct { //nolint
 	OnPlace    func(group string, epoch uint64, b *batch.Batch, completedTasks []string) bool
-	OnAwait    func(group string, epoch uint64, ids []string) (results []batch.Result, unknown []string, held bool)
+	OnAwait    func(group string, epoch uint64, ids []string, askedAt time.Time) (results []batch.Result, unknown []string, held bool)
 	OnResults  func(results []batch.Result)
 	OnWithdraw func(group, id string, attempt uint64)
 }
 
 // Place accepts a job for a group of workers.
 func (h JobHandlers) Place(_ context.Context, r *wire.PlaceRequest) (*wire.PlaceReply, error) {
-	return &wire.PlaceReply{Held: h.OnPlace(r.Group, r.Epoch, unpackBatch(r), r.Done)}, nil
+	return &wire.PlaceReply{Held: h.OnPlace(r.Group, r.Epoch, unpackBatch(r), r.Done), ClockMs: peerclock.Now()}, nil
 }
 
 // Await returns the results of jobs that have ended and keeps the others alive. Earlier builds
 // take each of the outcomes for a result, so that the jobs that go on have a list of their own.
 func (h JobHandlers) Await(_ context.Context, r *wire.AwaitRequest) (*wire.AwaitReply, error) {
-	results, unknown, held := h.OnAwait(r.Group, r.Epoch, r.Ids)
+	results, unknown, held := h.OnAwait(r.Group, r.Epoch, r.Ids, time.Now().Add(-peerclock.Age(r.SentMs)))
 	var ended, running []batch.Result
 	for _, r := range results {
 		if r.State.Ended() {
@@ -39,7 +41,7 @@
 		}
 		running = append(running, r)
 	}
-	return &wire.AwaitReply{Held: held, Outcomes: packOutcomes(ended), Running: packOutcomes(running), Unknown: unknown}, nil
+	return &wire.AwaitReply{Held: held, Outcomes: packOutcomes(ended), Running: packOutcomes(running), Unknown: unknown, ClockMs: peerclock.Now()}, nil
 }
 
 // Settle accepts the results of jobs.
@@ -54,27 +56,72 @@
 	return &wire.WithdrawReply{}, nil
 }
 
+// NotSentError reports a job that was not sent, since the receiver did not answer before.
+type NotSentError struct {
+	Address string
+	Cause   error
+}
+
+// Error implements error.
+func (e *NotSentError) Error() string { return "job not sent to " + e.Address + ": " + e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e *NotSentError) Unwrap() error { return e.Cause }
+
 // Place sends a job to another entry and reports whether that entry is the
-// holder of the group. After an error the entry may still have accepted the
+// holder of the group. After an error other than *NotSentError the entry may still have accepted the
 // job.
 func (c *Client) Place(ctx context.Context, address, group string, epoch uint64, b *batch.Batch, completedTasks []string) (bool, error) {
+	sent, err := c.receiverClock(ctx, address, group, epoch)
+	if err != nil {
+		return false, &NotSentError{Address: address, Cause: err}
+	}
 	request := packBatch(group, b, completedTasks)
-	request.Epoch = epoch
+	request.Epoch, request.SentMs = epoch, sent
 	reply, err := c.peer(address).Place(ctx, request)
 	if err != nil {
 		return false, err
 	}
+	c.clocks.Note(claimKey(address, epoch), reply.ClockMs)
 	return reply.Held, nil
 }
 
+// claimKey names the clock of the entry at an address that has made the claim of an epoch. Another
+// machine may take over the address.
+func claimKey(address string, epoch uint64) string {
+	return address + "/" + strconv.FormatUint(epoch, 10)
+}
+
+// receiverClock returns the time on the clock of the holder of a group, or an earlier one, for a
+// message to it. If no answer of the holder has told it lately, it asks.
+func (c *Client) receiverClock(ctx context.Context, address, group string, epoch uint64) (uint64, error) {
+	if clock, known := c.clocks.Estimate(claimKey(address, epoch)); known {
+		return clock, nil
+	}
+	if _, _, _, err := c.await(ctx, address, &wire.AwaitRequest{Group: group, Epoch: epoch}); err != nil {
+		return 0, err
+	}
+	clock, _ := c.clocks.Estimate(claimKey(address, epoch))
+	return clock, nil
+}
+
 // Await fetches the results of jobs from another entry and keeps those alive
 // that have not ended. It returns the results, the states of other jobs that have
 // losses, the IDs of jobs that the entry does not know, and whether the entry is the holder of the group.
 func (c *Client) Await(ctx context.Context, address, group string, epoch uint64, ids []string) ([]batch.Result, []string, bool, error) {
-	reply, err := c.peer(address).Await(ctx, &wire.AwaitRequest{Group: group, Epoch: epoch, Ids: ids})
+	sent, err := c.receiverClock(ctx, address, group, epoch)
 	if err != nil {
 		return nil, nil, false, err
 	}
+	return c.await(ctx, address, &wire.AwaitRequest{Group: group, Epoch: epoch, Ids: ids, SentMs: sent})
+}
+
+func (c *Client) await(ctx context.Context, address string, request *wire.AwaitRequest) ([]batch.Result, []string, bool, error) {
+	reply, err := c.peer(address).Await(ctx, request)
+	if err != nil {
+		return nil, nil, false, err
+	}
+	c.clocks.Note(claimKey(address, request.Epoch), reply.ClockMs)
 	return append(unpackOutcomes(reply.Outcomes), unpackOutcomes(reply.Running)...), reply.Unknown, reply.Held, nil
 }
 
@@ -112,14 +159,14 @@
 }
 
 func unpackBatch(r *wire.PlaceRequest) *batch.Batch {
-	now := time.Now()
+	sent := time.Now().Add(-peerclock.Age(r.SentMs))
 	b := &batch.Batch{
 		QueueSettings: batch.QueueSettings{
 			Queue: r.Queue, Service: r.Service, Version: r.Version, Priority: int(r.Priority), MaxAttempts: int(r.Attempts),
 			Stretch: float64(r.Stretch), Slack: millisToDuration(r.SlackMs),
 		},
 		ID: r.Id, Spec: r.Spec, WaitingEntry: r.From, MaybeStarted: r.Again, Attempt: r.Attempt, SpilledOver: r.Away, Losses: unpackLosses(r.Losses),
-		ArrivedAt: now.Add(-millisToDuration(r.AgeMs)), ExpiresAt: now.Add(millisToDuration(r.LeftMs)),
+		ArrivedAt: sent.Add(-millisToDuration(r.AgeMs)), ExpiresAt: sent.Add(millisToDuration(r.LeftMs)), AskedAt: sent,
 	}
 	for _, s := range r.Steps {
 		step := batch.Step{
--- a/peer/losses_test.go
+++ b/peer/losses_test.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"testing"
+	"time"
 
 	"google.golang.org/protobuf/proto"
 
@@ -26,7 +27,7 @@
 	if got := unpackBatch(&request).Losses; !slices.Equal(got, losses) {
 		t.Errorf("placed with %+v, want %+v", got, losses)
 	}
-	handlers := JobHandlers{OnAwait: func(string, uint64, []string) ([]batch.Result, []string, bool) {
+	handlers := JobHandlers{OnAwait: func(string, uint64, []string, time.Time) ([]batch.Result, []string, bool) {
 		return []batch.Result{{ID: "j", State: batch.Running, Losses: losses}, {ID: "k", State: batch.Completed}}, nil, true
 	}}
 	reply, err := handlers.Await(t.Context(), &wire.AwaitRequest{})
