soak: Test that a job that its client sends again runs once, known red

The play: the scheduler of a zone stands still for 0.4 s. 20 ms later a client sends a job to the zone's other entry, which passes it on and is killed 60 ms after that. The scheduler reads the message 0.38 s late and starts the tasks; 1.3 s after its connection broke the client sends the job to another zone, which starts them as well.

The test uses real processes of two zones. Other soaks can't show the fault, since their tasks are shorter than 1.3 s.

The behaviour of the soak's workers becomes an argument of its set-up; TestSoak draws it as before.

--- a/internal/trial/soak/soak_test.go
+++ b/internal/trial/soak/soak_test.go
@@ -75,6 +75,8 @@
 	monitor       *worker.RunMonitor
 	entries       []*entry
 	workerProxies []*proxy.Proxy
+	planWorker    func(seed uint64) worker.Options // behaviour of a worker
+	restarts      sync.WaitGroup                   // of lost entries
 
 	mu         sync.Mutex
 	events     []string
@@ -109,9 +111,14 @@
 }
 
 func newSoak(t *testing.T, binary string, seed uint64) *soak {
+	return newSoakOf(t, binary, seed, drawnBehaviour)
+}
+
+// newSoakOf starts entries and workers that behave as planned.
+func newSoakOf(t *testing.T, binary string, seed uint64, planWorker func(seed uint64) worker.Options) *soak {
 	s := &soak{
 		t: t, random: rand.New(rand.NewPCG(seed, 1)), binary: binary, dir: t.TempDir(),
-		store: ledger.New(), monitor: &worker.RunMonitor{},
+		store: ledger.New(), monitor: &worker.RunMonitor{}, planWorker: planWorker,
 	}
 	if *logDir != "" {
 		s.dir = filepath.Join(*logDir, fmt.Sprint(seed))
@@ -186,6 +193,20 @@
 }
 
 func (s *soak) addWorker(id, zone string, seed uint64) {
+	options := s.planWorker(seed)
+	options.ID, options.Slots, options.Monitor = id, 2, s.monitor
+	server := httptest.NewServer(worker.New(options))
+	s.t.Cleanup(server.Close)
+	p := s.newProxy(strings.TrimPrefix(server.URL, "http://"))
+	s.workerProxies = append(s.workerProxies, p)
+	s.store.Put("keyed.servers", id, fmt.Appendf(nil,
+		`{"backend":"listing","address":%q,"zone":%q,"state":"ready","capacity":{"cpu":2000,"mem-mb":1000},"labels":["k"],"seq":1}`,
+		p.Address(), zone))
+}
+
+// drawnBehaviour returns the options of a worker that draws its run times, some failures and some
+// late executions of orders from a seed.
+func drawnBehaviour(seed uint64) worker.Options {
 	random := rand.New(rand.NewPCG(seed, 2))
 	var mu sync.Mutex
 	draw := func() (float64, time.Duration) {
@@ -193,8 +214,7 @@
 		defer mu.Unlock()
 		return random.Float64(), time.Duration(20+random.IntN(180)) * time.Millisecond
 	}
-	server := httptest.NewServer(worker.New(worker.Options{
-		ID: id, Slots: 2, Monitor: s.monitor,
+	return worker.Options{
 		PlanRun: func(string) (string, time.Duration) {
 			chance, runtime := draw()
 			if chance < 0.02 {
@@ -208,13 +228,7 @@
 			}
 			return 0
 		},
-	}))
-	s.t.Cleanup(server.Close)
-	p := s.newProxy(strings.TrimPrefix(server.URL, "http://"))
-	s.workerProxies = append(s.workerProxies, p)
-	s.store.Put("keyed.servers", id, fmt.Appendf(nil,
-		`{"backend":"listing","address":%q,"zone":%q,"state":"ready","capacity":{"cpu":2000,"mem-mb":1000},"labels":["k"],"seq":1}`,
-		p.Address(), zone))
+	}
 }
 
 func (s *soak) writeSettings(e *entry, ports []string) {
--- /dev/null
+++ b/internal/trial/soak/zones_test.go
@@ -0,0 +1,135 @@
+package soak
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/radishgate/radishgate/standin/worker"
+)
+
+var zonePlays = flag.Int("plays", 1, "how often each play of TestJobSentAgainRunsOnce is repeated")
+
+// Times of the plays of one job. The platform starts a lost entry again after restartDelay.
+const (
+	restartDelay  = 500 * time.Millisecond
+	readyTime     = 2 * time.Second // from the start of the entries until a job is sent
+	longRun       = 2500 * time.Millisecond
+	longDeadline  = 6 * time.Second
+	runningTime   = 300 * time.Millisecond // from the submission until its tasks run
+	followUpTime  = 2 * time.Second        // from the second submission to the end
+	longJob       = "5c0e7a21d94b36f8"
+	longJobBody   = `{"spec":"x","steps":[{"count":4,"cpu":1000,"mem-mb":10,"est-runtime-ms":2500}],"best-effort":true}`
+	disruptedZone = "a"
+)
+
+// TestJobSentAgainRunsOnce disrupts the availability zone in which a job runs, so that its client
+// sends it again. Its tasks must not start while their first runs go on.
+func TestJobSentAgainRunsOnce(t *testing.T) {
+	tests := []struct {
+		name string
+		play func(s *soak, scheduler, other *entry)
+	}{
+		{"to another zone, after the scheduler has read the job late and its entry was lost", func(s *soak, scheduler, other *entry) {
+			process := scheduler.command.Process
+			s.signal(scheduler, syscall.SIGSTOP)
+			time.AfterFunc(400*time.Millisecond, func() { _ = process.Signal(syscall.SIGCONT) })
+			time.Sleep(20 * time.Millisecond)
+			sent := s.sendLongJob(other)
+			time.Sleep(60 * time.Millisecond)
+			s.lose(other)
+			<-sent
+			time.Sleep(resendAfter)
+			s.sendLongJob(s.entryOutside(disruptedZone))
+		}},
+	}
+	binary := buildProgram(t)
+	for _, c := range tests {
+		t.Run(c.name, func(t *testing.T) {
+			for range *zonePlays {
+				s := newSoakOf(t, binary, 1, func(uint64) worker.Options {
+					return worker.Options{PlanRun: func(task string) (string, time.Duration) {
+						if strings.HasPrefix(task, longJob) {
+							return "done", longRun
+						}
+						return "done", time.Millisecond
+					}}
+				})
+				time.Sleep(readyTime)
+				for i, e := range s.entries { // entries have exchanged messages about jobs before
+					postJob(e.callerAddress, fmt.Sprintf("%016x", i+1), longJobBody, time.Now().Add(longDeadline))
+				}
+				scheduler, other := s.schedulerOf(disruptedZone)
+				c.play(s, scheduler, other)
+				time.Sleep(followUpTime)
+				s.restarts.Wait()
+				if starts, _ := s.monitor.TaskRuns(longJob + ".0.0.0"); starts == 0 {
+					t.Error("the job never ran")
+				}
+				if overlapping, _ := s.monitor.Violations(); len(overlapping) > 0 {
+					t.Errorf("tasks with concurrent runs: %v; want none", overlapping)
+				}
+			}
+		})
+	}
+}
+
+// sendLongJob sends the long job to an entry. The channel is closed once the client has an answer,
+// or its connection is broken.
+func (s *soak) sendLongJob(e *entry) <-chan struct{} {
+	answered := make(chan struct{})
+	go func() {
+		defer close(answered)
+		status, answer := postJob(e.callerAddress, longJob, longJobBody, time.Now().Add(longDeadline))
+		s.recordEvent("entry %d answers %d %s", e.index, status, answer)
+	}()
+	return answered
+}
+
+// lose kills entries and starts them again after restartDelay.
+func (s *soak) lose(lost ...*entry) {
+	for _, e := range lost {
+		s.kill(e)
+		s.restarts.Go(func() {
+			time.Sleep(restartDelay)
+			s.start(e)
+		})
+	}
+}
+
+// schedulerOf returns the entry of a zone that schedules its tasks, by its log, and the other one.
+func (s *soak) schedulerOf(zone string) (scheduler, other *entry) {
+	for _, e := range s.entries {
+		log, err := os.ReadFile(filepath.Join(s.dir, fmt.Sprintf("e%d.log", e.index)))
+		if err != nil {
+			s.t.Fatal(err)
+		}
+		switch taken := strings.LastIndex(string(log), "group taken"); {
+		case zoneName(e.index) != zone:
+		case taken > strings.LastIndex(string(log), "group given up"):
+			scheduler = e
+		default:
+			other = e
+		}
+	}
+	if scheduler == nil || other == nil {
+		s.t.Fatalf("no two entries in zone %s of which one schedules its tasks", zone)
+	}
+	return scheduler, other
+}
+
+// entryOutside returns an entry of another zone.
+func (s *soak) entryOutside(zone string) *entry {
+	for _, e := range s.entries {
+		if zoneName(e.index) != zone {
+			return e
+		}
+	}
+	s.t.Fatal("there is one zone only")
+	return nil
+}
