plan: Count the interest in a job from when its entry asked, not from the reading

Cause: the scheduler of a zone keeps a job for 1.2 s after its entry has asked for it, so that it ends before the client, which sends again after 1.3 s, can have it started elsewhere. Those 1.2 s counted from the reading of the message. A message that had waited in a link, or for a scheduler that stood still, made the job last as much longer; 0.1 s was all that there was for that, for the tick and for the stop. Class: a time limit that counts from the receiver's side and guards against something that counts from the sender's.

Now a job is kept for 1.2 s from its sending, by the bound on the age of a message, and a poll renews it from its sending. A message that is as old as that starts nothing; if its entry still waits, its next poll has the job handed over again. The limit is as it was.

Ruled out: to reject each message from 0.3 s on (an entry that waits sends the job again 25 ms after the rejection, so that it costs little, but the limit makes it needless); a longer margin (0.3 s for 0.1 s): a delay can be longer than any margin.

--- a/internal/gateway/node/groups.go
+++ b/internal/gateway/node/groups.go
@@ -260,9 +260,7 @@
 // it. completed names the tasks that completed under an earlier holder.
 func (n *Node) placeAt(ctx context.Context, to submission.GroupHolder, b *batch.Batch, completed []string) (bool, error) {
 	if to.Local {
-		local := *b
-		local.AskedAt = time.Now()
-		return n.onPlace(to.Group, to.Epoch, &local, completed), nil
+		return n.onPlace(to.Group, to.Epoch, b, completed), nil
 	}
 	n.instruments.countMessage("place")
 	n.silence.Begin(to.ID, time.Now())
@@ -319,7 +317,7 @@
 		return nil, nil, false
 	}
 	n.logLateMessage(askedAt, "group", group, "jobs", len(ids))
-	results, unknown := h.KeepAlive(ids)
+	results, unknown := h.KeepAlive(ids, askedAt)
 	return results, unknown, true
 }
 
--- a/internal/gateway/submission/submission.go
+++ b/internal/gateway/submission/submission.go
@@ -169,7 +169,7 @@
 	b := *job.batch
 	// This applies to the same holder as well: it may have started the job, dropped
 	// it while it was cut off from this entry, and kept no record of it.
-	b.MaybeStarted, b.Losses = job.maybeAccepted, job.losses
+	b.MaybeStarted, b.Losses, b.AskedAt = job.maybeAccepted, job.losses, time.Now()
 	job.multipleHolders = job.multipleHolders || job.maybeAccepted && (job.holder.ID != holder.ID || job.holder.Epoch != holder.Epoch)
 	job.batch = &b // a copy, since a holder keeps the batch that it got and it must not change
 	job.holder, job.placing, job.maybeAccepted, job.lastPolled = holder, true, true, time.Now()
--- a/internal/placement/holder/contact_test.go
+++ b/internal/placement/holder/contact_test.go
@@ -29,7 +29,7 @@
 			h.Admit(b, nil)
 			for time.Since(contact) < 4*time.Second && len(r.sent()) == 0 {
 				time.Sleep(10 * time.Millisecond)
-				h.KeepAlive([]string{id})
+				h.KeepAlive([]string{id}, time.Now())
 			}
 			earliest := 50*time.Millisecond + o.ClientRetryAfter // the earlier holder has abandoned the job, as usual
 			if unheard {
--- a/internal/placement/holder/holder.go
+++ b/internal/placement/holder/holder.go
@@ -300,13 +300,13 @@
 	h.update(func(p *plan.Plan, now time.Time) { p.Withdraw(id, attempt, now) })
 }
 
-// KeepAlive keeps jobs that clients still wait for. It returns the results of those
+// KeepAlive keeps jobs for which an entry has asked at a time. It returns the results of those
 // that have ended, the states of others that have losses, and the IDs of those that the plan
 // does not know.
-func (h *Holder) KeepAlive(ids []string) (results []batch.Result, unknown []string) {
-	h.update(func(p *plan.Plan, now time.Time) {
+func (h *Holder) KeepAlive(ids []string, askedAt time.Time) (results []batch.Result, unknown []string) {
+	h.update(func(p *plan.Plan, _ time.Time) {
 		for _, id := range ids {
-			r, known := p.KeepAlive(id, now)
+			r, known := p.KeepAlive(id, askedAt)
 			switch {
 			case !known:
 				unknown = append(unknown, id)
--- a/internal/placement/holder/proof_test.go
+++ b/internal/placement/holder/proof_test.go
@@ -124,7 +124,7 @@
 		h.AddWorker(registeredWorker("w2"))
 		for h.Answering("w1") {
 			time.Sleep(5 * time.Millisecond)
-			h.KeepAlive([]string{"0000000000000001"})
+			h.KeepAlive([]string{"0000000000000001"}, time.Now())
 		}
 		h.RemoveWorker("w1", "its registration has gone")
 		time.Sleep(30 * time.Millisecond)
@@ -360,7 +360,7 @@
 		h.AddWorker(registeredWorker("w2"))
 		for range 80 {
 			time.Sleep(100 * time.Millisecond)
-			h.KeepAlive([]string{"0000000000000001"})
+			h.KeepAlive([]string{"0000000000000001"}, time.Now())
 		}
 		var lastCopy, second time.Time
 		for _, s := range r.sent() {
--- a/internal/placement/holder/replaced_test.go
+++ b/internal/placement/holder/replaced_test.go
@@ -25,7 +25,7 @@
 		b.mu.Unlock()
 		const ticks = 4
 		for range 100 * ticks {
-			b.KeepAlive(nil)
+			b.KeepAlive(nil, time.Now())
 			time.Sleep(tickInterval / 100)
 		}
 		b.mu.Lock()
--- a/internal/placement/holder/restartbench_test.go
+++ b/internal/placement/holder/restartbench_test.go
@@ -243,7 +243,7 @@
 		case r := <-b.results:
 			return r
 		case <-time.After(250 * time.Millisecond):
-			b.KeepAlive([]string{fmt.Sprintf("%016x", b.jobs)})
+			b.KeepAlive([]string{fmt.Sprintf("%016x", b.jobs)}, time.Now())
 		}
 	}
 	return batch.Result{}
@@ -265,7 +265,7 @@
 func (b *restartBench) keepAsking(longest time.Duration, done func() bool) {
 	for until := time.Now().Add(longest); !done() && time.Now().Before(until); {
 		time.Sleep(time.Millisecond)
-		b.KeepAlive([]string{fmt.Sprintf("%016x", b.jobs)})
+		b.KeepAlive([]string{fmt.Sprintf("%016x", b.jobs)}, time.Now())
 	}
 }
 
--- a/internal/placement/plan/job.go
+++ b/internal/placement/plan/job.go
@@ -54,9 +54,12 @@
 // Admit adds a job; completed names its tasks that have succeeded under an earlier holder.
 // A job that is already known continues, or has its result delivered again. A delayed
 // message of an attempt that was refused or withdrawn must start nothing, but a new attempt
-// of the client may.
+// of the client may. Nor may one start anything that is so old that the job would be abandoned.
 func (p *Plan) Admit(b *batch.Batch, completed []string, now time.Time) {
 	p.now = now
+	if !p.abandonTime(b, p.askedAt(b)).After(now) {
+		return // its client may have sent it again by now; an entry that still waits will ask again
+	}
 	j, known := p.jobs[b.ID]
 	isNew := !known || len(j.tasks) == 0 && j.Attempt != b.Attempt
 	switch {
@@ -73,7 +76,7 @@
 	default:
 		j.Batch = b
 	}
-	p.postponeAbandon(j)
+	j.abandonAt = p.abandonTime(b, p.askedAt(b))
 	j.addLosses(b.Losses)
 	if p.endCrashing(j) {
 		return
@@ -227,27 +230,38 @@
 	p.placeAll()
 }
 
-// KeepAlive records that an entry still waits for a job. It returns the job's state and
+// KeepAlive records that an entry waited for a job at a time. It returns the job's state and
 // losses, with its result if it has ended, and whether the job is known.
-func (p *Plan) KeepAlive(id string, now time.Time) (batch.Result, bool) {
-	p.now = now
+func (p *Plan) KeepAlive(id string, askedAt time.Time) (batch.Result, bool) {
 	j, known := p.jobs[id]
 	if !known || j.abandoned {
 		return batch.Result{}, false
 	}
-	p.postponeAbandon(j)
+	if at := p.abandonTime(j.Batch, askedAt); at.After(j.abandonAt) {
+		j.abandonAt = at
+	}
 	result := j.result
 	result.Losses = j.losses()
 	return result, true
 }
 
-// postponeAbandon sets the time at which a job is abandoned unless its entry asks again.
-func (p *Plan) postponeAbandon(j *job) {
+// askedAt returns when an entry sent a job.
+func (p *Plan) askedAt(b *batch.Batch) time.Time {
+	if b.AskedAt.IsZero() || b.AskedAt.After(p.now) {
+		return p.now
+	}
+	return b.AskedAt
+}
+
+// abandonTime returns when a job is abandoned whose entry has asked for it last at a time. It counts from
+// the sending of that message, since the entry may have been lost right after, and its client sends the
+// job again then.
+func (p *Plan) abandonTime(b *batch.Batch, askedAt time.Time) time.Time {
 	margin := abandonMargin
-	if j.SpilledOver {
+	if b.SpilledOver {
 		margin = spilloverAbandonMargin
 	}
-	j.abandonAt = p.now.Add(max(p.options.ClientRetryAfter-margin, minAbandonDelay))
+	return askedAt.Add(max(p.options.ClientRetryAfter-margin, minAbandonDelay))
 }
 
 // abandon ends a job that no entry waits for, without delivering its result.
--- a/internal/trial/history/calls_test.go
+++ b/internal/trial/history/calls_test.go
@@ -81,7 +81,8 @@
 }
 
 func (e *entry) keepAliveAt(ctx context.Context, to submission.GroupHolder, ids []string) (results []batch.Result, unknown []string, held bool, err error) {
-	held, err = e.callHolder(ctx, to, false, func(h *holder.Holder) { results, unknown = h.KeepAlive(ids) })
+	askedAt := time.Now()
+	held, err = e.callHolder(ctx, to, false, func(h *holder.Holder) { results, unknown = h.KeepAlive(ids, askedAt) })
 	if err != nil {
 		return nil, nil, false, err
 	}
