plan, remote, node, submission: Send a job back to the group that has started it

Cause: between zones nothing but time limits keeps two runs of a task apart, and these do not add up when a second entry is lost before the first limit has passed: up to 1.2 s until the scheduler drops the job, and 1.08 s of lease, or 0.4 s more under its successor, against the 1.3 s after which a client sends again. Within a zone the workers are asked; nobody asks those of another zone.

Now the holders of all groups tell each other which jobs they have started, as 8 bytes a job in the heartbeats that they exchange anyway, each until it has been answered. A holder that has just taken a group gets all of them with the answer to its claim. A holder that gets a job that another group has started sends it back there, where the names of the tasks find the runs: the client gets the result of the first runs, in place of second ones. So the first time limits need no longer be added up. The entry then says that the outcome is unknown, never that the job has not run, if that group does not answer. A group that has been silent for as long as any run may last (2.8 s) is not asked.

Ruled out: - to ask the other zones when a job comes: a round trip between zones for each job, or rules on when to ask; with the scheduler lost, all jobs of the other zones would wait for its successor. - shorter leases and interest, so that they add up to 1.3 s: 0.45 s and 0.7 s; runs would be lost at each change of holder, as the takeover takes 0.9 s. - to tell each other of all jobs, not of the started ones: a job that spills over would be sent back.

--- a/internal/gateway/node/heartbeats.go
+++ b/internal/gateway/node/heartbeats.go
@@ -113,6 +113,7 @@
 		n.refreshFreeSlots()
 		records, targets := n.members.NextHeartbeat()
 		targets = n.addOtherHolders(targets)
+		n.startedReports.retain(n.holdsOtherGroup)
 		n.broadcast(ctx, &sends, records, targets)
 		if first := step < startupHeartbeats; first || step%contactInterval == 0 {
 			n.tryContacts(ctx, &sends, records, first)
@@ -161,7 +162,12 @@
 func (n *Node) broadcast(ctx context.Context, sends *sync.WaitGroup, records []member.Record, targets []member.Record) {
 	heartbeat := n.newHeartbeat(records)
 	for _, target := range targets {
-		sends.Go(func() { n.sendHeartbeat(ctx, target.ID, target.PeerAddress, heartbeat) })
+		extended, confirm := n.addStarted(heartbeat, target)
+		sends.Go(func() {
+			if n.sendHeartbeat(ctx, target.ID, target.PeerAddress, extended) {
+				confirm()
+			}
+		})
 	}
 }
 
@@ -190,9 +196,9 @@
 // heartbeatTimeout bounds a heartbeat and its answer.
 const heartbeatTimeout = 300 * time.Millisecond
 
-// sendHeartbeat sends one heartbeat and merges the answer. id is empty if the entry at
-// the address is not known.
-func (n *Node) sendHeartbeat(ctx context.Context, id, address string, heartbeat *wire.Beat) {
+// sendHeartbeat sends one heartbeat, merges the answer and reports whether another entry has answered. id
+// is empty if the entry at the address is not known.
+func (n *Node) sendHeartbeat(ctx context.Context, id, address string, heartbeat *wire.Beat) bool {
 	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
 	defer cancel()
 	n.instruments.countMessage("beat")
@@ -211,23 +217,25 @@
 		default:
 			n.members.NoteAddressRefused(address)
 		}
-		return
+		return false
 	}
 	if !answered {
-		return
+		return false
 	}
 	n.isolation.NoteHeard()
 	n.mergeHeartbeat(answer)
 	n.pauseDetector.recordAnswer(sent)
+	return true
 }
 
 // onHeartbeat merges a heartbeat and answers with one of this entry.
 func (n *Node) onHeartbeat(heartbeat *wire.Beat) *wire.Beat {
-	if n.isFromOther(heartbeat) {
-		n.isolation.NoteHeard()
-		n.mergeHeartbeat(heartbeat)
+	if !n.isFromOther(heartbeat) {
+		return n.newHeartbeat(n.members.ReplyRecords())
 	}
-	return n.newHeartbeat(n.members.ReplyRecords())
+	n.isolation.NoteHeard()
+	n.mergeHeartbeat(heartbeat)
+	return n.replyStarted(n.newHeartbeat(n.members.ReplyRecords()), heartbeat.Members[0])
 }
 
 // isFromOther reports whether a heartbeat, or the answer to one, is of another entry. Another
@@ -244,6 +252,9 @@
 		records = append(records, peer.UnpackMember(m))
 	}
 	n.freeSlots.merge(heartbeat.Vacancies)
+	for _, s := range heartbeat.Started {
+		n.remoteJobs.Note(s.Group, s.Jobs, time.Now())
+	}
 	before := n.members.Generation()
 	n.members.Merge(records)
 	claimsChanged := n.claims.Merge(peer.UnpackClaims(heartbeat.Claims))
--- a/internal/gateway/node/node.go
+++ b/internal/gateway/node/node.go
@@ -22,6 +22,7 @@
 	"github.com/radishgate/radishgate/internal/gateway/submission"
 	"github.com/radishgate/radishgate/internal/placement/election"
 	"github.com/radishgate/radishgate/internal/placement/holder"
+	"github.com/radishgate/radishgate/internal/placement/remote"
 	"github.com/radishgate/radishgate/internal/worker/registry"
 	"github.com/radishgate/radishgate/member"
 	"github.com/radishgate/radishgate/peer"
@@ -68,7 +69,9 @@
 	contacts       contacts
 	candidateCache candidateCache
 
-	freeSlots freeSlotsTable
+	freeSlots      freeSlotsTable
+	startedReports startedReports
+	remoteJobs     remote.Jobs
 
 	// syncMutex is held while the list of workers is applied to the holders, so that no older list
 	// replaces a newer one. It is locked before mu.
--- a/internal/gateway/submission/submission.go
+++ b/internal/gateway/submission/submission.go
@@ -33,7 +33,8 @@
 type pendingJob struct {
 	batch           *batch.Batch
 	group           string
-	clients         int // number of waiting clients
+	homeGroup       string // the group of this entry's zone that it belongs to
+	clients         int    // number of waiting clients
 	done            chan struct{}
 	result          batch.Result
 	holder          GroupHolder // that the job was last sent to
@@ -115,7 +116,8 @@
 		return job, true
 	}
 	b.WaitingEntry, b.Attempt = t.options.Self, t.options.RequestNumber()
-	job := &pendingJob{batch: b, group: t.options.GroupOf(b), clients: 1, done: make(chan struct{}), lastHeard: b.ArrivedAt, holderDue: b.ArrivedAt.Add(maxHolderWait)}
+	home := t.options.GroupOf(b)
+	job := &pendingJob{batch: b, group: home, homeGroup: home, clients: 1, done: make(chan struct{}), lastHeard: b.ArrivedAt, holderDue: b.ArrivedAt.Add(maxHolderWait)}
 	t.jobs[b.ID] = job
 	return job, false
 }
@@ -158,7 +160,7 @@
 	if !job.placing && !job.maybeAccepted && !job.batch.SpilledOver {
 		if group := t.options.Detour(job.group, job.batch.Tasks()); group != "" {
 			t.options.Log.Info("job takes a detour", "job", job.batch.ID, "from", job.group, "to", group)
-			job.reroute(group)
+			job.reroute(group, false)
 		}
 	}
 	holder, ok := t.options.FindHolder(job.group)
@@ -241,12 +243,17 @@
 		case r.Attempt != job.batch.Attempt && r.State != batch.Completed:
 			// Answers an earlier request, which has already been answered. Completion
 			// counts for any request.
+		case r.Started && r.TargetGroup == job.group:
+			// Duplicate of the message that rerouted the job.
+		case r.Started:
+			job.reroute(r.TargetGroup, true)
+			rerouted = append(rerouted, job)
 		case job.multipleHolders && (r.State == batch.Refused || r.TargetGroup != ""):
 			// May come from an earlier holder while a later one has started the job.
 		case r.TargetGroup != "" && job.batch.SpilledOver:
 			// Duplicate of the message that rerouted the job.
 		case r.TargetGroup != "":
-			job.reroute(r.TargetGroup)
+			job.reroute(r.TargetGroup, false)
 			rerouted = append(rerouted, job)
 		case r.State == batch.Moved:
 			job.accepted = false
@@ -261,12 +268,13 @@
 	}
 }
 
-// reroute assigns a job, of which nothing has started, to another group.
-func (j *pendingJob) reroute(group string) {
+// reroute assigns a job, of which nothing has started in its present group, to another group. started
+// says that the other group has started it.
+func (j *pendingJob) reroute(group string, started bool) {
 	b := *j.batch
-	b.SpilledOver = true
+	b.SpilledOver, b.StartedHere = group != j.homeGroup, started
 	j.batch, j.group = &b, group
-	j.holder, j.accepted, j.maybeAccepted, j.multipleHolders = GroupHolder{}, false, false, false
+	j.holder, j.accepted, j.maybeAccepted, j.multipleHolders = GroupHolder{}, false, started, false
 }
 
 // Run calls Sweep periodically until the context ends.
--- a/internal/placement/holder/holder.go
+++ b/internal/placement/holder/holder.go
@@ -52,6 +52,9 @@
 	// for the last time, and the zero time if there is none. It is called in each tick while
 	// MayBeReplaced holds. Nil means that there never is.
 	LastContact func() time.Time
+	// StartedElsewhere returns another group whose holder has started a job, or "". Nil means
+	// that there never is.
+	StartedElsewhere func(id string) string
 	// CountCall counts a call to a worker, named after its kind and answer, for metrics.
 	CountCall func(kind string)
 }
@@ -88,6 +91,7 @@
 		options: options, sessions: map[string]*session{}, ended: map[string]endedWorker{},
 		plan: plan.New(plan.Options{
 			Lease: options.Lease, ClientRetryAfter: options.ClientRetryAfter, WorkersIncompleteUntil: options.WorkersIncompleteUntil,
+			StartedElsewhere: options.StartedElsewhere,
 		}, now),
 	}
 	h.ctx, h.cancel = context.WithCancel(ctx)
@@ -326,6 +330,13 @@
 	return h.plan.FreeSlots()
 }
 
+// StartedJobs returns the jobs that were started, or found running, since a time.
+func (h *Holder) StartedJobs(since time.Time) []plan.StartedJob {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.plan.StartedJobs(since)
+}
+
 // SetOtherFreeSlots sets the free slots of other groups for spillover. The plan keeps and
 // changes the map.
 func (h *Holder) SetOtherFreeSlots(slots spillover.Slots) {
--- a/internal/placement/plan/job.go
+++ b/internal/placement/plan/job.go
@@ -31,10 +31,11 @@
 type job struct {
 	*batch.Batch
 	tasks          []*task
-	pending        []*task // tasks to place
-	unfinished     int     // number of tasks that have not succeeded
-	started        bool    // one of its tasks may have run
-	startedBefore  bool    // its entry says that a holder, this one or an earlier one, may have started it
+	pending        []*task   // tasks to place
+	unfinished     int       // number of tasks that have not succeeded
+	started        bool      // one of its tasks may have run
+	startedAt      time.Time // when its first run was started or found by this holder
+	startedBefore  bool      // its entry says that a holder, this one or an earlier one, may have started it
 	result         batch.Result
 	abandoned      bool            // no entry waits for it
 	withdrawn      bool            // its client has left
@@ -64,6 +65,9 @@
 	isNew := !known || len(j.tasks) == 0 && j.Attempt != b.Attempt
 	switch {
 	case isNew:
+		if p.sendHome(b) {
+			return
+		}
 		j = p.newJob(b, completed)
 	case j.withdrawn && j.Attempt == b.Attempt:
 		return
@@ -72,6 +76,9 @@
 		p.emit(Order{Kind: DeliverResult, Batch: b, Result: j.result})
 		return
 	case j.result.State.Ended():
+		if p.sendHome(b) {
+			return
+		}
 		p.reopen(j, b)
 	default:
 		j.Batch = b
@@ -158,7 +165,7 @@
 	runs := p.unaccountedRuns[t.name]
 	for i, r := range runs {
 		t.lastRunNumber = max(t.lastRunNumber, r.runKey.run)
-		t.job.started = true
+		t.job.noteStarted(p.now)
 		if r.worker.state == ready && r.stopSentAt.IsZero() {
 			adoptable = i
 		}
@@ -179,7 +186,7 @@
 	r.worker.used = r.worker.used.Add(r.resources)
 	r.sentAt, r.expectedEnd = time.Time{}, r.startedAt.Add(p.expectedTime(t, r.worker))
 	t.activeRun = r
-	t.job.started = true
+	t.job.noteStarted(p.now)
 }
 
 // reopen continues a job that was abandoned, withdrawn, refused or given up, when a message
--- a/internal/placement/plan/place.go
+++ b/internal/placement/plan/place.go
@@ -248,7 +248,7 @@
 		resources: t.job.Steps[t.step].Resources, sentAt: p.now, lateStartEnd: p.leaseEnd(p.now.Add(maxOrderDelay)),
 	}
 	t.activeRun = r
-	t.job.started = true
+	t.job.noteStarted(p.now)
 	if t.job.result.State == batch.Pending {
 		t.job.result.State = batch.Running
 	}
--- a/internal/placement/plan/plan.go
+++ b/internal/placement/plan/plan.go
@@ -72,6 +72,8 @@
 	// WorkersIncompleteUntil is the time until which the list of workers may lack some that
 	// are alive.
 	WorkersIncompleteUntil time.Time
+	// StartedElsewhere returns another group whose holder has started a job, or "". Nil means never.
+	StartedElsewhere func(id string) string
 }
 
 // Defaults of options that are zero.
@@ -150,6 +152,9 @@
 	if options.ClientRetryAfter == 0 {
 		options.ClientRetryAfter = defaultClientRetryAfter
 	}
+	if options.StartedElsewhere == nil {
+		options.StartedElsewhere = func(string) string { return "" }
+	}
 	p := &Plan{
 		options: options, estimator: runtimes.New(), now: tookOverAt, tickedAt: tookOverAt, restarts: firstRestarts,
 		arrivals: map[string]*arrivalRate{}, formerRoom: map[string]formerRoom{}, nextReturn: map[string]time.Time{}, nextTrial: map[string]time.Time{}, workers: map[string]*worker{}, jobs: map[string]*job{}, earlyCompletions: map[string]earlyCompletion{}, unaccountedRuns: map[string][]*run{}, minFactor: map[string]float64{}, meanFactor: map[string]float64{},
--- a/internal/trial/soak/zones_test.go
+++ b/internal/trial/soak/zones_test.go
@@ -47,6 +47,14 @@
 			time.Sleep(resendAfter)
 			s.sendLongJob(s.entryOutside(disruptedZone))
 		}},
+		{"to another zone, after its entry and then the scheduler were lost", func(s *soak, scheduler, other *entry) {
+			s.loseBoth(scheduler, other, 900*time.Millisecond)
+			s.sendLongJob(s.entryOutside(disruptedZone))
+		}},
+		{"to its entry, which has started again, after the scheduler was lost", func(s *soak, scheduler, other *entry) {
+			s.loseBoth(scheduler, other, 1080*time.Millisecond)
+			s.sendLongJob(other)
+		}},
 	}
 	binary := buildProgram(t)
 	for _, c := range tests {
@@ -102,6 +110,19 @@
 	}
 }
 
+// loseBoth sends the long job to an entry that does not schedule its tasks, and loses this entry, once
+// the tasks run, and a while later the scheduler. It returns when the client sends the job again.
+func (s *soak) loseBoth(scheduler, other *entry, gap time.Duration) {
+	sent := s.sendLongJob(other)
+	time.Sleep(runningTime)
+	s.lose(other)
+	<-sent
+	resendAt := time.Now().Add(resendAfter)
+	time.Sleep(gap)
+	s.lose(scheduler)
+	time.Sleep(time.Until(resendAt))
+}
+
 // schedulerOf returns the entry of a zone that schedules its tasks, by its log, and the other one.
 func (s *soak) schedulerOf(zone string) (scheduler, other *entry) {
 	for _, e := range s.entries {
--- a/internal/work/batch/batch.go
+++ b/internal/work/batch/batch.go
@@ -53,6 +53,7 @@
 	AskedAt      time.Time // when WaitingEntry sent the job to the present holder, at the latest
 	MaybeStarted bool      // a holder may have started tasks of it before
 	SpilledOver  bool      // comes from another availability zone that lacked free resources
+	StartedHere  bool      // the holder of another group has said that the present group has started it
 	Losses       []Losses  // counted by earlier holders
 }
 
@@ -111,7 +112,8 @@
 	Reason         string
 	RetryAt        time.Time
 	CompletedTasks []string // names of tasks completed before the job moved
-	TargetGroup    string   // group of workers that must take the job, if nothing of it has started
+	TargetGroup    string   // group of workers that must take the job, of which nothing has started in the present one
+	Started        bool     // TargetGroup has started the job before
 	Attempt        uint64   // that of the Batch
 	Losses         []Losses // of the tasks that have lost runs, while the job has not been answered
 }
--- a/peer/jobs.go
+++ b/peer/jobs.go
@@ -142,7 +142,7 @@
 		Group: group, Id: b.ID, Spec: b.Spec, Queue: b.Queue, Service: b.Service, Version: b.Version,
 		Priority: uint32(max(0, b.Priority)), Attempts: uint32(b.MaxAttempts), Stretch: float32(b.Stretch),
 		SlackMs: uint32(b.Slack.Milliseconds()), From: b.WaitingEntry, AgeMs: ageMillis(b.ArrivedAt), LeftMs: millisUntil(b.ExpiresAt),
-		Again: b.MaybeStarted, Done: completedTasks, Attempt: b.Attempt, Away: b.SpilledOver, Losses: packLosses(b.Losses),
+		Again: b.MaybeStarted, Done: completedTasks, Attempt: b.Attempt, Away: b.SpilledOver, Losses: packLosses(b.Losses), StartedHere: b.StartedHere,
 	}
 	for _, s := range b.Steps {
 		step := &wire.Step{
@@ -165,7 +165,7 @@
 			Queue: r.Queue, Service: r.Service, Version: r.Version, Priority: int(r.Priority), MaxAttempts: int(r.Attempts),
 			Stretch: float64(r.Stretch), Slack: millisToDuration(r.SlackMs),
 		},
-		ID: r.Id, Spec: r.Spec, WaitingEntry: r.From, MaybeStarted: r.Again, Attempt: r.Attempt, SpilledOver: r.Away, Losses: unpackLosses(r.Losses),
+		ID: r.Id, Spec: r.Spec, WaitingEntry: r.From, MaybeStarted: r.Again, Attempt: r.Attempt, SpilledOver: r.Away, StartedHere: r.StartedHere, Losses: unpackLosses(r.Losses),
 		ArrivedAt: sent.Add(-millisToDuration(r.AgeMs)), ExpiresAt: sent.Add(millisToDuration(r.LeftMs)), AskedAt: sent,
 	}
 	for _, s := range r.Steps {
@@ -188,7 +188,7 @@
 	var outcomes []*wire.Outcome
 	for _, r := range results {
 		outcomes = append(outcomes, &wire.Outcome{
-			Id: r.ID, State: string(r.State), Reason: r.Reason, RetryMs: millisUntil(r.RetryAt), Done: r.CompletedTasks, Group: r.TargetGroup, Attempt: r.Attempt, Losses: packLosses(r.Losses),
+			Id: r.ID, State: string(r.State), Reason: r.Reason, RetryMs: millisUntil(r.RetryAt), Done: r.CompletedTasks, Group: r.TargetGroup, Started: r.Started, Attempt: r.Attempt, Losses: packLosses(r.Losses),
 		})
 	}
 	return outcomes
@@ -199,7 +199,7 @@
 	var results []batch.Result
 	for _, o := range outcomes {
 		results = append(results, batch.Result{
-			ID: o.Id, State: batch.State(o.State), Reason: o.Reason, RetryAt: now.Add(millisToDuration(o.RetryMs)), CompletedTasks: o.Done, TargetGroup: o.Group, Attempt: o.Attempt, Losses: unpackLosses(o.Losses),
+			ID: o.Id, State: batch.State(o.State), Reason: o.Reason, RetryAt: now.Add(millisToDuration(o.RetryMs)), CompletedTasks: o.Done, TargetGroup: o.Group, Started: o.Started, Attempt: o.Attempt, Losses: unpackLosses(o.Losses),
 		})
 	}
 	return results
