node, history: See by a published roster that live workers are missing after the loss of all entries

Cause: the first holder after the loss of all entries took its list of workers for complete, since no entry is left to confirm it and leases have mostly expired by then. They have not for a client whose entry was lost 0.2 to 1.2 s before the holder.

An entry reads the rosters when it starts. A first list that lacks a worker of the roster counts as incomplete, so that jobs wait for the leases of the earlier holder, until the worker has registered. A list that may be incomplete is not published.

--- a/internal/gateway/node/node.go
+++ b/internal/gateway/node/node.go
@@ -71,6 +71,7 @@
 
 	freeSlots      freeSlotsTable
 	startedReports startedReports
+	rosters        rosters
 	remoteJobs     remote.Jobs
 
 	// syncMutex is held while the list of workers is applied to the holders, so that no older list
@@ -211,6 +212,7 @@
 	defer n.syncMutex.Unlock()
 	gone := n.registry.Expire(n.workerAnswers, time.Now())
 	live := n.registry.Live()
+	n.rosters.setListed(live)
 	holders := n.currentHolders()
 	for _, r := range gone {
 		group := n.groupOfWorker(r)
@@ -231,6 +233,7 @@
 			h.AddWorker(r)
 		}
 	}
+	n.settleFirstLists()
 }
 
 // workerAnswers reports whether a worker has recently answered a holder of this entry.
--- a/internal/gateway/node/scale_test.go
+++ b/internal/gateway/node/scale_test.go
@@ -22,6 +22,7 @@
 	})
 	t.Cleanup(n.Abort)
 	n.startedAt = n.startedAt.Add(-time.Minute)
+	n.rosters.set(nil) // as read from a store without rosters
 	mergeHeartbeats(n, entries, 1)
 	return n
 }
--- a/internal/gateway/node/serve.go
+++ b/internal/gateway/node/serve.go
@@ -78,7 +78,7 @@
 	for _, f := range n.followers() {
 		n.loops.Go(func() { f.Run(n.ctx) })
 	}
-	for _, loop := range []func(context.Context){n.heartbeatLoop, n.contactLoop, n.tracker.Run, n.registryExpiryLoop} {
+	for _, loop := range []func(context.Context){n.heartbeatLoop, n.contactLoop, n.rosterLoop, n.tracker.Run, n.registryExpiryLoop} {
 		n.loops.Go(func() { loop(n.ctx) })
 	}
 	var failure error
--- a/internal/gateway/node/workerlist.go
+++ b/internal/gateway/node/workerlist.go
@@ -14,10 +14,13 @@
 const reregistrationWindow = 3 * time.Second
 
 // workersIncompleteFor returns the time until which a holder under a claim must expect live workers
-// that the registry lacks. If all entries were lost, leases of an earlier holder have mostly expired
-// by the time of the next claim. The caller holds n.mu.
+// that the registry lacks. If all entries were lost, no other entry can confirm the list, but it shows by
+// what the earlier holder has published. The caller holds n.mu.
 func (n *Node) workersIncompleteFor(c election.Claim) time.Time {
 	if n.claims.IsFirst(c) && !n.firstReadFailed && !n.registryOutdated {
+		if n.rosters.lacks(c.Group) {
+			return time.Now().Add(reregistrationWindow)
+		}
 		return time.Time{}
 	}
 	until := n.firstListIncompleteUntil()
--- a/internal/placement/holder/holder.go
+++ b/internal/placement/holder/holder.go
@@ -5,6 +5,8 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -241,6 +243,13 @@
 	})
 }
 
+// WorkerIDs returns the workers with which the holder has a session, in no order.
+func (h *Holder) WorkerIDs() []string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return slices.Collect(maps.Keys(h.sessions))
+}
+
 // knows reports whether the holder has a session with a worker, or had one until the worker ended.
 func (h *Holder) knows(id string) bool {
 	h.mu.Lock()
--- a/internal/trial/history/entry_test.go
+++ b/internal/trial/history/entry_test.go
@@ -377,7 +377,7 @@
 	started := isHolder && e.holder == nil && e.ctx.Err() == nil
 	if started {
 		incompleteUntil := e.workersIncompleteUntil()
-		if e.claims.IsFirst(c) && !e.firstReadFailed && !e.registryOutdated {
+		if e.claims.IsFirst(c) && !e.firstReadFailed && !e.registryOutdated && !e.rosterLacks(e.registry.Live()) {
 			incompleteUntil = time.Time{}
 		}
 		if left := time.Until(incompleteUntil); left > 0 {
@@ -424,6 +424,9 @@
 	for _, r := range e.registry.Live() {
 		h.AddWorker(r)
 	}
+	if !h.WorkersIncomplete() {
+		e.publishRoster(e.id, h.WorkerIDs())
+	}
 }
 
 // kill simulates a power loss of the entry.
--- a/internal/trial/history/store_test.go
+++ b/internal/trial/history/store_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"slices"
 	"time"
 
 	"github.com/radishgate/radishgate/platform"
@@ -62,3 +63,27 @@
 	}
 	return all, true
 }
+
+// rosterInterval is the time between two writes of the workers of a group, as in package node.
+const rosterInterval = time.Second
+
+// publishRoster stores which workers the group has, unless an entry cannot reach the store.
+func (w *world) publishRoster(writer string, workers []string) {
+	if w.active(storeAway) || w.active(cutFromStore(writer)) {
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if now := time.Now(); !now.Before(w.rosterAt.Add(rosterInterval)) {
+		w.roster, w.rosterAt = workers, now
+	}
+}
+
+// rosterLacks reports whether a list of registrations lacks a worker that has been published.
+func (w *world) rosterLacks(list []platform.Registration) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return slices.ContainsFunc(w.roster, func(id string) bool {
+		return !slices.ContainsFunc(list, func(r platform.Registration) bool { return r.ID == id })
+	})
+}
--- a/internal/trial/history/world_test.go
+++ b/internal/trial/history/world_test.go
@@ -55,6 +55,8 @@
 	chances      map[string]float64   // probability that a condition has an effect, while it is active
 	longJobs     map[string]bool      // jobs whose tasks take longer than a lease, by ID
 	lingering    []lingeringRecord
+	roster       []string  // workers that a holder has published, see package node
+	rosterAt     time.Time // when it was published
 	monitor      *worker.RunMonitor
 	goroutines   sync.WaitGroup
 	starting     sync.Mutex   // held while an entry starts again, so that it does so once
