holder: Release the lock when the plan panics

Cause: the server of an entry recovers from a panic in a message, but Holder.update unlocked its mutex without a defer, so that the scheduler and the heartbeats of the entry blocked while the entry still counted as alive.

The lock is released in any case now. A panic ends the message, and the server logs it, as elsewhere. In a tick it ends the process, as before, and another entry takes the group over.

Ruled out: to recover in the holder, which would hide a plan that is changed half way.

--- a/internal/placement/holder/holder.go
+++ b/internal/placement/holder/holder.go
@@ -128,21 +128,25 @@
 // delivers results. change is called with the lock held, which the caller must not
 // hold. After Release nothing is done.
 func (h *Holder) update(change func(p *plan.Plan, now time.Time)) {
+	for _, o := range h.apply(change) {
+		h.options.OnResult(o.Batch, o.Result)
+	}
+}
+
+// apply applies a change to the plan, dispatches the orders and returns those that carry results. The
+// lock is released even if the plan panics: the panic ends the message that caused it, not the group.
+func (h *Holder) apply(change func(p *plan.Plan, now time.Time)) []plan.Order {
 	h.mu.Lock()
+	defer h.mu.Unlock()
 	if h.released {
-		h.mu.Unlock()
-		return
+		return nil
 	}
 	suspected, now := h.options.TakeoverSuspected(), time.Now()
 	h.plan.SetTakeoverSuspected(suspected)
 	// The suspicion may time out before MayBeReplaced shows that other entries are not heard.
 	h.plan.SetMayBeReplaced(suspected, now)
 	change(h.plan, now)
-	results := h.dispatch(h.plan.Orders(), now)
-	h.mu.Unlock()
-	for _, o := range results {
-		h.options.OnResult(o.Batch, o.Result)
-	}
+	return h.dispatch(h.plan.Orders(), now)
 }
 
 // dispatch starts sending the orders for workers and returns the orders that carry
