plan: Take a request after a refusal as a new job, and keep the work of a known one

Cause: a job that has ended is remembered for 5 s. A new request with its ID continued it: it took the new body over and kept the tasks of the old one. With fewer steps a task named a step that the body did not have, and the plan panicked.

A refused job has not run, so its ID names nothing: the next request under it is a new job. A job of which a task may have been started keeps its work, whatever a further request brings, since it is one job.

Ruled out: to compare the bodies and refuse others; after a refusal the client may choose, and the further message of an entry about a job always has the same body.

--- a/internal/placement/plan/job.go
+++ b/internal/placement/plan/job.go
@@ -62,7 +62,7 @@
 		return // its client may have sent it again by now; an entry that still waits will ask again
 	}
 	j, known := p.jobs[b.ID]
-	isNew := !known || len(j.tasks) == 0 && j.Attempt != b.Attempt
+	isNew := !known || j.Attempt != b.Attempt && (len(j.tasks) == 0 || j.wasRefused())
 	switch {
 	case isNew:
 		if p.sendHome(b) {
@@ -79,9 +79,9 @@
 		if p.sendHome(b) {
 			return
 		}
-		p.reopen(j, b)
+		p.reopen(j, j.withOwnWork(b))
 	default:
-		j.Batch = b
+		j.Batch = j.withOwnWork(b)
 	}
 	j.abandonAt = p.abandonTime(b, p.askedAt(b))
 	j.addLosses(b.Losses)
@@ -112,6 +112,18 @@
 	return !retryable || j.Attempt == b.Attempt
 }
 
+// wasRefused reports whether the job was refused, so that nothing of it has run. Its ID names no job then,
+// and the next request under it may bring another one.
+func (j *job) wasRefused() bool { return j.result.State == batch.Refused && !j.started }
+
+// withOwnWork returns the batch of a further request about the job. The work stays that of the first
+// request: its tasks may have been started.
+func (j *job) withOwnWork(b *batch.Batch) *batch.Batch {
+	further := *b
+	further.Spec, further.Steps = j.Spec, j.Steps
+	return &further
+}
+
 // newJob adds a job. Tasks that have succeeded already are done, and those that run are
 // adopted.
 func (p *Plan) newJob(b *batch.Batch, completed []string) *job {
