submission, plan: Repeat a lost withdrawal, also at the next holder

A client that sends again after 1.3 s, to another zone, has its job started beside the rest of that.

A withdrawal without an answer is sent again, twice at most, with 0.4 s each, to the holder that the group has by then. That one stops the runs that an earlier holder has started and it has listed.

Ruled out: to keep on longer; holders abandon the job after 1.2 s by themselves, and a job that is sent again goes back to the group that has started it.

--- a/internal/gateway/node/groups.go
+++ b/internal/gateway/node/groups.go
@@ -287,16 +287,13 @@
 }
 
 // withdrawAt asks a holder to cancel a job whose client has left.
-func (n *Node) withdrawAt(ctx context.Context, to submission.GroupHolder, b *batch.Batch) {
+func (n *Node) withdrawAt(ctx context.Context, to submission.GroupHolder, b *batch.Batch) error {
 	if to.Local {
 		n.onWithdraw(to.Group, b.ID, b.Attempt)
-		return
+		return nil
 	}
 	n.instruments.countMessage("withdraw")
-	if err := n.client.Withdraw(ctx, to.Address, to.Group, b.ID, b.Attempt); err != nil {
-		// A holder cancels jobs by itself once no entry polls for them any more.
-		n.log.Warn("job not withdrawn", "job", b.ID, "from", to.ID, "error", err)
-	}
+	return n.client.Withdraw(ctx, to.Address, to.Group, b.ID, b.Attempt)
 }
 
 // onPlace admits a job to a group that this entry holds. It returns false if this entry
--- a/internal/gateway/submission/options.go
+++ b/internal/gateway/submission/options.go
@@ -38,8 +38,9 @@
 	// states of others that have losses, the IDs that the holder does not know, and whether
 	// it still holds the group.
 	Await func(ctx context.Context, to GroupHolder, ids []string) (results []batch.Result, unknown []string, held bool, err error)
-	// Withdraw asks a holder to cancel a job whose clients have left.
-	Withdraw func(ctx context.Context, to GroupHolder, b *batch.Batch)
+	// Withdraw asks a holder to cancel a job whose clients have left. After an error the holder may
+	// not have got the request.
+	Withdraw func(ctx context.Context, to GroupHolder, b *batch.Batch) error
 	// OnEnd receives the result of each job and the number of Place calls for it.
 	OnEnd func(b *batch.Batch, r batch.Result, tries int)
 	// Isolated reports whether this entry is cut off from the entries that could serve its
--- a/internal/gateway/submission/submission.go
+++ b/internal/gateway/submission/submission.go
@@ -141,16 +141,35 @@
 		return
 	}
 	if holder.Local {
-		t.options.Withdraw(context.Background(), holder, b)
+		t.withdraw(job.group, holder, b)
 		return
 	}
-	go t.withdraw(holder, b)
+	go t.withdraw(job.group, holder, b)
 }
 
-func (t *Tracker) withdraw(holder GroupHolder, b *batch.Batch) {
-	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
-	defer cancel()
-	t.options.Withdraw(ctx, holder, b)
+// withdrawAttempts bounds the attempts to withdraw a job. A holder that gets none of them abandons the job
+// at about the same time.
+const withdrawAttempts = 3
+
+// withdraw asks the holder of a job to cancel it, and the next holder of the group if that one does not
+// answer.
+func (t *Tracker) withdraw(group string, holder GroupHolder, b *batch.Batch) {
+	for attempt := 1; ; attempt++ {
+		ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+		err := t.options.Withdraw(ctx, holder, b)
+		cancel()
+		if err == nil {
+			return
+		}
+		t.options.Log.Warn("job not withdrawn", "job", b.ID, "from", holder.ID, "attempt", attempt, "error", err)
+		if attempt == withdrawAttempts {
+			return
+		}
+		time.Sleep(sweepInterval)
+		if next, known := t.options.FindHolder(group); known {
+			holder = next
+		}
+	}
 }
 
 // place sends a job to the current holder of its group, if there is one. It waits
--- a/internal/gateway/submission/submission_test.go
+++ b/internal/gateway/submission/submission_test.go
@@ -19,8 +19,11 @@
 	holders       map[string]GroupHolder
 	calls         []placeCall // in order
 	withdrawn     []string
-	accept        bool // holders accept jobs
-	jobsForgotten bool // holders know no jobs
+	withdrawnFrom GroupHolder // the holder of the last withdrawal
+
+	lostWithdrawals int  // number of withdrawals that get no answer
+	accept          bool // holders accept jobs
+	jobsForgotten   bool // holders know no jobs
 }
 
 type placeCall struct {
@@ -57,10 +60,15 @@
 			}
 			return nil, nil, true, nil
 		},
-		Withdraw: func(_ context.Context, _ GroupHolder, b *batch.Batch) {
+		Withdraw: func(_ context.Context, to GroupHolder, b *batch.Batch) error {
 			f.mu.Lock()
 			defer f.mu.Unlock()
-			f.withdrawn = append(f.withdrawn, b.ID)
+			if f.lostWithdrawals > 0 {
+				f.lostWithdrawals--
+				return context.DeadlineExceeded
+			}
+			f.withdrawn, f.withdrawnFrom = append(f.withdrawn, b.ID), to
+			return nil
 		},
 	})
 	return f
--- a/internal/placement/plan/elsewhere_test.go
+++ b/internal/placement/plan/elsewhere_test.go
@@ -99,3 +99,18 @@
 		}
 	}
 }
+
+// TestWithdrawalStopsRunsOfAnEarlierHolder guards against runs that go on for a job whose client has left,
+// since the withdrawal comes to the next holder.
+func TestWithdrawalStopsRunsOfAnEarlierHolder(t *testing.T) {
+	p := fencedPlan(testWorker("w1", 4))
+	p.HandleReport(Report{Worker: "w1", Sent: after(100), Running: []RunProgress{
+		{Task: "00000000000000aa.0.0.0", Run: 1}, {Task: "00000000000000bb.0.0.0", Run: 1},
+	}}, after(100))
+	p.Orders()
+	p.Withdraw("00000000000000aa", 7, after(110))
+	stops := ordersOfKind(p.Orders(), Stop)
+	if len(stops) != 1 || stops[0].Task != "00000000000000aa.0.0.0" {
+		t.Errorf("stops %+v, want one of the withdrawn job", stops)
+	}
+}
--- a/internal/placement/plan/job.go
+++ b/internal/placement/plan/job.go
@@ -245,10 +245,28 @@
 		return
 	}
 	j.withdrawn = true
-	p.abandon(j, batch.Result{State: batch.Cancelled, Reason: "its client has left"})
+	p.abandon(j, batch.Result{State: batch.Cancelled, Reason: reasonClientLeft})
+	p.stopUnaccounted(id, reasonClientLeft)
 	p.placeAll()
 }
 
+// reasonClientLeft is the reason for cancelling a job that was withdrawn.
+const reasonClientLeft = "its client has left"
+
+// stopUnaccounted stops the runs of a job that an earlier holder has started.
+func (p *Plan) stopUnaccounted(id, reason string) {
+	for name, runs := range p.unaccountedRuns {
+		if job, _, _, ok := batch.ParseTaskName(name); !ok || job != id {
+			continue
+		}
+		for _, r := range runs {
+			if r.stopSentAt.IsZero() {
+				p.stopRun(r, reason)
+			}
+		}
+	}
+}
+
 // KeepAlive records that an entry waited for a job at a time. It returns the job's state and
 // losses, with its result if it has ended, and whether the job is known.
 func (p *Plan) KeepAlive(id string, askedAt time.Time) (batch.Result, bool) {
--- a/internal/trial/history/calls_test.go
+++ b/internal/trial/history/calls_test.go
@@ -89,11 +89,9 @@
 	return results, unknown, held, nil
 }
 
-func (e *entry) withdrawAt(ctx context.Context, to submission.GroupHolder, b *batch.Batch) {
+func (e *entry) withdrawAt(ctx context.Context, to submission.GroupHolder, b *batch.Batch) error {
 	_, err := e.callHolder(ctx, to, false, func(h *holder.Holder) { h.Withdraw(b.ID, b.Attempt) })
-	if err != nil {
-		e.log(e.id).Info("job not withdrawn", "job", b.ID, "error", err)
-	}
+	return err
 }
 
 // deliverResult sends a result to the entry that waits for it.
