--- a/internal/gateway/node/roster.go
+++ b/internal/gateway/node/roster.go
@@ -13,7 +13,7 @@
 	"github.com/radishgate/radishgate/platform"
 )
 
-// rosterTopic is the internal topic in which the holder of a group publishes which workers the group has.
+// rosterTopic is the internal topic in which the holder of a group publishes which workers of the group answer.
 // After the loss of all entries, the next holder sees by it that live workers have not registered again.
 const rosterTopic = "rosters"
 
@@ -148,7 +148,7 @@
 			continue
 		}
 		var workers []uint64
-		for _, id := range h.WorkerIDs() {
+		for _, id := range h.AnsweringWorkers() {
 			workers = append(workers, xxhash.Sum64String(id))
 		}
 		slices.Sort(workers)
--- a/internal/placement/holder/holder.go
+++ b/internal/placement/holder/holder.go
@@ -5,8 +5,6 @@
 import (
 	"context"
 	"log/slog"
-	"maps"
-	"slices"
 	"sync"
 	"time"
 
@@ -247,11 +245,18 @@
 	})
 }
 
-// WorkerIDs returns the workers with which the holder has a session, in no order.
-func (h *Holder) WorkerIDs() []string {
+// AnsweringWorkers returns the IDs of the workers that have answered within answeringSpan, in no order. On
+// others no run of this holder goes on, since answeringSpan is longer than a lease.
+func (h *Holder) AnsweringWorkers() []string {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return slices.Collect(maps.Keys(h.sessions))
+	var ids []string
+	for id, s := range h.sessions {
+		if time.Now().Before(s.answeringUntil) {
+			ids = append(ids, id)
+		}
+	}
+	return ids
 }
 
 // knows reports whether the holder has a session with a worker, or had one until the worker ended.
--- a/internal/trial/history/entry_test.go
+++ b/internal/trial/history/entry_test.go
@@ -425,7 +425,7 @@
 		h.AddWorker(r)
 	}
 	if !h.WorkersIncomplete() {
-		e.publishRoster(e.id, h.WorkerIDs())
+		e.publishRoster(e.id, h.AnsweringWorkers())
 	}
 }
 
