node, plan, submission: Cancel jobs

Cause: DELETE was not served; each one was answered as if no such job existed.

An entry ends a job that it waits for, and withdraws it. Otherwise it asks the holders of all groups, since a client may come to any entry; the holder that has the job stops its runs and delivers the result, so that the first client gets 'cancelled' as well. 410 means that every holder has said that it does not know the job. The message is Withdraw with a new field; earlier builds ignore it and answer as before.

Ruled out: to ask all entries, which are many more than the holders. A job that waits at an entry for a takeover of its group is not found through other entries, therefore.

--- a/internal/gateway/node/serve.go
+++ b/internal/gateway/node/serve.go
@@ -126,7 +126,7 @@
 
 func (n *Node) peerRoutes() http.Handler {
 	return (&peer.Server{OnHeartbeat: n.onHeartbeat, JobHandlers: peer.JobHandlers{
-		OnPlace: n.onPlace, OnAwait: n.onAwait, OnResults: n.tracker.DeliverResults, OnWithdraw: n.onWithdraw,
+		OnPlace: n.onPlace, OnAwait: n.onAwait, OnResults: n.tracker.DeliverResults, OnWithdraw: n.onWithdraw, OnCancel: n.onCancel,
 	}}).Handler()
 }
 
@@ -174,9 +174,6 @@
 	return n.tracker.JobState(id)
 }
 
-// cancelJob is not supported and reports false.
-func (n *Node) cancelJob(context.Context, batch.QueueSettings, string) bool { return false }
-
 // backlog returns the number of jobs that were reported to clients as accepted but have not
 // started any task. It is 0, because clients learn of acceptance only together with the
 // result.
--- a/internal/gateway/submission/ending.go
+++ b/internal/gateway/submission/ending.go
@@ -11,6 +11,7 @@
 	reasonNoHolder    = "no entry places its tasks"
 	reasonIsolated    = "this entry reaches no other one"
 	reasonResultsLost = "the entry that places its tasks cannot be reached"
+	reasonCancelled   = "a client has cancelled it"
 )
 
 // refusal returns the result for a job that no holder has accepted.
--- a/internal/gateway/submission/submission.go
+++ b/internal/gateway/submission/submission.go
@@ -131,20 +131,43 @@
 	if last {
 		delete(t.jobs, job.batch.ID)
 	}
-	holder, maybeAccepted, b, tries := job.holder, job.maybeAccepted, job.batch, job.tries
+	b, tries := job.batch, job.tries
+	withdraw := job.withdrawal(t)
 	t.mu.Unlock()
 	if !last {
 		return
 	}
 	t.options.OnEnd(b, batch.Result{ID: b.ID, State: batch.Cancelled, Reason: reason}, tries)
-	if !maybeAccepted || holder.ID == "" {
-		return
+	withdraw()
+}
+
+// Cancel ends a job that a client has cancelled and withdraws it from its holder. It reports whether a client
+// of this entry was waiting for the job.
+func (t *Tracker) Cancel(id string) bool {
+	t.mu.Lock()
+	job, known := t.jobs[id]
+	if !known {
+		t.mu.Unlock()
+		return false
 	}
-	if holder.Local {
-		t.withdraw(job.group, holder, b)
-		return
+	withdraw := job.withdrawal(t)
+	t.end(job, batch.Result{ID: id, Attempt: job.batch.Attempt, State: batch.Cancelled, Reason: reasonCancelled})
+	t.mu.Unlock()
+	withdraw()
+	return true
+}
+
+// withdrawal returns a function that withdraws the job from the holder that may have it. The caller of
+// withdrawal holds t.mu, that of the function must not.
+func (j *pendingJob) withdrawal(t *Tracker) func() {
+	group, holder, b := j.group, j.holder, j.batch
+	switch {
+	case !j.maybeAccepted || holder.ID == "":
+		return func() {}
+	case holder.Local:
+		return func() { t.withdraw(group, holder, b) }
 	}
-	go t.withdraw(job.group, holder, b)
+	return func() { go t.withdraw(group, holder, b) }
 }
 
 // withdrawAttempts bounds the attempts to withdraw a job. A holder that gets none of them abandons the job
--- a/internal/placement/holder/holder.go
+++ b/internal/placement/holder/holder.go
@@ -322,6 +322,13 @@
 	h.update(func(p *plan.Plan, now time.Time) { p.Withdraw(id, attempt, now) })
 }
 
+// Cancel cancels a job and reports whether it was known. One that is not known may come yet while certain
+// is false.
+func (h *Holder) Cancel(id string) (known, certain bool) {
+	h.update(func(p *plan.Plan, now time.Time) { known, certain = p.Cancel(id, now) })
+	return known, certain
+}
+
 // KeepAlive keeps jobs for which an entry has asked at a time. It returns the results of those
 // that have ended, the states of others that have losses, and the IDs of those that the plan
 // does not know.
--- a/peer/jobs.go
+++ b/peer/jobs.go
@@ -5,6 +5,8 @@
 	"strconv"
 	"time"
 
+	"github.com/twitchtv/twirp"
+
 	"github.com/radishgate/radishgate/internal/gateway/peerclock"
 	"github.com/radishgate/radishgate/internal/placement/election"
 	"github.com/radishgate/radishgate/internal/work/batch"
@@ -22,6 +24,7 @@
 	OnAwait    func(group string, epoch uint64, ids []string, askedAt time.Time) (results []batch.Result, unknown []string, held bool)
 	OnResults  func(results []batch.Result)
 	OnWithdraw func(group, id string, attempt uint64)
+	OnCancel   func(group, id string) (known, certain bool)
 }
 
 // Place accepts a job for a group of workers.
@@ -50,8 +53,15 @@
 	return &wire.SettleReply{}, nil
 }
 
-// Withdraw cancels a job whose client has left.
+// Withdraw cancels a job whose client has left, or that a client has cancelled.
 func (h JobHandlers) Withdraw(_ context.Context, r *wire.WithdrawRequest) (*wire.WithdrawReply, error) {
+	if r.Cancel {
+		known, certain := h.OnCancel(r.Group, r.Id)
+		if !certain {
+			return nil, twirp.NewError(twirp.FailedPrecondition, "group "+r.Group+" is not held here, or not for long enough")
+		}
+		return &wire.WithdrawReply{Known: known}, nil
+	}
 	h.OnWithdraw(r.Group, r.Id, r.Attempt)
 	return &wire.WithdrawReply{}, nil
 }
@@ -137,6 +147,15 @@
 	return err
 }
 
+// Cancel asks the holder of a group to cancel a job, and reports whether the holder knows it.
+func (c *Client) Cancel(ctx context.Context, address, group, id string) (bool, error) {
+	reply, err := c.peer(address).Withdraw(ctx, &wire.WithdrawRequest{Group: group, Id: id, Cancel: true})
+	if err != nil {
+		return false, err
+	}
+	return reply.Known, nil
+}
+
 func packBatch(group string, b *batch.Batch, completedTasks []string) *wire.PlaceRequest {
 	r := &wire.PlaceRequest{
 		Group: group, Id: b.ID, Spec: b.Spec, Queue: b.Queue, Service: b.Service, Version: b.Version,
