--- a/internal/trial/soak/soak_test.go
+++ b/internal/trial/soak/soak_test.go
@@ -45,6 +45,7 @@
 	clientCount   = 12
 	recoveryTime  = 3 * time.Second // time after the last fault until jobs must be served again
 	finalJobs     = 40              // submitted after recoveryTime; at least 90 % must be served
+	finalPrefix   = "ffffffff"      // of the IDs of these jobs
 	resendAfter   = 1300 * time.Millisecond
 	clientTimeout = 6 * time.Second
 	zoneCount     = 2
@@ -309,7 +310,7 @@
 	time.Sleep(recoveryTime)
 	served := 0
 	for n := range finalJobs {
-		if s.submitJob(fmt.Sprintf("ffffffff%08x", n), s.random) {
+		if s.submitJob(fmt.Sprintf(finalPrefix+"%08x", n), s.random) {
 			served++
 		}
 	}
--- a/internal/trial/soak/zones_test.go
+++ b/internal/trial/soak/zones_test.go
@@ -154,3 +154,31 @@
 	s.t.Fatal("there is one zone only")
 	return nil
 }
+
+// TestSoakOfLongTasks is TestSoak with tasks that outlast the time until a client sends its job again, to any
+// zone, so that the entry and the scheduler of a job are often lost while it runs.
+func TestSoakOfLongTasks(t *testing.T) {
+	binary := buildProgram(t)
+	for i := range *seedCount {
+		seed := *firstSeed + uint64(i)
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) { newSoakOf(t, binary, seed, longBehaviour).run() })
+	}
+}
+
+// longBehaviour returns the options of a worker that draws long run times from a seed, except for the jobs that
+// are sent after the last fault.
+func longBehaviour(seed uint64) worker.Options {
+	options := drawnBehaviour(seed)
+	drawn := options.PlanRun
+	options.PlanRun = func(task string) (string, time.Duration) {
+		outcome, runtime := drawn(task)
+		if strings.HasPrefix(task, finalPrefix) {
+			return outcome, runtime
+		}
+		return outcome, runtime * longFactor
+	}
+	return options
+}
+
+// longFactor makes run times of 0.2 to 2 s of those of drawnBehaviour.
+const longFactor = 10
