--- a/internal/trial/soak/zones_test.go
+++ b/internal/trial/soak/zones_test.go
@@ -15,14 +15,18 @@
 
 var zonePlays = flag.Int("plays", 1, "how often each play of TestJobSentAgainRunsOnce is repeated")
 
-// Times of the plays of one job. The platform starts a lost entry again after restartDelay.
+// Times of the plays of one job.
+const (
+	restartDelay = 500 * time.Millisecond // from the loss of an entry to its next start
+	readyTime    = 2 * time.Second        // from the start of the entries until a job is sent
+	longRun      = 2500 * time.Millisecond
+	longDeadline = 6 * time.Second
+	runningTime  = 300 * time.Millisecond // from the submission until the tasks of the job run
+	followUpTime = 2 * time.Second        // from the second submission to the end
+)
+
+// The job of the plays, and the availability zone in which it runs.
 const (
-	restartDelay  = 500 * time.Millisecond
-	readyTime     = 2 * time.Second // from the start of the entries until a job is sent
-	longRun       = 2500 * time.Millisecond
-	longDeadline  = 6 * time.Second
-	runningTime   = 300 * time.Millisecond // from the submission until its tasks run
-	followUpTime  = 2 * time.Second        // from the second submission to the end
 	longJob       = "5c0e7a21d94b36f8"
 	longJobBody   = `{"spec":"x","steps":[{"count":4,"cpu":1000,"mem-mb":10,"est-runtime-ms":2500}],"best-effort":true}`
 	disruptedZone = "a"
