plan, holder: Log since when no entry has asked for the job of a run

The record can't tell whether runs were started, stopped or kept alive for a job that no entry had asked for any more, nor which runs a new holder found.

A start logs for how long no entry has asked for its job and until when its lease goes on, on the worker's clock; a stop logs the same age; a run that a worker lists and that this holder doesn't know is logged when it is first listed ("unknown run listed"). The plan keeps when an entry asked last instead of when the job is abandoned, which follows from it.

--- a/internal/placement/holder/holder.go
+++ b/internal/placement/holder/holder.go
@@ -165,6 +165,10 @@
 			h.options.Log.Warn("run lost with its worker", "task", o.Task, "run", o.Run, "worker", o.Worker, "reason", o.Reason, "crashes", o.Crashes, "suspicions", o.Suspicions)
 			continue
 		}
+		if o.Kind == plan.LogFound {
+			h.options.Log.Info("unknown run listed", "task", o.Task, "run", o.Run, "worker", o.Worker, "group", h.options.Group, "asked_ms", askedMilli(o, now))
+			continue
+		}
 		s, known := h.sessions[o.Worker]
 		if !known {
 			continue
@@ -174,12 +178,13 @@
 			start := platform.StartRequest{Task: o.Task, Run: o.Run, Spec: o.Batch.Spec, LeaseEnd: s.leaseUntil(now), Token: s.token}
 			s.startToken = s.token
 			h.options.Log.Info("start ordered", "task", o.Task, "run", o.Run, "worker", o.Worker, "token", s.token, "expected_ms", o.ExpectedTime.Milliseconds(),
-				"free", o.FreeMilliCores, "waiting", o.WaitingJobs, "group", h.options.Group, "previous", o.Previous)
+				"free", o.FreeMilliCores, "waiting", o.WaitingJobs, "group", h.options.Group, "previous", o.Previous,
+				"asked_ms", askedMilli(o, now), "lease_until", start.LeaseEnd)
 			clockMilli := s.workerClock
 			h.goroutines.Go(func() { s.sendStart(start, clockMilli) })
 		case plan.Stop:
 			token := s.token
-			h.goroutines.Go(func() { s.sendStop(o, token) })
+			h.goroutines.Go(func() { s.sendStop(o, token, askedMilli(o, now)) })
 		case plan.Fence:
 			s.raiseToken(o.Reason)
 		case plan.RequestReport:
@@ -189,6 +194,15 @@
 	return results
 }
 
+// askedMilli returns for how many milliseconds no entry has asked for the job of an order, for the log; -1
+// if the job is not known.
+func askedMilli(o plan.Order, now time.Time) int64 {
+	if o.AskedAt.IsZero() {
+		return -1
+	}
+	return now.Sub(o.AskedAt).Milliseconds()
+}
+
 // AddWorker adds a worker, or updates it from a newer registration. A worker whose
 // address or incarnation has changed gets a new session. A registration of an incarnation
 // before the one that answers is out of date and is ignored, as is one with another address while
--- a/internal/placement/holder/orders.go
+++ b/internal/placement/holder/orders.go
@@ -96,12 +96,13 @@
 	platform.NoRoom: plan.WorkerUnhealthy, platform.NoTicket: plan.WorkerUnhealthy, platform.Busy: plan.WorkerUnhealthy, platform.Malformed: plan.WorkerUnhealthy,
 }
 
-// sendStop sends one stop order. The plan repeats it while the worker lists the run.
-func (s *session) sendStop(o plan.Order, token int64) {
+// sendStop sends one stop order. The plan repeats it while the worker lists the run. askedMilli is for the
+// log.
+func (s *session) sendStop(o plan.Order, token, askedMilli int64) {
 	ctx, cancel := context.WithTimeout(s.ctx, stopTimeout)
 	defer cancel()
 	report, err := s.holder.options.Calls.Stop(ctx, s.target, o.Task, o.Run, token)
 	s.holder.options.CountCall("stop " + string(report.Verdict))
 	s.holder.options.Log.Info("run stopped", "task", o.Task, "run", o.Run, "worker", s.target.ID,
-		"reason", o.Reason, "verdict", string(report.Verdict), "error", err)
+		"reason", o.Reason, "verdict", string(report.Verdict), "error", err, "asked_ms", askedMilli)
 }
--- a/internal/placement/plan/bench_test.go
+++ b/internal/placement/plan/bench_test.go
@@ -52,7 +52,7 @@
 		}
 		if i%25 == 0 {
 			for _, j := range p.jobs {
-				j.abandonAt = now.Add(time.Hour)
+				j.askedAt = now.Add(time.Hour)
 			}
 			p.Tick(now)
 		}
--- a/internal/placement/plan/job.go
+++ b/internal/placement/plan/job.go
@@ -39,7 +39,7 @@
 	result         batch.Result
 	abandoned      bool            // no entry waits for it
 	withdrawn      bool            // its client has left
-	abandonAt      time.Time       // when it is abandoned unless its entry asks for it again
+	askedAt        time.Time       // when an entry that waits for it sent its last message about it
 	earlierRunsEnd time.Time       // when runs started by an earlier holder that has given up the group have ended, at the latest
 	earlierJobEnd  time.Time       // when an earlier holder that has not noticed its replacement has abandoned the job
 	forgetAt       time.Time       // when its result is forgotten
@@ -83,7 +83,7 @@
 	default:
 		j.Batch = j.withOwnWork(b)
 	}
-	j.abandonAt = p.abandonTime(b, p.askedAt(b))
+	j.askedAt = p.askedAt(b)
 	j.addLosses(b.Losses)
 	if p.endCrashing(j) {
 		return
@@ -239,9 +239,7 @@
 	if !known || j.abandoned {
 		return batch.Result{}, false
 	}
-	if at := p.abandonTime(j.Batch, askedAt); at.After(j.abandonAt) {
-		j.abandonAt = at
-	}
+	j.noteAsked(askedAt)
 	result := j.result
 	result.Losses = j.losses()
 	return result, true
@@ -255,6 +253,14 @@
 	return b.AskedAt
 }
 
+// noteAsked records that an entry sent a message about the job at a time. An earlier message may be
+// read after a later one.
+func (j *job) noteAsked(at time.Time) {
+	if at.After(j.askedAt) {
+		j.askedAt = at
+	}
+}
+
 // abandonTime returns when a job is abandoned whose entry has asked for it last at a time. It counts from
 // the sending of that message, since the entry may have been lost right after, and its client sends the
 // job again then.
@@ -322,7 +328,7 @@
 		if j.forgetAt.Before(p.now) && !j.hasActiveRun() {
 			delete(p.jobs, j.ID)
 		}
-	case j.abandonAt.Before(p.now):
+	case p.abandonTime(j.Batch, j.askedAt).Before(p.now):
 		p.abandon(j, batch.Result{State: batch.Cancelled, Reason: reasonAbandoned})
 	case j.ExpiresAt.Before(p.now):
 		p.giveUp(j, "its client's time is over")
--- a/internal/placement/plan/lease.go
+++ b/internal/placement/plan/lease.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"slices"
 	"time"
+
+	"github.com/radishgate/radishgate/internal/work/batch"
 )
 
 // leaseLapsed reports whether the lease of a worker that is not ready has expired, so that
@@ -69,3 +71,24 @@
 	}
 	return true
 }
+
+// jobOfRun returns the job that a run belongs to, or nil if it is not known.
+func (p *Plan) jobOfRun(r *run) *job {
+	if r.task != nil {
+		return r.task.job
+	}
+	id, _, _, ok := batch.ParseTaskName(r.runKey.task)
+	if !ok {
+		return nil
+	}
+	return p.jobs[id]
+}
+
+// askedForRun returns when an entry sent its last message about the job of a run, or the zero time if the
+// job is not known.
+func (p *Plan) askedForRun(r *run) time.Time {
+	if j := p.jobOfRun(r); j != nil {
+		return j.askedAt
+	}
+	return time.Time{}
+}
--- a/internal/placement/plan/place.go
+++ b/internal/placement/plan/place.go
@@ -258,7 +258,7 @@
 	p.restarts = min(maxRestarts, p.restarts+restartShare)
 	p.outliers.RecordStart(w.ID, p.now.Add(trialTimeout))
 	p.emit(Order{
-		Kind: Start, Worker: w.ID, Task: t.name, Run: r.runKey.run, Batch: t.job.Batch,
+		Kind: Start, Worker: w.ID, Task: t.name, Run: r.runKey.run, Batch: t.job.Batch, AskedAt: t.job.askedAt,
 		ExpectedTime: p.expectedTime(t, w), FreeMilliCores: w.free().MilliCores, WaitingJobs: len(p.waiting), Previous: t.previous,
 	})
 }
--- a/internal/placement/plan/plan.go
+++ b/internal/placement/plan/plan.go
@@ -37,12 +37,14 @@
 	RequestReport                  // ask a worker for a report outside its regular calls, since one seems to be lost
 	DeliverResult                  // send the result of a job to the entry that waits for it
 	LogLoss                        // log that a run was lost with its worker, which may have crashed
+	LogFound                       // log that a worker lists a run that this holder has not started
 )
 
 // Order is an action that the caller of the plan has to carry out. Kind decides which other
 // fields are set: Worker, Task, Run, Batch and those that explain a start for Start; Worker,
 // Task, Run and Reason for Stop; Worker and Reason for Fence; Worker for RequestReport; Batch
-// and Result for DeliverResult; Worker, Task, Run, Reason, Crashes and Suspicions for LogLoss.
+// and Result for DeliverResult; Worker, Task, Run, Reason, Crashes and Suspicions for LogLoss; Worker,
+// Task and Run for LogFound.
 type Order struct {
 	Kind   OrderKind
 	Worker string
@@ -51,6 +53,9 @@
 	Batch  *batch.Batch
 	Result batch.Result
 	Reason string
+	// AskedAt is when an entry sent its last message about the job of a Start, Stop or LogFound; zero
+	// if the job is not known.
+	AskedAt time.Time
 	// ExpectedTime, FreeMilliCores, WaitingJobs and Previous explain a start in the log: the
 	// run time expected on the worker, the thousandths of a core that stay free there after
 	// the start, the number of jobs with tasks that wait, and how the last run of the task
--- a/internal/placement/plan/report.go
+++ b/internal/placement/plan/report.go
@@ -117,6 +117,7 @@
 	r := &run{runKey: key, worker: w, phase: unaccounted, resources: resources.Resources{}, sentAt: p.now, startedAt: p.now, percent: percent}
 	p.addRun(r)
 	p.unaccountedRuns[key.task] = append(p.unaccountedRuns[key.task], r)
+	p.emit(Order{Kind: LogFound, Worker: w.ID, Task: key.task, Run: key.run, AskedAt: p.askedForRun(r)})
 	p.matchRun(r)
 }
 
--- a/internal/placement/plan/worker.go
+++ b/internal/placement/plan/worker.go
@@ -256,7 +256,7 @@
 		r.phase = stopping
 	}
 	r.stopSentAt = p.now
-	p.emit(Order{Kind: Stop, Worker: r.worker.ID, Task: r.runKey.task, Run: r.runKey.run, Reason: reason})
+	p.emit(Order{Kind: Stop, Worker: r.worker.ID, Task: r.runKey.task, Run: r.runKey.run, Reason: reason, AskedAt: p.askedForRun(r)})
 }
 
 // stopRepeatInterval is the time after which an order to stop a run is repeated.
