--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -249,6 +249,15 @@
 	w.runEnded = make(chan struct{})
 }
 
+// Runs reports whether a run of a task is going on.
+func (w *Worker) Runs(task string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.endRunsIfLeaseExpired()
+	_, running := w.runs[task]
+	return running
+}
+
 // Crashed reports whether Crash was called.
 func (w *Worker) Crashed() bool {
 	w.mu.Lock()
