--- a/internal/trial/history/client_test.go
+++ b/internal/trial/history/client_test.go
@@ -44,29 +44,34 @@
 	if w.takesEffect(clientsBreak) {
 		ctx, breakConnection = context.WithTimeout(ctx, w.randomDuration(600))
 	}
+	select {
+	case r := <-w.submit(ctx, breakConnection, e, func() *batch.Batch { return w.newBatch(c.id, c.tasks, c.long) }):
+		if r.State != batch.Cancelled {
+			c.results = append(c.results, r)
+			return r.State != batch.Unknown
+		}
+	case <-e.ctx.Done():
+	}
+	c.lostAnswer = true
+	return false
+}
+
+// submit sends a job to an entry over a connection that ends with ctx, and returns a channel for the
+// answer. An entry that is killed no longer answers, but what it has sent to other entries and
+// workers stays in effect.
+func (w *world) submit(ctx context.Context, breakConnection context.CancelFunc, e *entry, job func() *batch.Batch) <-chan batch.Result {
 	result := make(chan batch.Result, 1)
-	// An entry that is killed no longer answers, but what it has sent to other
-	// entries and workers stays in effect.
 	w.goroutines.Go(func() {
 		defer breakConnection()
 		if w.waitThawed(e.ctx, e.id) != nil {
 			return
 		}
-		r := e.tracker.Submit(ctx, w.newBatch(c.id, c.tasks, c.long))
+		r := e.tracker.Submit(ctx, job())
 		if w.waitThawed(e.ctx, e.id) == nil && e.ctx.Err() == nil {
 			result <- r
 		}
 	})
-	select {
-	case r := <-result:
-		if r.State != batch.Cancelled {
-			c.results = append(c.results, r)
-			return r.State != batch.Unknown
-		}
-	case <-e.ctx.Done():
-	}
-	c.lostAnswer = true
-	return false
+	return result
 }
 
 // violation compares the answers that the client got with the runs on the workers. It
--- a/internal/trial/history/faults_test.go
+++ b/internal/trial/history/faults_test.go
@@ -279,10 +279,15 @@
 
 // restart kills an entry and starts a new incarnation of it after a random delay.
 func (w *world) restart(index, maxMillis int) {
+	w.restartAfter(index, 200*time.Millisecond+w.randomDuration(maxMillis))
+}
+
+// restartAfter kills an entry and starts a new incarnation of it after a delay.
+func (w *world) restartAfter(index int, delay time.Duration) {
 	w.entry(index).kill()
 	w.log("fault").Info("entry killed", "entry", entryName(index))
 	w.goroutines.Go(func() {
-		time.Sleep(200*time.Millisecond + w.randomDuration(maxMillis))
+		time.Sleep(delay)
 		w.starting.Lock()
 		defer w.starting.Unlock()
 		if w.entry(index).ctx.Err() != nil && !w.finished.Load() {
--- a/internal/trial/history/machine_test.go
+++ b/internal/trial/history/machine_test.go
@@ -29,7 +29,9 @@
 	registered  record        // as published; of an earlier incarnation until the present one has published its own
 }
 
-func workerID(index, incarnation int) string { return fmt.Sprintf("w%d-%d", index, incarnation) }
+func (w *world) workerID(index, incarnation int) string {
+	return fmt.Sprintf("%sw%d-%d", w.idPrefix, index, incarnation)
+}
 
 // workerName returns the name of a machine in the network and the log.
 func workerName(index int) string { return fmt.Sprintf("w%d", index) }
@@ -108,7 +110,7 @@
 	}
 	change(m)
 	m.worker = worker.New(w.workerOptions(m))
-	r := record{key: workerID(index, m.life), address: m.address}
+	r := record{key: w.workerID(index, m.life), address: m.address}
 	born := m.worker.StartUnixMilli()
 	if w.statesStart {
 		r.startUnixMilli = born
@@ -141,7 +143,7 @@
 // workerOptions returns the options of the next worker of a machine. The caller holds the lock.
 func (w *world) workerOptions(m *machine) worker.Options {
 	return worker.Options{
-		ID: workerID(m.index, m.life), Slots: slotsPerWorker, Monitor: w.monitor, ClockRate: m.clockRate, ClockOffset: m.clockOffset,
+		ID: w.workerID(m.index, m.life), Slots: slotsPerWorker, Monitor: w.monitor, ClockRate: m.clockRate, ClockOffset: m.clockOffset,
 		PlanRun: func(task string) (string, time.Duration) {
 			outcome := "done"
 			if w.randomChance(failChance) || w.takesEffect(tasksFail) {
--- a/internal/trial/history/world_test.go
+++ b/internal/trial/history/world_test.go
@@ -58,6 +58,8 @@
 	roster       []string  // workers that a holder has published, see package node
 	rosterAt     time.Time // when it was published
 	monitor      *worker.RunMonitor
+	idPrefix     string                          // of the workers' IDs, which differ between worlds that share a monitor
+	startRun     func(task string) time.Duration // called at each start of a task; returns its run time, or 0 for a random one; may be nil
 	goroutines   sync.WaitGroup
 	starting     sync.Mutex   // held while an entry starts again, so that it does so once
 	calm         atomic.Bool  // no fault begins any more, and no client sends a long job
@@ -66,9 +68,15 @@
 }
 
 func newWorld(seed uint64, entries, workers int) *world {
+	return newZone(seed, entries, workers, "", &worker.RunMonitor{})
+}
+
+// newZone returns a world that may share its monitor with others.
+func newZone(seed uint64, entries, workers int, idPrefix string, monitor *worker.RunMonitor) *world {
 	w := &world{
 		random: rand.New(rand.NewPCG(seed, 1)), blockedUntil: map[[2]string]time.Time{},
-		activeUntil: map[string]time.Time{}, chances: map[string]float64{}, longJobs: map[string]bool{}, monitor: &worker.RunMonitor{},
+		activeUntil: map[string]time.Time{}, chances: map[string]float64{}, longJobs: map[string]bool{},
+		monitor: monitor, idPrefix: idPrefix,
 	}
 	w.statesStart, w.heartbeat = w.randomChance(0.7), shortHeartbeat
 	if w.randomChance(0.6) {
@@ -190,8 +198,13 @@
 	}
 }
 
-// runTime returns a random run time for a task.
+// runTime returns the run time of a task, which is random unless the world states it.
 func (w *world) runTime(task string) time.Duration {
+	if w.startRun != nil {
+		if stated := w.startRun(task); stated > 0 {
+			return stated
+		}
+	}
 	id, _, _, _ := batch.ParseTaskName(task)
 	w.mu.Lock()
 	long := w.longJobs[id]
