--- a/internal/trial/soak/client_test.go
+++ b/internal/trial/soak/client_test.go
@@ -54,7 +54,12 @@
 var httpClient = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: clientCount}}
 
 func postJob(address, id, body string, deadline time.Time) (int, string) {
-	ctx, cancel := context.WithDeadline(context.Background(), deadline)
+	return postJobUntil(context.Background(), address, id, body, deadline)
+}
+
+// postJobUntil is postJob for a client that also leaves when the context ends.
+func postJobUntil(ctx context.Context, address, id, body string, deadline time.Time) (int, string) {
+	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/hold/"+id, strings.NewReader(body))
 	if err != nil {
--- a/internal/trial/soak/soak_test.go
+++ b/internal/trial/soak/soak_test.go
@@ -78,6 +78,7 @@
 	workerProxies []*proxy.Proxy
 	planWorker    func(seed uint64) worker.Options // behaviour of a worker
 	restarts      sync.WaitGroup                   // of lost entries
+	processes     sync.Mutex                       // held while entries are lost or start again
 
 	mu         sync.Mutex
 	events     []string
@@ -122,7 +123,7 @@
 		store: ledger.New(), monitor: &worker.RunMonitor{}, planWorker: planWorker,
 	}
 	if *logDir != "" {
-		s.dir = filepath.Join(*logDir, fmt.Sprint(seed))
+		s.dir = filepath.Join(*logDir, t.Name())
 		if err := os.MkdirAll(s.dir, 0o755); err != nil {
 			t.Fatal(err)
 		}
@@ -163,6 +164,9 @@
 
 func zoneName(i int) string { return string(rune('a' + i%zoneCount)) }
 
+// addressesInUse holds the addresses of the tests under way, since an entry that is down leaves its port free.
+var addressesInUse sync.Map
+
 // freeAddresses returns addresses at which nothing listens. Their ports are below the range that the
 // system gives to connections and to listeners without a port, so that nothing takes the
 // port of an entry that has not started yet, or is down.
@@ -174,8 +178,13 @@
 		if err != nil {
 			continue // the port is taken
 		}
-		found[l.Addr().String()] = true
 		_ = l.Close() // nothing was accepted
+		address := l.Addr().String()
+		if _, used := addressesInUse.LoadOrStore(address, true); used {
+			continue
+		}
+		t.Cleanup(func() { addressesInUse.Delete(address) })
+		found[address] = true
 		if len(found) == count {
 			return slices.Collect(maps.Keys(found))
 		}
--- a/internal/trial/soak/zones_test.go
+++ b/internal/trial/soak/zones_test.go
@@ -6,6 +6,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -23,6 +24,7 @@
 	longDeadline = 6 * time.Second
 	runningTime  = 300 * time.Millisecond // from the submission until the tasks of the job run
 	followUpTime = 2 * time.Second        // from the second submission to the end
+	maxPlays     = 3                      // plays at the same time
 )
 
 // The job of the plays, and the availability zone in which it runs.
@@ -30,6 +32,7 @@
 	longJob       = "5c0e7a21d94b36f8"
 	longJobBody   = `{"spec":"x","steps":[{"count":4,"cpu":1000,"mem-mb":10,"est-runtime-ms":2500}],"best-effort":true}`
 	disruptedZone = "a"
+	nextZone      = "b"
 )
 
 // TestJobSentAgainRunsOnce disrupts the availability zone in which a job runs, so that its client
@@ -60,35 +63,51 @@
 			s.sendLongJob(other)
 		}},
 	}
-	binary := buildProgram(t)
+	binary, running := buildProgram(t), make(chan struct{}, maxPlays)
 	for _, c := range tests {
-		t.Run(c.name, func(t *testing.T) {
-			for range *zonePlays {
-				s := newSoakOf(t, binary, 1, func(uint64) worker.Options {
-					return worker.Options{PlanRun: func(task string) (string, time.Duration) {
-						if strings.HasPrefix(task, longJob) {
-							return "done", longRun
-						}
-						return "done", time.Millisecond
-					}}
+		for range *zonePlays {
+			t.Run(c.name, func(t *testing.T) {
+				playLongJob(t, binary, running, 1, time.Millisecond, func(s *soak) {
+					scheduler, other := s.schedulerOf(disruptedZone)
+					c.play(s, scheduler, other)
+					time.Sleep(followUpTime)
 				})
-				time.Sleep(readyTime)
-				for i, e := range s.entries { // entries have exchanged messages about jobs before
-					postJob(e.callerAddress, fmt.Sprintf("%016x", i+1), longJobBody, time.Now().Add(longDeadline))
-				}
-				scheduler, other := s.schedulerOf(disruptedZone)
-				c.play(s, scheduler, other)
-				time.Sleep(followUpTime)
-				s.restarts.Wait()
-				if starts, _ := s.monitor.TaskRuns(longJob + ".0.0.0"); starts == 0 {
-					t.Error("the job never ran")
-				}
-				if overlapping, _ := s.monitor.Violations(); len(overlapping) > 0 {
-					t.Errorf("tasks with concurrent runs: %v; want none", overlapping)
-				}
+			})
+		}
+	}
+}
+
+// playLongJob starts entries, plays with the long job and checks its runs. firstRun is the run time of the
+// tasks of earlier jobs, from which the run time of the long job is estimated.
+func playLongJob(t *testing.T, binary string, running chan struct{}, seed uint64, firstRun time.Duration, play func(s *soak)) {
+	t.Parallel()
+	running <- struct{}{}
+	t.Cleanup(func() { <-running }) // once the entries are gone
+	s := newSoakOf(t, binary, seed, func(uint64) worker.Options {
+		return worker.Options{PlanRun: func(task string) (string, time.Duration) {
+			if strings.HasPrefix(task, longJob) {
+				return "done", longRun
 			}
+			return "done", firstRun
+		}}
+	})
+	time.Sleep(readyTime)
+	var group sync.WaitGroup
+	for i, e := range s.entries { // entries have exchanged messages about jobs before
+		group.Go(func() {
+			postJob(e.callerAddress, fmt.Sprintf("%016x", i+1), longJobBody, time.Now().Add(longDeadline))
 		})
 	}
+	group.Wait()
+	play(s)
+	s.restarts.Wait()
+	if starts, _ := s.monitor.TaskRuns(longJob + ".0.0.0"); starts == 0 {
+		s.recordViolation("the job never ran")
+	}
+	if overlapping, _ := s.monitor.Violations(); len(overlapping) > 0 {
+		s.recordViolation("tasks with concurrent runs, for up to %d ms: %v; want none", s.monitor.LongestOverlap().Milliseconds(), overlapping)
+	}
+	s.report()
 }
 
 // sendLongJob sends the long job to an entry. The channel is closed once the client has an answer,
@@ -103,12 +122,19 @@
 	return answered
 }
 
-// lose kills entries and starts them again after restartDelay.
+// lose kills entries that are not down, and starts them again after restartDelay.
 func (s *soak) lose(lost ...*entry) {
+	s.processes.Lock()
+	defer s.processes.Unlock()
 	for _, e := range lost {
+		if e.down {
+			continue
+		}
 		s.kill(e)
 		s.restarts.Go(func() {
 			time.Sleep(restartDelay)
+			s.processes.Lock()
+			defer s.processes.Unlock()
 			s.start(e)
 		})
 	}
--- a/standin/worker/monitor.go
+++ b/standin/worker/monitor.go
@@ -18,6 +18,8 @@
 	Succeeded     map[string]bool                  // tasks with a successful run
 	Failed        map[string]int                   // number of failed runs by task
 	Lost          map[string]int                   // number of runs that ended in a crash of their worker, by task
+	overlapAt     map[string]time.Time             // since when a task has two runs or more
+	longest       time.Duration                    // the longest overlap that has ended
 }
 
 // monitoredRun identifies a run of a task. A worker that has started again under its ID is
@@ -33,11 +35,14 @@
 	defer m.mu.Unlock()
 	if m.running == nil {
 		m.running, m.runningAt, m.Starts, m.Succeeded = map[string]map[monitoredRun]bool{}, map[string]int{}, map[string]int{}, map[string]bool{}
-		m.Failed, m.Lost = map[string]int{}, map[string]int{}
+		m.Failed, m.Lost, m.overlapAt = map[string]int{}, map[string]int{}, map[string]time.Time{}
 	}
 	m.Starts[task]++
 	if len(m.running[task]) > 0 {
 		m.Overlapping = append(m.Overlapping, task)
+		if len(m.running[task]) == 1 {
+			m.overlapAt[task] = time.Now()
+		}
 	} else {
 		m.running[task] = map[monitoredRun]bool{}
 	}
@@ -65,7 +70,13 @@
 	}
 	m.runningAt[r.worker]--
 	delete(m.running[task], r)
-	if len(m.running[task]) == 0 {
+	switch len(m.running[task]) {
+	case 1:
+		if at, overlaps := m.overlapAt[task]; overlaps {
+			m.longest = max(m.longest, time.Since(at))
+			delete(m.overlapAt, task)
+		}
+	case 0:
 		delete(m.running, task)
 	}
 }
@@ -98,6 +109,17 @@
 	return append([]string(nil), m.Overlapping...), append([]string(nil), m.Overloaded...)
 }
 
+// LongestOverlap returns for how long two runs of one task went on at the same time, at most.
+func (m *RunMonitor) LongestOverlap() time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	longest := m.longest
+	for _, at := range m.overlapAt {
+		longest = max(longest, time.Since(at))
+	}
+	return longest
+}
+
 // Unseen returns the tasks in UnseenEndings.
 func (m *RunMonitor) Unseen() []string {
 	m.mu.Lock()
