soak: Always play the loss of an entry and then of both schedulers

The whole table of TestJobRunsOnceAfterLosses, played once on: 8 of 256 combinations broken, all with the entry lost first and more than one scheduler 0.55 to 0.85 s later. Beside the two known cases these are the kill of both schedulers while the other entry of the second zone goes on, up to 573 ms of overlap in 4 plays, and the entry frozen with its client gone instead of killed.

--- a/internal/trial/soak/losses_test.go
+++ b/internal/trial/soak/losses_test.go
@@ -44,6 +44,8 @@
 	{disruption{"entry", "killed"}, disruption{"all entries", "killed"}, shortRunningTime, 550 * time.Millisecond},
 	{disruption{"entry", "killed"}, disruption{"both schedulers", "frozen"}, runningTime, 700 * time.Millisecond},
 	{disruption{"entry", "killed"}, disruption{"both schedulers", "frozen"}, shortRunningTime, 700 * time.Millisecond},
+	{disruption{"entry", "killed"}, disruption{"both schedulers", "killed"}, shortRunningTime, 850 * time.Millisecond},
+	{disruption{"entry", "frozen"}, disruption{"both schedulers", "killed"}, runningTime, 700 * time.Millisecond},
 }
 
 // allCombinations returns the combinations of who is lost, how, in which order and at which gap.
