plan, holder, submission: Let leases end with the interest in the jobs of a worker

Cause: the lease of a worker was extended by a second as long as the holder kept a job, up to 1.2 s after the job's entry had asked for it last, and by a successor for 0.4 s more, although it had heard of no entry that asks. The client of a lost entry has the job started in another zone after 1.3 s. If the entry's holder, or all entries, were lost as well, or the stop was, nobody ended the first runs before their lease: up to 2.7 s. Only messages between the zones covered that, and a new or cut off holder has none.

Weighed: a longer wait of the second holder (it cannot know that it must wait, and all jobs would pay), a store record for each started job (hundreds of writes a second, and the store may be away), a shorter lease for all (adds up for one order of losses only).

Change: each renewal and each start carries the earlier of now + lease and 1.24 s after an entry last asked for any job with a run on the worker, converted so that a clock that is 2 % slow keeps it. So a run ends before its client sends the job again, whoever is lost, without a message. - Runs that a successor finds are not renewed before an entry asks for their job. - A task starts on a worker only if the lease granted there ends with the interest in its job, also one that an earlier holder may have granted until the worker accepted the token. Leases are shortened for waiting jobs, so that a missed question does not keep them from starting. - A job that nobody asks for is stopped after 1.0 s instead of 1.2 s, so that the worker's other runs are renewed once that is confirmed. Entries ask every 150 ms instead of 250, and holds come sooner while a lease is short. - A late copy of a message no longer shortens the time for which a job is kept.

--- a/internal/gateway/submission/submission.go
+++ b/internal/gateway/submission/submission.go
@@ -15,7 +15,7 @@
 // Intervals and time limits.
 const (
 	sweepInterval = 25 * time.Millisecond   // between checks for jobs that must be placed again
-	silenceLimit  = 250 * time.Millisecond  // time without news of a job after which its holder is polled
+	askInterval   = 150 * time.Millisecond  // after which a holder is asked for a job again; leases of its workers depend on it
 	callTimeout   = 400 * time.Millisecond  // for one call to a holder
 	maxHolderWait = 1500 * time.Millisecond // how long a job waits for its group to get a holder; pauses of this process do not count
 	shortestPause = 4 * sweepInterval       // a longer time between two checks is a pause of this process
@@ -307,7 +307,7 @@
 		case !ok:
 		case !job.accepted || job.holder.ID != holder.ID || job.holder.Epoch != holder.Epoch:
 			unplaced = append(unplaced, job)
-		case now.Sub(job.lastHeard) > silenceLimit && now.Sub(job.lastPolled) > silenceLimit:
+		case now.Sub(job.lastPolled) > askInterval:
 			job.lastPolled = now
 			silentJobs[holder] = append(silentJobs[holder], id)
 		}
--- a/internal/placement/holder/holder.go
+++ b/internal/placement/holder/holder.go
@@ -149,8 +149,8 @@
 
 // dispatch starts sending the orders for workers and returns the orders that carry
 // results. An order is sent with the token valid at dispatch, even if a higher one is
-// set before it is sent. Its lease begins at now, the time at which the plan has issued it: the
-// process may have been paused since. The caller holds the lock.
+// set before it is sent. The end of its lease is that of the plan: the process may have been paused
+// since. The caller holds the lock.
 func (h *Holder) dispatch(orders []plan.Order, now time.Time) []plan.Order {
 	var results []plan.Order
 	for _, o := range orders {
@@ -175,7 +175,7 @@
 		}
 		switch o.Kind {
 		case plan.Start:
-			start := platform.StartRequest{Task: o.Task, Run: o.Run, Spec: o.Batch.Spec, LeaseEnd: s.leaseUntil(now), Token: s.token}
+			start := platform.StartRequest{Task: o.Task, Run: o.Run, Spec: o.Batch.Spec, LeaseEnd: s.leaseUntil(o.LeaseEnd), Token: s.token}
 			s.startToken = s.token
 			h.options.Log.Info("start ordered", "task", o.Task, "run", o.Run, "worker", o.Worker, "token", s.token, "expected_ms", o.ExpectedTime.Milliseconds(),
 				"free", o.FreeMilliCores, "waiting", o.WaitingJobs, "group", h.options.Group, "previous", o.Previous,
--- a/internal/placement/holder/session.go
+++ b/internal/placement/holder/session.go
@@ -14,13 +14,17 @@
 // Timeouts and delays of calls to workers. An answer takes a round trip between
 // zones, some milliseconds; the rest allows for slow VMs at either end.
 const (
-	stopTimeout   = 400 * time.Millisecond // for the answer to a stop; one without an answer is sent again
-	holdWait      = 400 * time.Millisecond // how long a hold waits for a run to end; must stay below half of the lease
-	holdTimeout   = 300 * time.Millisecond // for the answer to a hold, on top of its wait
-	minRetryDelay = 100 * time.Millisecond // between holds without an answer, rising to maxRetryDelay
-	maxRetryDelay = 800 * time.Millisecond
-	retakeDelay   = 250 * time.Millisecond  // before a worker is retaken from another holder
-	answeringSpan = 1500 * time.Millisecond // a worker counts as answering for so long after an answer
+	stopTimeout = 400 * time.Millisecond // for the answer to a stop; one without an answer is sent again
+	holdWait    = 400 * time.Millisecond // how long a hold waits for a run to end; must stay below half of the lease
+	minHoldWait = 100 * time.Millisecond // the same, while the lease ends soon
+	// renewalReserve is left of a lease when the next renewal is due. It covers a hold without an answer and the
+	// next one.
+	renewalReserve = 600 * time.Millisecond
+	holdTimeout    = 300 * time.Millisecond // for the answer to a hold, on top of its wait
+	minRetryDelay  = 100 * time.Millisecond // between holds without an answer, rising to maxRetryDelay
+	maxRetryDelay  = 800 * time.Millisecond
+	retakeDelay    = 250 * time.Millisecond  // before a worker is retaken from another holder
+	answeringSpan  = 1500 * time.Millisecond // a worker counts as answering for so long after an answer
 )
 
 // session is the state of a holder's contact with a worker at one address. The holder's
@@ -74,13 +78,19 @@
 	})
 }
 
-// leaseUntil returns the end of a lease that is renewed at a time, on the worker's clock
-// in milliseconds. It returns 0 while that clock is unknown.
-func (s *session) leaseUntil(renewedAt time.Time) int64 {
-	if s.clockReadAt.IsZero() {
+// leaseUntil returns the end of a lease on the worker's clock in milliseconds, such that the lease has
+// expired by a time even if that clock is slow. It returns 0 for the zero time, and while that clock is unknown.
+func (s *session) leaseUntil(end time.Time) int64 {
+	if end.IsZero() || s.clockReadAt.IsZero() {
 		return 0
 	}
-	return s.workerClock + renewedAt.Sub(s.clockReadAt).Milliseconds() + s.holder.options.Lease.Milliseconds()
+	return s.workerClock + plan.SlowestClock(end.Sub(s.clockReadAt)).Milliseconds()
+}
+
+// renewalWait returns how long a hold waits for a run to end if the lease can be renewed until a time: so that
+// the next hold comes in time for the next renewal.
+func renewalWait(end, now time.Time) time.Duration {
+	return min(holdWait, max(minHoldWait, end.Sub(now)-renewalReserve))
 }
 
 // raiseToken sets a higher token, which the worker must accept before it gets further
@@ -102,8 +112,8 @@
 	}
 }
 
-// hold sends one hold, which renews the lease and waits for a run to end, and passes
-// the worker's report to the plan. A worker that has not accepted the token yet, or
+// hold sends one hold, which renews the lease as far as the plan allows and waits for a run to end, and
+// passes the worker's report to the plan. A worker that has not accepted the token yet, or
 // did not answer the last hold, is asked for its report at once and gets no lease. Nor are its
 // ends acknowledged: it may have restarted and count them anew. For the same reason an
 // acknowledgement is not repeated once it has been answered.
@@ -111,21 +121,22 @@
 	holder := s.holder
 	holder.mu.Lock()
 	request := platform.HoldRequest{Token: s.token}
-	fencing, sent := !s.tokenAccepted, time.Now()
+	fencing, sent, end := !s.tokenAccepted, time.Now(), time.Time{}
 	if !fencing && s.missedHolds == 0 && !s.renewalLost {
-		request.Wait = holdWait
+		end = holder.plan.RenewableUntil(s.target.ID, sent)
+		request.Wait = renewalWait(end, sent)
 		if s.seenSequence > s.ackedSequence {
 			request.AckSequence = s.seenSequence
 		}
 		// The next holder, if there is one, waits for leases granted before its takeover only.
 		if !holder.options.TakeoverSuspected() {
-			request.LeaseEnd = s.leaseUntil(sent)
+			request.LeaseEnd = s.leaseUntil(end)
 		}
 	}
 	ctx, cancel := context.WithTimeout(s.ctx, request.Wait+holdTimeout)
 	s.cancelHold = cancel
 	if request.LeaseEnd > 0 {
-		holder.plan.RenewalSent(s.target.ID, sent)
+		holder.plan.RenewalSent(s.target.ID, sent, end)
 	}
 	copies, interval := holder.startTimeout.copies(), holder.startTimeout.copyInterval()
 	holder.mu.Unlock()
--- a/internal/placement/plan/capacity_test.go
+++ b/internal/placement/plan/capacity_test.go
@@ -158,6 +158,7 @@
 			if len(results) != 0 {
 				t.Fatalf("results %+v, want none yet", results)
 			}
+			p.KeepAlive(b.ID, after(c.arrives+500))
 			p.AddWorker(workerWith("w1", small), after(c.arrives+500))
 			p.HandleReport(Report{Worker: "w1", Sent: after(c.arrives + 500), Fenced: true}, after(c.arrives+500))
 			p.AddWorker(workerWith("w1", large), after(c.arrives+500))
--- a/internal/placement/plan/job.go
+++ b/internal/placement/plan/job.go
@@ -83,7 +83,7 @@
 	default:
 		j.Batch = j.withOwnWork(b)
 	}
-	j.askedAt = p.askedAt(b)
+	j.noteAsked(p.askedAt(b))
 	j.addLosses(b.Losses)
 	if p.endCrashing(j) {
 		return
--- a/internal/placement/plan/lease.go
+++ b/internal/placement/plan/lease.go
@@ -27,10 +27,10 @@
 // maxOrderDelay is the time after which a worker no longer executes an order that got no answer.
 const maxOrderDelay = 5 * time.Second
 
-// StartSent records that the last copy of a start was sent at a time. It renews the lease of the
-// worker.
+// StartSent records that the last copy of a start was sent at a time. The next incarnation of the worker
+// counts its lease from then on, at the latest.
 func (p *Plan) StartSent(worker, task string, runNumber int, at time.Time) {
-	p.RenewalSent(worker, at)
+	p.RenewalSent(worker, at, time.Time{})
 	if w, known := p.workers[worker]; known {
 		if r, known := w.runs[runKey{task, runNumber}]; known && !r.lateStartEnd.IsZero() {
 			r.lateStartEnd = p.leaseEnd(at.Add(maxOrderDelay))
@@ -54,12 +54,27 @@
 	}
 }
 
-// RenewalSent records that a renewal of a worker's lease was sent at a time. Whether or not it
-// arrives, the lease counts as renewed.
-func (p *Plan) RenewalSent(id string, at time.Time) {
-	if w, known := p.workers[id]; known && at.After(w.renewedAt) {
+// RenewalSent records that a renewal of a worker's lease was sent at a time, and the time by which that lease
+// has expired. Whether or not it arrives, the lease counts as renewed.
+func (p *Plan) RenewalSent(id string, at, end time.Time) {
+	if w, known := p.workers[id]; known {
+		w.noteRenewal(at, end)
+	}
+}
+
+// noteRenewal records that a lease was granted at a time, and the time by which it has expired.
+func (w *worker) noteRenewal(at, end time.Time) {
+	if at.After(w.renewedAt) {
 		w.renewedAt = at
 	}
+	if end.After(w.grantedUntil) {
+		w.grantedUntil = end
+	}
+}
+
+// noteEarlierHolder records that another holder may have renewed the lease of a worker until now.
+func (p *Plan) noteEarlierHolder(w *worker) {
+	w.noteRenewal(p.now, p.now.Add(p.longestLease()))
 }
 
 // runsLapsed reports whether nothing can be running on a worker that does not answer.
@@ -72,6 +87,76 @@
 	return true
 }
 
+// RenewableUntil returns the time by which a lease of a worker that is renewed now must have expired. It is
+// the zero time if the lease must not be renewed: no entry has asked for a run there, or asks any more.
+func (p *Plan) RenewableUntil(id string, now time.Time) time.Time {
+	w, known := p.workers[id]
+	if !known {
+		return time.Time{}
+	}
+	end := now.Add(p.longestLease())
+	if p.waitingInterestEnd.After(now) && p.waitingInterestEnd.Before(end) {
+		end = p.waitingInterestEnd
+	}
+	for _, r := range w.runs {
+		j := p.jobOfRun(r)
+		if j == nil {
+			return time.Time{}
+		}
+		if latest := p.interestEnd(j); latest.Before(end) {
+			end = latest
+		}
+	}
+	if !end.After(now) {
+		return time.Time{}
+	}
+	return end
+}
+
+// interestEnd returns the time by which the leases of the workers that run a job must have expired unless
+// its entry asks for it again. The entry may have been lost right after it asked, and its client may have the
+// job started in another group of workers, where nobody knows of these runs.
+func (p *Plan) interestEnd(j *job) time.Time {
+	return j.askedAt.Add(p.options.ClientRetryAfter - leaseMargin)
+}
+
+// updateWaitingInterest updates waitingInterestEnd. Jobs whose entry may have been lost do not count: they
+// would shorten the leases of all workers.
+func (p *Plan) updateWaitingInterest() {
+	p.waitingInterestEnd = time.Time{}
+	for _, j := range p.waiting {
+		end := p.interestEnd(j)
+		if j.askedAt.Add(maxMissedAsks).After(p.now) && (p.waitingInterestEnd.IsZero() || end.Before(p.waitingInterestEnd)) {
+			p.waitingInterestEnd = end
+		}
+	}
+}
+
+// maxMissedAsks is the time without a message of an entry after which it may have been lost. It covers two
+// messages that are lost.
+const maxMissedAsks = 500 * time.Millisecond
+
+// leaseFits reports whether a task of a job may start under the lease of a worker. A lease that has been
+// granted is not shortened by a start, so it must not outlast the interest in the job; and the jobs that
+// run there must not keep it from being renewed.
+func (p *Plan) leaseFits(w *worker, j *job) bool {
+	interestEnd := p.interestEnd(j)
+	if w.grantedUntil.After(interestEnd) {
+		return false
+	}
+	enough := p.now.Add(minStartLease)
+	return !interestEnd.Before(enough) && !p.RenewableUntil(w.ID, p.now).Before(enough)
+}
+
+// minStartLease is the shortest lease of a start. The lease is renewed before it ends if entries still ask
+// for the jobs of its worker.
+const minStartLease = 200 * time.Millisecond
+
+// SlowestClock returns by how much the clock of a worker advances in a time at least.
+func SlowestClock(elapsed time.Duration) time.Duration {
+	return elapsed - elapsed/clockSlackDivisor
+}
+
 // jobOfRun returns the job that a run belongs to, or nil if it is not known.
 func (p *Plan) jobOfRun(r *run) *job {
 	if r.task != nil {
--- a/internal/placement/plan/place.go
+++ b/internal/placement/plan/place.go
@@ -252,13 +252,14 @@
 	if t.job.result.State == batch.Pending {
 		t.job.result.State = batch.Running
 	}
-	w.renewedAt = p.now // a start carries a lease of its own
 	p.addRun(r)
+	leaseEnd := p.RenewableUntil(w.ID, p.now)
+	w.noteRenewal(p.now, leaseEnd) // a start carries a lease of its own
 	p.updateTaskSize(float64(r.resources.MilliCores))
 	p.restarts = min(maxRestarts, p.restarts+restartShare)
 	p.outliers.RecordStart(w.ID, p.now.Add(trialTimeout))
 	p.emit(Order{
-		Kind: Start, Worker: w.ID, Task: t.name, Run: r.runKey.run, Batch: t.job.Batch, AskedAt: t.job.askedAt,
+		Kind: Start, Worker: w.ID, Task: t.name, Run: r.runKey.run, Batch: t.job.Batch, AskedAt: t.job.askedAt, LeaseEnd: leaseEnd,
 		ExpectedTime: p.expectedTime(t, w), FreeMilliCores: w.free().MilliCores, WaitingJobs: len(p.waiting), Previous: t.previous,
 	})
 }
--- a/internal/placement/plan/plan.go
+++ b/internal/placement/plan/plan.go
@@ -56,6 +56,8 @@
 	// AskedAt is when an entry sent its last message about the job of a Start, Stop or LogFound; zero
 	// if the job is not known.
 	AskedAt time.Time
+	// LeaseEnd is the time by which the lease of a Start has expired.
+	LeaseEnd time.Time
 	// ExpectedTime, FreeMilliCores, WaitingJobs and Previous explain a start in the log: the
 	// run time expected on the worker, the thousandths of a core that stay free there after
 	// the start, the number of jobs with tasks that wait, and how the last run of the task
@@ -89,13 +91,12 @@
 	defaultClientRetryAfter = 1300 * time.Millisecond
 )
 
-// A job that its entry no longer asks for is abandoned this long before its client sends
-// it again, so that the two starts do not overlap. Entries ask every 0.25 s, the silenceLimit
-// of package submission.
+// A job that its entry no longer asks for is abandoned before the leases of its workers end, so that
+// these are renewed for their other runs once its own have been stopped. See interestEnd.
 const (
-	abandonMargin          = 100 * time.Millisecond // covers a tick and the time to stop a run
+	abandonMargin          = 300 * time.Millisecond // before the client sends the job again; covers the stop and the renewal
 	spilloverAbandonMargin = 600 * time.Millisecond // larger, since the client sends a job from another zone to another holder
-	minAbandonDelay        = 300 * time.Millisecond // shortest time until a job is abandoned, above the entry's interval
+	minAbandonDelay        = 300 * time.Millisecond // shortest time until a job is abandoned, above the interval at which entries ask
 )
 
 // Plan holds the workers and jobs of one holder and decides on placement. It is not safe
@@ -121,6 +122,9 @@
 	orders            []Order
 	now               time.Time // time of the event being handled
 	tickedAt          time.Time // time of the last tick
+	// waitingInterestEnd is when the interest in a waiting job ends first. Leases that outlast it would keep the
+	// job from starting.
+	waitingInterestEnd time.Time
 	// otherLeasesEnd is the time by which every lease that another holder may have granted
 	// has expired.
 	otherLeasesEnd time.Time
@@ -195,7 +199,12 @@
 // leaseEnd returns the time at which leases renewed at renewedAt have expired by the clock
 // of any worker, which may run slow.
 func (p *Plan) leaseEnd(renewedAt time.Time) time.Time {
-	return renewedAt.Add(p.options.Lease + p.options.Lease/clockSlackDivisor + leaseMargin)
+	return renewedAt.Add(p.longestLease() + leaseMargin)
+}
+
+// longestLease returns for how long a lease may be valid by the clock of a worker that runs slow.
+func (p *Plan) longestLease() time.Duration {
+	return p.options.Lease + p.options.Lease/clockSlackDivisor
 }
 
 const (
@@ -335,6 +344,7 @@
 	for _, j := range p.jobs {
 		p.checkJob(j)
 	}
+	p.updateWaitingInterest()
 	p.placeAll()
 }
 
--- a/internal/placement/plan/worker.go
+++ b/internal/placement/plan/worker.go
@@ -65,6 +65,7 @@
 	runs              map[runKey]*run
 	addedAt           time.Time
 	renewedAt         time.Time // when the last renewal that may have reached it was sent
+	grantedUntil      time.Time // when the last lease has expired that it may have been granted
 	foreign           bool      // another holder may renew its lease
 	registrationDue   time.Time // when it gets work again although it has not registered since its restart
 	retired           bool      // it is removed once the lease of its runs has expired
@@ -98,8 +99,9 @@
 	p.now = now
 	w, known := p.workers[registration.ID]
 	if !known {
-		w = &worker{runs: map[runKey]*run{}, renewedAt: now, addedAt: now}
+		w = &worker{runs: map[runKey]*run{}, addedAt: now}
 		p.workers[registration.ID] = w
+		p.noteEarlierHolder(w)
 	}
 	if w.retired {
 		w.retired, w.state = false, fencing
