peer, submission, node: Count a message from the decision to send it

A message about jobs counted from after the question for the receiver's clock, which goes out for each new claim and after 2 s of silence and takes up to 0.4 s. The client may leave, or get a 504, meanwhile; the interest that the message states then outlasts the client by as much, and with it the lease: up to 0.34 s longer than until the client sends the job again.

The tracker states the time at which it has found that clients wait, and the message counts from then on the receiver's clock; ages and times left in it as well. Ruled out: a second look whether the client waits right before sending, which only narrows the gap.

TestMessageCountsFromTheCall failed before by 100.5 ms (a job) and 100.7 ms (a poll) of a 100 ms question; it passes.

--- a/internal/gateway/node/groups.go
+++ b/internal/gateway/node/groups.go
@@ -277,13 +277,13 @@
 // awaitAt polls a holder for jobs that clients still wait for. It returns the results of
 // those that have ended, the IDs that the holder does not know, and whether it still holds
 // the group under this epoch.
-func (n *Node) awaitAt(ctx context.Context, to submission.GroupHolder, ids []string) ([]batch.Result, []string, bool, error) {
+func (n *Node) awaitAt(ctx context.Context, to submission.GroupHolder, ids []string, askedAt time.Time) ([]batch.Result, []string, bool, error) {
 	if to.Local {
-		results, unknown, held := n.onAwait(to.Group, to.Epoch, ids, time.Now())
+		results, unknown, held := n.onAwait(to.Group, to.Epoch, ids, askedAt)
 		return results, unknown, held, nil
 	}
 	n.instruments.countMessage("await")
-	return n.client.Await(ctx, to.Address, to.Group, to.Epoch, ids)
+	return n.client.Await(ctx, to.Address, to.Group, to.Epoch, ids, askedAt)
 }
 
 // withdrawAt asks a holder to cancel a job whose client has left.
--- a/internal/gateway/submission/losses_test.go
+++ b/internal/gateway/submission/losses_test.go
@@ -44,7 +44,7 @@
 					placed = append(placed, b.Losses)
 					return true, nil
 				}
-				f.options.Await = func(context.Context, GroupHolder, []string) ([]batch.Result, []string, bool, error) {
+				f.options.Await = func(context.Context, GroupHolder, []string, time.Time) ([]batch.Result, []string, bool, error) {
 					return c.polls, nil, true, nil
 				}
 				done := make(chan batch.Result)
--- a/internal/gateway/submission/options.go
+++ b/internal/gateway/submission/options.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"time"
 
 	"github.com/radishgate/radishgate/internal/work/batch"
 )
@@ -34,10 +35,10 @@
 	// names the tasks that completed under an earlier holder. After an error the holder
 	// may have accepted the job.
 	Place func(ctx context.Context, to GroupHolder, b *batch.Batch, completed []string) (bool, error)
-	// Await polls a holder for jobs. It returns the results of those that have ended, the
+	// Await polls a holder for jobs for which clients waited at askedAt. It returns the results of those that have ended, the
 	// states of others that have losses, the IDs that the holder does not know, and whether
 	// it still holds the group.
-	Await func(ctx context.Context, to GroupHolder, ids []string) (results []batch.Result, unknown []string, held bool, err error)
+	Await func(ctx context.Context, to GroupHolder, ids []string, askedAt time.Time) (results []batch.Result, unknown []string, held bool, err error)
 	// Withdraw asks a holder to cancel a job whose clients have left. After an error the holder may
 	// not have got the request.
 	Withdraw func(ctx context.Context, to GroupHolder, b *batch.Batch) error
--- a/internal/gateway/submission/submission.go
+++ b/internal/gateway/submission/submission.go
@@ -55,8 +55,8 @@
 type Tracker struct {
 	options Options
 
-	mu   sync.Mutex
-	jobs map[string]*pendingJob
+	mu       sync.Mutex
+	jobs     map[string]*pendingJob
 	// sweptAt is when the last call of Sweep ended.
 	sweptAt time.Time
 }
@@ -318,10 +318,10 @@
 	}
 	for holder, ids := range silentJobs {
 		if holder.Local {
-			t.poll(ctx, holder, ids)
+			t.poll(ctx, holder, ids, now)
 			continue
 		}
-		go t.poll(ctx, holder, ids)
+		go t.poll(ctx, holder, ids, now)
 	}
 	t.mu.Lock()
 	t.sweptAt = time.Now()
@@ -343,13 +343,13 @@
 	}
 }
 
-// poll asks a holder for the results of jobs, which also keeps the holder from
-// dropping them as abandoned. Jobs that the holder does not know are marked to be
+// poll asks a holder for the results of jobs for which clients waited at a time, which also keeps the
+// holder from dropping them as abandoned. Jobs that the holder does not know are marked to be
 // placed again.
-func (t *Tracker) poll(ctx context.Context, holder GroupHolder, ids []string) {
+func (t *Tracker) poll(ctx context.Context, holder GroupHolder, ids []string, askedAt time.Time) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	results, unknown, isHolder, err := t.options.Await(ctx, holder, ids)
+	results, unknown, isHolder, err := t.options.Await(ctx, holder, ids, askedAt)
 	if err != nil {
 		t.options.Log.Warn("polling holder for jobs failed", "jobs", len(ids), "of", holder.ID, "error", err)
 		return
--- a/internal/gateway/submission/submission_test.go
+++ b/internal/gateway/submission/submission_test.go
@@ -52,7 +52,7 @@
 			f.calls = append(f.calls, placeCall{to, b.MaybeStarted, b.SpilledOver})
 			return f.accept, nil
 		},
-		Await: func(_ context.Context, _ GroupHolder, ids []string) ([]batch.Result, []string, bool, error) {
+		Await: func(_ context.Context, _ GroupHolder, ids []string, _ time.Time) ([]batch.Result, []string, bool, error) {
 			f.mu.Lock()
 			defer f.mu.Unlock()
 			if f.jobsForgotten {
--- a/internal/trial/history/calls_test.go
+++ b/internal/trial/history/calls_test.go
@@ -80,8 +80,7 @@
 	return e.callHolder(ctx, to, true, func(h *holder.Holder) { h.Admit(b, completed) })
 }
 
-func (e *entry) keepAliveAt(ctx context.Context, to submission.GroupHolder, ids []string) (results []batch.Result, unknown []string, held bool, err error) {
-	askedAt := time.Now()
+func (e *entry) keepAliveAt(ctx context.Context, to submission.GroupHolder, ids []string, askedAt time.Time) (results []batch.Result, unknown []string, held bool, err error) {
 	held, err = e.callHolder(ctx, to, false, func(h *holder.Holder) { results, unknown = h.KeepAlive(ids, askedAt) })
 	if err != nil {
 		return nil, nil, false, err
--- a/peer/age_test.go
+++ b/peer/age_test.go
@@ -25,7 +25,7 @@
 			return err
 		}},
 		{"a poll", func(c *Client, address string) error {
-			_, _, _, err := c.Await(t.Context(), address, "a", 1, []string{"j"})
+			_, _, _, err := c.Await(t.Context(), address, "a", 1, []string{"j"}, time.Now())
 			return err
 		}},
 	}
--- a/peer/jobs.go
+++ b/peer/jobs.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"strconv"
 	"time"
 
@@ -82,12 +83,16 @@
 // holder of the group. After an error other than *NotSentError the entry may still have accepted the
 // job.
 func (c *Client) Place(ctx context.Context, address, group string, epoch uint64, b *batch.Batch, completedTasks []string) (bool, error) {
-	sent, err := c.receiverClock(ctx, address, group, epoch)
+	clock, err := c.receiverClock(ctx, address, group, epoch)
 	if err != nil {
 		return false, &NotSentError{Address: address, Cause: err}
 	}
-	request := packBatch(group, b, completedTasks)
-	request.Epoch, request.SentMs = epoch, sent
+	askedAt := b.AskedAt
+	if askedAt.IsZero() {
+		askedAt = time.Now()
+	}
+	request := packBatch(group, b, completedTasks, askedAt)
+	request.Epoch, request.SentMs = epoch, clockAt(clock, askedAt)
 	reply, err := c.peer(address).Place(ctx, request)
 	if err != nil {
 		return false, err
@@ -115,15 +120,25 @@
 	return clock, nil
 }
 
+// clockAt returns what a clock that shows a time now has shown at another time, or an earlier one; 0 for the
+// time 0, of a clock that is not known.
+func clockAt(clock uint64, at time.Time) uint64 {
+	if clock == 0 {
+		return 0
+	}
+	elapsed := uint64(max(0, time.Since(at).Milliseconds()) + 1)
+	return max(1, clock-min(clock, elapsed))
+}
+
 // Await fetches the results of jobs from another entry and keeps those alive
-// that have not ended. It returns the results, the states of other jobs that have
+// that have not ended, for which clients waited at askedAt. It returns the results, the states of other jobs that have
 // losses, the IDs of jobs that the entry does not know, and whether the entry is the holder of the group.
-func (c *Client) Await(ctx context.Context, address, group string, epoch uint64, ids []string) ([]batch.Result, []string, bool, error) {
-	sent, err := c.receiverClock(ctx, address, group, epoch)
+func (c *Client) Await(ctx context.Context, address, group string, epoch uint64, ids []string, askedAt time.Time) ([]batch.Result, []string, bool, error) {
+	clock, err := c.receiverClock(ctx, address, group, epoch)
 	if err != nil {
 		return nil, nil, false, err
 	}
-	return c.await(ctx, address, &wire.AwaitRequest{Group: group, Epoch: epoch, Ids: ids, SentMs: sent})
+	return c.await(ctx, address, &wire.AwaitRequest{Group: group, Epoch: epoch, Ids: ids, SentMs: clockAt(clock, askedAt)})
 }
 
 func (c *Client) await(ctx context.Context, address string, request *wire.AwaitRequest) ([]batch.Result, []string, bool, error) {
@@ -156,11 +171,12 @@
 	return reply.Known, nil
 }
 
-func packBatch(group string, b *batch.Batch, completedTasks []string) *wire.PlaceRequest {
+// packBatch returns the message that brings a job. Its ages and times left are those at askedAt.
+func packBatch(group string, b *batch.Batch, completedTasks []string, askedAt time.Time) *wire.PlaceRequest {
 	r := &wire.PlaceRequest{
 		Group: group, Id: b.ID, Spec: b.Spec, Queue: b.Queue, Service: b.Service, Version: b.Version,
 		Priority: uint32(max(0, b.Priority)), Attempts: uint32(b.MaxAttempts), Stretch: float32(b.Stretch),
-		SlackMs: uint32(b.Slack.Milliseconds()), From: b.WaitingEntry, AgeMs: ageMillis(b.ArrivedAt), LeftMs: millisUntil(b.ExpiresAt),
+		SlackMs: uint32(b.Slack.Milliseconds()), From: b.WaitingEntry, AgeMs: millisBetween(b.ArrivedAt, askedAt), LeftMs: millisBetween(askedAt, b.ExpiresAt),
 		Again: b.MaybeStarted, Done: completedTasks, Attempt: b.Attempt, Away: b.SpilledOver, Losses: packLosses(b.Losses), StartedHere: b.StartedHere,
 	}
 	for _, s := range b.Steps {
@@ -201,6 +217,14 @@
 	return b
 }
 
+// millisBetween returns the time between two times in milliseconds, or 0 if the first is zero or later.
+func millisBetween(from, to time.Time) uint32 {
+	if from.IsZero() {
+		return 0
+	}
+	return uint32(min(max(0, to.Sub(from).Milliseconds()), math.MaxUint32))
+}
+
 func millisToDuration(ms uint32) time.Duration { return time.Duration(ms) * time.Millisecond }
 
 func packOutcomes(results []batch.Result) []*wire.Outcome {
--- a/peer/losses_test.go
+++ b/peer/losses_test.go
@@ -17,7 +17,7 @@
 func TestLossesCrossTheWire(t *testing.T) {
 	losses := []batch.Losses{{Task: "j.0.0.0", Crashes: 1, Suspicions: 2}}
 	var request wire.PlaceRequest
-	data, err := proto.Marshal(packBatch("a", &batch.Batch{ID: "j", Losses: losses}, nil))
+	data, err := proto.Marshal(packBatch("a", &batch.Batch{ID: "j", Losses: losses}, nil, time.Now()))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/peer/server.go
+++ b/peer/server.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"encoding/json"
-	"math"
 	"net/http"
 	"time"
 
@@ -152,17 +151,10 @@
 		Id: r.ID, Zone: r.Zone, Peer: r.PeerAddress, Incarnation: r.Incarnation, Beat: r.Heartbeat,
 		Leaving: r.Leaving, Dead: r.Dead, Ready: r.Ready, Weight: uint32(r.Weight * 1000),
 		Free: uint32(max(0, r.FreeSlots)), Backlog: uint32(max(0, r.Backlog)), Version: r.BundleVersion,
-		AgeMs: ageMillis(r.ReportedAt), Learned: uint32(r.LearnedUpstreams), Workers: r.Workers,
+		AgeMs: millisBetween(r.ReportedAt, time.Now()), Learned: uint32(r.LearnedUpstreams), Workers: r.Workers,
 	}
 }
 
-func ageMillis(at time.Time) uint32 {
-	if at.IsZero() {
-		return 0
-	}
-	return uint32(min(max(0, time.Since(at)/time.Millisecond), math.MaxUint32))
-}
-
 // UnpackMember converts a wire message to a member's record.
 func UnpackMember(m *wire.Member) member.Record {
 	return member.Record{
