submission: Send nothing after a stall before clients that have left are noticed

After more than 50 ms since the last check one check sends nothing; a request that comes then is placed by the next. Two checks in a row never send nothing, so that a slow VM still asks. Ruled out: a look at the connection from the tracker, which net/http doesn't offer without reading from it.

--- a/internal/gateway/submission/submission.go
+++ b/internal/gateway/submission/submission.go
@@ -19,6 +19,7 @@
 	callTimeout   = 400 * time.Millisecond  // for one call to a holder
 	maxHolderWait = 1500 * time.Millisecond // how long a job waits for its group to get a holder; pauses of this process do not count
 	shortestPause = 4 * sweepInterval       // a longer time between two checks is a pause of this process
+	stallLimit    = 2 * sweepInterval       // in a longer time between two checks, clients may have left unnoticed
 	// lostGroupDelay is how long a job in a group of another zone is waited for once that group
 	// has no reachable holder: the zone is cut off, and the holder there drops the job as well.
 	lostGroupDelay = 700 * time.Millisecond
@@ -57,8 +58,8 @@
 
 	mu       sync.Mutex
 	jobs     map[string]*pendingJob
-	// sweptAt is when the last call of Sweep ended.
-	sweptAt time.Time
+	sweptAt  time.Time // when Sweep ran last
+	resuming bool      // nothing is sent until the next call of Sweep, since the last one followed a stall
 }
 
 // New returns a Tracker without jobs. Run must be called to place jobs again and
@@ -142,9 +143,13 @@
 }
 
 // place sends a job to the current holder of its group, if there is one. It waits
-// for the answer only if that holder is this entry.
+// for the answer only if that holder is this entry. After a stall it leaves the job to Sweep.
 func (t *Tracker) place(ctx context.Context, job *pendingJob) {
 	t.mu.Lock()
+	if t.resuming || t.stalled(time.Now()) {
+		t.mu.Unlock()
+		return
+	}
 	if !job.placing && !job.maybeAccepted && !job.batch.SpilledOver {
 		if group := t.options.Detour(job.group, job.batch.Tasks()); group != "" {
 			t.options.Log.Info("job takes a detour", "job", job.batch.ID, "from", job.group, "to", group)
@@ -281,13 +286,16 @@
 
 // Sweep checks all jobs once. It refuses jobs that no holder will accept, gives up those
 // whose results no longer arrive, places jobs again whose holder has changed or has not
-// accepted them, and polls holders for jobs without news.
+// accepted them, and polls holders for jobs without news. After a stall it sends nothing once, so that
+// clients that have left meanwhile are noticed first.
 func (t *Tracker) Sweep(ctx context.Context) {
 	now, isolated, resultsLost := time.Now(), t.options.Isolated(), t.options.ResultsLost()
 	var unplaced []*pendingJob
 	silentJobs := map[GroupHolder][]string{}
 	t.mu.Lock()
 	t.extendHolderWaits(now)
+	t.resuming = !t.resuming && t.stalled(now)
+	t.sweptAt = now
 	// A job is ended under the lock under which it was found not to be sent, so that no holder
 	// gets it in between.
 	for id, job := range t.jobs {
@@ -304,7 +312,7 @@
 			t.end(job, job.lost())
 		case !ok && !job.maybeAccepted && now.After(job.holderDue):
 			t.end(job, job.refusal(reasonNoHolder, retryDelay))
-		case !ok:
+		case !ok, t.resuming:
 		case !job.accepted || job.holder.ID != holder.ID || job.holder.Epoch != holder.Epoch:
 			unplaced = append(unplaced, job)
 		case now.Sub(job.lastPolled) > askInterval:
@@ -328,6 +336,13 @@
 	t.mu.Unlock()
 }
 
+// stalled reports whether this process has been held up, so that connections of clients may have closed
+// unnoticed. What is sent to a holder for such a client would keep its job running while another entry has it.
+// The caller holds t.mu.
+func (t *Tracker) stalled(now time.Time) bool {
+	return !t.sweptAt.IsZero() && now.Sub(t.sweptAt) > stallLimit
+}
+
 // extendHolderWaits extends the waits for a holder by the time in which this process was paused:
 // a takeover could not go on meanwhile either. The caller holds t.mu.
 func (t *Tracker) extendHolderWaits(now time.Time) {
