plan: Keep a job that another group has sent back

A holder without room moves a job to another group; that one sends it back if a holder of this group, lost since, had started it. The first group then repeated its earlier result, which names the other one, and the entry followed each answer at once, until its client left or the other group had forgotten the job after 15 to 30 s (by reading; the callers see a job that is never placed).

A job that comes back is reopened as one that may have been started.

--- a/internal/placement/plan/job.go
+++ b/internal/placement/plan/job.go
@@ -103,9 +103,10 @@
 }
 
 // resultApplies reports whether the result of the job also answers a new message about it.
-// A refused job, or one whose outcome is unknown, may be tried again in a new attempt.
+// A refused job, or one whose outcome is unknown, may be tried again in a new attempt. One that was moved
+// and has been sent back stays here.
 func (j *job) resultApplies(b *batch.Batch) bool {
-	if j.abandoned || !j.result.State.Ended() {
+	if j.abandoned || !j.result.State.Ended() || j.result.State == batch.Moved && b.StartedHere {
 		return false
 	}
 	retryable := j.result.State == batch.Refused || j.result.State == batch.Unknown
