holder, plan: Bound leases by a reading of the worker's clock from before the message

While the VM of a holder is suspended its clock stands still and that of its workers goes on. A later reading of a worker's clock then stood for an earlier time of the holder, and leases outlasted the interest in a job by as long as the VM was suspended, up to 0.5 s unnoticed.

A lease is now the earlier of the ends by the latest reading and by one from before any message that may still grant a lease, so a clock that stands still after the message makes it shorter, never longer. Ruled out: CLOCK_BOOTTIME, which costs two system calls for each event and which a paused guest may not advance. Such a lease may have expired when it arrives; a start that is rejected for that waits for the next tick rather than be sent again at once.

--- a/internal/placement/holder/holder.go
+++ b/internal/placement/holder/holder.go
@@ -175,12 +175,12 @@
 		}
 		switch o.Kind {
 		case plan.Start:
-			start := platform.StartRequest{Task: o.Task, Run: o.Run, Spec: o.Batch.Spec, LeaseEnd: s.leaseUntil(o.LeaseEnd), Token: s.token}
+			start := platform.StartRequest{Task: o.Task, Run: o.Run, Spec: o.Batch.Spec, LeaseEnd: s.clock.until(o.LeaseEnd), Token: s.token}
 			s.startToken = s.token
 			h.options.Log.Info("start ordered", "task", o.Task, "run", o.Run, "worker", o.Worker, "token", s.token, "expected_ms", o.ExpectedTime.Milliseconds(),
 				"free", o.FreeMilliCores, "waiting", o.WaitingJobs, "group", h.options.Group, "previous", o.Previous,
 				"asked_ms", askedMilli(o, now), "lease_until", start.LeaseEnd)
-			clockMilli := s.workerClock
+			clockMilli := s.clock.latest.milli
 			h.goroutines.Go(func() { s.sendStart(start, clockMilli) })
 		case plan.Stop:
 			token := s.token
--- a/internal/placement/holder/incarnation.go
+++ b/internal/placement/holder/incarnation.go
@@ -49,7 +49,7 @@
 // report of the new one, which follows, says which runs there are. The caller holds the lock.
 func (s *session) handleRestart(p *plan.Plan, now time.Time, startUnixMilli int64) {
 	s.holder.options.Log.Info("worker has started again", "worker", s.target.ID, "born", startUnixMilli, "before", s.startUnixMilli)
-	s.seenSequence, s.ackedSequence = 0, 0
+	s.seenSequence, s.ackedSequence, s.clock = 0, 0, workerClock{}
 	w := planWorker(s.registration)
 	w.Unregistered = s.registration.StartUnixMilli != 0
 	p.RestartWorker(w, now)
--- a/internal/placement/holder/orders.go
+++ b/internal/placement/holder/orders.go
@@ -14,7 +14,7 @@
 	holder := s.holder
 	if request.LeaseEnd == 0 {
 		s.update(func(p *plan.Plan, now time.Time) {
-			p.HandleStartOutcome(s.target.ID, request.Task, request.Run, plan.StartRejected, now)
+			p.HandleStartOutcome(s.target.ID, request.Task, request.Run, plan.StartLate, now)
 		})
 		return
 	}
@@ -91,7 +91,7 @@
 
 // startOutcomes maps the verdict of a worker on a start to its outcome for the plan.
 var startOutcomes = map[platform.Verdict]plan.StartOutcome{
-	platform.Accepted: plan.StartAccepted, platform.Fenced: plan.StartRejected, platform.LeaseExpired: plan.StartRejected,
+	platform.Accepted: plan.StartAccepted, platform.Fenced: plan.StartRejected, platform.LeaseExpired: plan.StartLate,
 	platform.OtherIncarnation: plan.StartRejected, platform.StaleRun: plan.StaleRunNumber,
 	platform.NoRoom: plan.WorkerUnhealthy, platform.NoTicket: plan.WorkerUnhealthy, platform.Busy: plan.WorkerUnhealthy, platform.Malformed: plan.WorkerUnhealthy,
 }
--- a/internal/placement/holder/session.go
+++ b/internal/placement/holder/session.go
@@ -40,8 +40,7 @@
 	tokenAccepted  bool  // the worker has accepted the token
 	renewalLost    bool  // a renewal of the lease under the token got no answer
 	startToken     int64 // of the last start; a new incarnation may still carry that start out
-	workerClock    int64 // ms on the worker's clock at clockReadAt, from its last report
-	clockReadAt    time.Time
+	clock          workerClock
 	startStated    bool  // an answer has stated startUnixMilli, rather than the registration alone
 	startUnixMilli int64 // when the worker's incarnation started, by its reports or its registration; 0 if neither states it
 	answeringUntil time.Time
@@ -78,15 +77,6 @@
 	})
 }
 
-// leaseUntil returns the end of a lease on the worker's clock in milliseconds, such that the lease has
-// expired by a time even if that clock is slow. It returns 0 for the zero time, and while that clock is unknown.
-func (s *session) leaseUntil(end time.Time) int64 {
-	if end.IsZero() || s.clockReadAt.IsZero() {
-		return 0
-	}
-	return s.workerClock + plan.SlowestClock(end.Sub(s.clockReadAt)).Milliseconds()
-}
-
 // renewalWait returns how long a hold waits for a run to end if the lease can be renewed until a time: so that
 // the next hold comes in time for the next renewal.
 func renewalWait(end, now time.Time) time.Duration {
@@ -130,7 +120,7 @@
 		}
 		// The next holder, if there is one, waits for leases granted before its takeover only.
 		if !holder.options.TakeoverSuspected() {
-			request.LeaseEnd = s.leaseUntil(end)
+			request.LeaseEnd = s.clock.until(end)
 		}
 	}
 	ctx, cancel := context.WithTimeout(s.ctx, request.Wait+holdTimeout)
@@ -273,19 +263,19 @@
 		}
 		// The call was made after the token was set, and so after the clock was read.
 		firstAnswer := fencing && !s.tokenAccepted
-		switch restarted := s.statesOtherStart(report) || firstAnswer && clockRestarted(report, s.workerClock); {
+		switch restarted := s.statesOtherStart(report) || firstAnswer && clockRestarted(report, s.clock.latest.milli); {
 		case restarted && (!firstAnswer || s.startToken == token):
 			s.suspectRestart(p, now)
 			return
 		case restarted:
 			s.handleRestart(p, now, report.StartUnixMilli)
-		case report.ClockMilli < s.workerClock:
+		case report.ClockMilli < s.clock.latest.milli:
 			return // an older report, overtaken by one on the other connection
 		}
 		if report.StartUnixMilli != 0 {
 			s.startUnixMilli, s.startStated = report.StartUnixMilli, true
 		}
-		s.workerClock, s.clockReadAt = report.ClockMilli, now
+		s.clock.note(clockReading{report.ClockMilli, now}, s.holder.options.ClientRetryAfter)
 		s.tokenAccepted = s.tokenAccepted || fencing
 		translated := s.planReport(report, fencing, sent)
 		hasEndings = len(translated.Ended) > 0
--- a/internal/placement/plan/report.go
+++ b/internal/placement/plan/report.go
@@ -255,6 +255,7 @@
 	StartAccepted    StartOutcome = iota
 	CopyAccepted                  // started, but other copies of the order got no answer and may be executed yet
 	StartRejected                 // not started; may be tried again there
+	StartLate                     // not started, since its lease had expired; tried again with the next tick
 	WorkerUnhealthy               // not started, since the worker cannot run tasks at present
 	StaleRunNumber                // not started, since the worker has seen the same or a higher run number of the task
 	OutcomeUnknown                // no answer: it may have started, or may still start
@@ -303,7 +304,9 @@
 		}
 	}
 	p.loseRun(r)
-	p.placeAll()
+	if outcome != StartLate {
+		p.placeAll()
+	}
 }
 
 // runNumberGap is added to a run number that is too low, to skip numbers that an earlier
