plan, submission: Count the interest from when a client was there at the latest

An entry asks 25 to 50 ms after it can have noticed last that a client has left; a longer stall sends nothing. With a withdrawal that is lost the sum was 1.24 s + 0.05 s + 0.06 s for the kill, 0.05 s more than the client waits. The interest now ends 0.05 s sooner, 1.19 s after the message, so that the limits add up to 1.30 s. No test failed before: it follows from the sum. TestLeaseEndsWithTheInterestInAJob has the bound.

--- a/internal/gateway/submission/submission.go
+++ b/internal/gateway/submission/submission.go
@@ -19,7 +19,6 @@
 	callTimeout   = 400 * time.Millisecond  // for one call to a holder
 	maxHolderWait = 1500 * time.Millisecond // how long a job waits for its group to get a holder; pauses of this process do not count
 	shortestPause = 4 * sweepInterval       // a longer time between two checks is a pause of this process
-	stallLimit    = 2 * sweepInterval       // in a longer time between two checks, clients may have left unnoticed
 	// lostGroupDelay is how long a job in a group of another zone is waited for once that group
 	// has no reachable holder: the zone is cut off, and the holder there drops the job as well.
 	lostGroupDelay = 700 * time.Millisecond
@@ -340,7 +339,7 @@
 // unnoticed. What is sent to a holder for such a client would keep its job running while another entry has it.
 // The caller holds t.mu.
 func (t *Tracker) stalled(now time.Time) bool {
-	return !t.sweptAt.IsZero() && now.Sub(t.sweptAt) > stallLimit
+	return !t.sweptAt.IsZero() && now.Sub(t.sweptAt) > batch.MaxAskDelay
 }
 
 // extendHolderWaits extends the waits for a holder by the time in which this process was paused:
--- a/internal/placement/plan/lease.go
+++ b/internal/placement/plan/lease.go
@@ -114,10 +114,10 @@
 }
 
 // interestEnd returns the time by which the leases of the workers that run a job must have expired unless
-// its entry asks for it again. The entry may have been lost right after it asked, and its client may have the
-// job started in another group of workers, where nobody knows of these runs.
+// its entry asks for it again. The entry may have been lost right after it asked, or its client may have left
+// just before, and have the job started in another group of workers, where nobody knows of these runs.
 func (p *Plan) interestEnd(j *job) time.Time {
-	return j.askedAt.Add(p.options.ClientRetryAfter - leaseMargin)
+	return j.askedAt.Add(p.options.ClientRetryAfter - batch.MaxAskDelay - leaseMargin)
 }
 
 // updateWaitingInterest updates waitingInterestEnd. Jobs whose entry may have been lost do not count: they
--- a/internal/placement/plan/leaseend_test.go
+++ b/internal/placement/plan/leaseend_test.go
@@ -16,13 +16,13 @@
 		until  int           // ms; 0 if the lease must not be renewed
 	}{
 		{"asked for just now", nil, 2000, 2000 + full},
-		{"asked for a while ago", nil, 2500, 2000 + 1240},
-		{"its entry is lost, the stop has no effect", func(p *Plan) { p.Tick(after(3100)) }, 3200, 2000 + 1240},
-		{"the same, for longer", func(p *Plan) { p.Tick(after(3100)) }, 3240, 0},
+		{"asked for a while ago", nil, 2500, 2000 + 1190},
+		{"its entry is lost, the stop has no effect", func(p *Plan) { p.Tick(after(3100)) }, 3150, 2000 + 1190},
+		{"the same, for longer", func(p *Plan) { p.Tick(after(3100)) }, 3190, 0},
 		{"asked for again", func(p *Plan) { p.KeepAlive("00000000000000aa", after(2400)) }, 2500, 2500 + full},
 		{"another job on the worker is asked for", func(p *Plan) {
 			p.Admit(testJob("00000000000000bb", 1, after(2400)), nil, after(2400))
-		}, 2500, 2000 + 1240},
+		}, 2500, 2000 + 1190},
 		{"a run that no entry has asked for", func(p *Plan) {
 			p.HandleReport(Report{Worker: "w1", Sent: after(2001), Running: []RunProgress{{"00000000000000aa.0.0.0", 1, 1}, {"00000000000000cc.0.0.0", 1, 1}}}, after(2002))
 		}, 2002, 0},
@@ -30,13 +30,13 @@
 			p.Tick(after(3100))
 			p.HandleReport(Report{Worker: "w1", Sent: after(3110), Ended: []EndedRun{{"00000000000000aa.0.0.0", 1, Aborted}}}, after(3110))
 		}, 3110, 3110 + full},
-		{"its client has left", func(p *Plan) { p.Withdraw("00000000000000aa", 0, after(2400)) }, 2500, 2000 + 1240},
+		{"its client has left", func(p *Plan) { p.Withdraw("00000000000000aa", 0, after(2400)) }, 2500, 2000 + 1190},
 		{"a waiting job was asked for a while ago", func(p *Plan) {
 			b := testJob("00000000000000bb", 9, after(2050))
 			p.Admit(b, nil, after(2050))
 			p.KeepAlive("00000000000000aa", after(2450))
 			p.Tick(after(2450))
-		}, 2450, 2050 + 1240},
+		}, 2450, 2050 + 1190},
 	}
 	for _, c := range tests {
 		t.Run(c.name, func(t *testing.T) {
--- a/internal/work/batch/batch.go
+++ b/internal/work/batch/batch.go
@@ -38,6 +38,10 @@
 	Backfill      bool          // tasks use only resources that no other task needs
 }
 
+// MaxAskDelay bounds how long a client may have left unnoticed when its entry asks for its job. The interest
+// in a job ends that much sooner.
+const MaxAskDelay = 50 * time.Millisecond
+
 // Batch is one job. Holders keep it, so it must not change once it has been sent to one.
 type Batch struct {
 	QueueSettings
