loan: Begin the numbers of loans at random

A home numbered its loans from 1 in each incarnation, and borrowers know it by the name of its VM. The next incarnation renewed a loan that it had granted itself, and the borrower took its loan of the lost incarnation under the same number for renewed as well: the upstream got one task more than it has slots.

--- a/loan/ledger.go
+++ b/loan/ledger.go
@@ -4,6 +4,7 @@
 package loan
 
 import (
+	"math/rand/v2"
 	"sync"
 	"time"
 )
@@ -95,7 +96,7 @@
 	options Options
 
 	mu        sync.Mutex
-	lastID    uint64
+	lastID    uint64 // begins at random, since borrowers may still name loans of an earlier incarnation
 	homeSlots map[string]*homeSlots
 	lent      map[uint64]*lentSlot
 	borrowed  map[string][]*borrowedSlot
@@ -114,7 +115,7 @@
 		options.Now = time.Now
 	}
 	return &Ledger{
-		options: options, homeSlots: map[string]*homeSlots{}, lent: map[uint64]*lentSlot{}, borrowed: map[string][]*borrowedSlot{},
+		options: options, lastID: uint64(rand.Uint32()), homeSlots: map[string]*homeSlots{}, lent: map[uint64]*lentSlot{}, borrowed: map[string][]*borrowedSlot{},
 	}
 }
 
