plan, settings: Shorten leases where clients send jobs again sooner

Found by reading the new limits. Where `resend` is under 1.3 s, the lease of an idle worker, renewed all the time, would have outlasted the interest in any new job, so that none could start. The longest lease now leaves 170 ms for the age of a message; at 1.3 s that is the lease of before, 1.02 s. `resend` must be 0.5 s at least: below that no lease is left that a start and a renewal fit in.

TestJobStartsUnderARenewedLease: 3 of 6 rows fail without it, none with it.

--- a/internal/gateway/settings/settings.go
+++ b/internal/gateway/settings/settings.go
@@ -60,7 +60,7 @@
 		Store:             f.RequiredString("platform", "store"),
 		Lease:             f.Duration("platform", "lease", time.Second, 100*time.Millisecond, time.Minute),
 		Grace:             f.Duration("platform", "grace", 6*time.Second, 500*time.Millisecond, time.Hour),
-		ClientRetryAfter:  f.Duration("platform", "resend", 1300*time.Millisecond, 100*time.Millisecond, time.Minute),
+		ClientRetryAfter:  f.Duration("platform", "resend", 1300*time.Millisecond, 500*time.Millisecond, time.Minute),
 		Groups:            int(f.Int("workers", "groups", 1, 1, 64)),
 		HeartbeatInterval: f.Duration("entry", "beat", 150*time.Millisecond, 10*time.Millisecond, 10*time.Second),
 		LogLevel:          f.String("logs", "level", "info"),
--- a/internal/placement/plan/lease.go
+++ b/internal/placement/plan/lease.go
@@ -117,7 +117,12 @@
 // its entry asks for it again. The entry may have been lost right after it asked, or its client may have left
 // just before, and have the job started in another group of workers, where nobody knows of these runs.
 func (p *Plan) interestEnd(j *job) time.Time {
-	return j.askedAt.Add(p.options.ClientRetryAfter - batch.MaxAskDelay - leaseMargin)
+	return j.askedAt.Add(p.interestTime())
+}
+
+// interestTime returns for how long after a message about a job leases for it may be valid.
+func (p *Plan) interestTime() time.Duration {
+	return p.options.ClientRetryAfter - batch.MaxAskDelay - leaseMargin
 }
 
 // updateWaitingInterest updates waitingInterestEnd. Jobs whose entry may have been lost do not count: they
--- a/internal/placement/plan/leaseend_test.go
+++ b/internal/placement/plan/leaseend_test.go
@@ -1,6 +1,7 @@
 package plan
 
 import (
+	"fmt"
 	"testing"
 	"time"
 )
@@ -59,3 +60,29 @@
 		})
 	}
 }
+
+// TestJobStartsUnderARenewedLease guards against jobs that never start: the leases of idle workers are
+// renewed all the time, and none may outlast the interest in the job that is to start.
+func TestJobStartsUnderARenewedLease(t *testing.T) {
+	tests := []struct {
+		retry int // ms after which a client sends its job again
+		asked int // ms before the start, and before the last renewal
+	}{{500, 0}, {500, 170}, {800, 170}, {1300, 0}, {1300, 170}, {5000, 170}}
+	for _, c := range tests {
+		t.Run(fmt.Sprintf("%+v", c), func(t *testing.T) {
+			p := New(Options{ClientRetryAfter: time.Duration(c.retry) * time.Millisecond}, start)
+			p.AddWorker(testWorker("w1", 4), start)
+			p.HandleReport(Report{Worker: "w1", Sent: start, Fenced: true}, start)
+			for ms := 0; ms < 3000; ms += 100 {
+				p.RenewalSent("w1", after(ms), p.RenewableUntil("w1", after(ms)))
+			}
+			p.RenewalSent("w1", after(3000), p.RenewableUntil("w1", after(3000)))
+			b := testJob("00000000000000aa", 1, after(3000-c.asked))
+			b.AskedAt = after(3000 - c.asked)
+			p.Admit(b, nil, after(3000))
+			if got := len(starts(p)); got != 1 {
+				t.Errorf("%d starts, want 1", got)
+			}
+		})
+	}
+}
--- a/internal/placement/plan/plan.go
+++ b/internal/placement/plan/plan.go
@@ -202,14 +202,17 @@
 	return renewedAt.Add(p.longestLease() + leaseMargin)
 }
 
-// longestLease returns for how long a lease may be valid by the clock of a worker that runs slow.
+// longestLease returns for how long a lease may be valid by the clock of a worker that runs slow. It leaves
+// room for the age of a message, so that a job which is asked for can start on a worker whose lease has just
+// been renewed.
 func (p *Plan) longestLease() time.Duration {
-	return p.options.Lease + p.options.Lease/clockSlackDivisor
+	return min(p.options.Lease+p.options.Lease/clockSlackDivisor, p.interestTime()-usualAskAge)
 }
 
 const (
-	clockSlackDivisor = 50                    // a worker's clock runs slow by at most 1/50, that is 2%
-	leaseMargin       = 60 * time.Millisecond // time to kill a run whose lease has expired, plus the network delay
+	usualAskAge       = 170 * time.Millisecond // age of the last message about a job that an entry asks for
+	clockSlackDivisor = 50                     // a worker's clock runs slow by at most 1/50, that is 2%
+	leaseMargin       = 60 * time.Millisecond  // time to kill a run whose lease has expired, plus the network delay
 )
 
 // otherLeasesActive reports whether runs that another holder started may still be running
