plan: Count with leases that others renewed before the next incarnation of a worker is fenced

The next incarnation of a worker has seen no token, so that an earlier holder, or an order that is executed late, may have extended its lease until it accepts one; the plan counted with the lease that it had granted itself, except at the first token.

A restart, and a registration that is back, now count like the first token.

--- a/internal/placement/plan/lease.go
+++ b/internal/placement/plan/lease.go
@@ -72,8 +72,9 @@
 	}
 }
 
-// noteEarlierHolder records that another holder may have renewed the lease of a worker until now.
-func (p *Plan) noteEarlierHolder(w *worker) {
+// noteEarlierRenewal records that the lease of a worker may have been renewed until now, by another holder or
+// by an order that its next incarnation has executed late.
+func (p *Plan) noteEarlierRenewal(w *worker) {
 	w.noteRenewal(p.now, p.now.Add(p.longestLease()))
 }
 
--- a/internal/placement/plan/report.go
+++ b/internal/placement/plan/report.go
@@ -49,15 +49,15 @@
 	if !known {
 		return
 	}
-	p.requeued, w.unanswered = false, false
+	p.requeued, w.unanswered, w.reportedAt = false, false, now
 	w.forgetClosing()
-	if report.Fenced && (w.reportedAt.IsZero() || w.foreign) {
-		p.noteEarlierHolder(w)
+	if report.Fenced && (w.leaseUnknown || w.foreign) {
+		w.leaseUnknown = false
+		p.noteEarlierRenewal(w)
 	}
 	if report.Fenced || w.state == unresponsive {
 		w.state, w.foreign = ready, false
 	}
-	w.reportedAt = now
 	for _, e := range report.Ended {
 		p.handleEndedRun(w, e)
 	}
--- a/internal/placement/plan/restart.go
+++ b/internal/placement/plan/restart.go
@@ -33,6 +33,7 @@
 func (p *Plan) RestartWorker(registration Worker, now time.Time) {
 	p.RequireFence(registration.ID, now)
 	if w, known := p.workers[registration.ID]; known {
+		w.leaseUnknown = true
 		w.suspectCrash()
 	}
 	p.estimator.Forget(registration.ID)
--- a/internal/placement/plan/worker.go
+++ b/internal/placement/plan/worker.go
@@ -67,6 +67,7 @@
 	renewedAt         time.Time // when the last renewal that may have reached it was sent
 	grantedUntil      time.Time // when the last lease has expired that it may have been granted
 	foreign           bool      // another holder may renew its lease
+	leaseUnknown      bool      // an order of which this holder does not know may renew its lease until it accepts the token
 	registrationDue   time.Time // when it gets work again although it has not registered since its restart
 	retired           bool      // it is removed once the lease of its runs has expired
 	unanswered        bool      // it did not answer the last call
@@ -99,12 +100,12 @@
 	p.now = now
 	w, known := p.workers[registration.ID]
 	if !known {
-		w = &worker{runs: map[runKey]*run{}, addedAt: now}
+		w = &worker{runs: map[runKey]*run{}, addedAt: now, leaseUnknown: true}
 		p.workers[registration.ID] = w
-		p.noteEarlierHolder(w)
+		p.noteEarlierRenewal(w)
 	}
 	if w.retired {
-		w.retired, w.state = false, fencing
+		w.retired, w.state, w.leaseUnknown = false, fencing, true
 	}
 	if !w.Capacity.FitsIn(registration.Capacity) {
 		p.noteFormerRoom(w)
