plan: Repeat a stop before the lease of its worker ends

The stop comes 1.0 s after the entry's last message and was repeated 0.3 s later, while the lease that covers both runs ends after 1.19 s. It is repeated after 0.1 s now; a worker that has the run stopped takes a further stop for done.

--- a/internal/placement/plan/worker.go
+++ b/internal/placement/plan/worker.go
@@ -263,7 +263,7 @@
 }
 
 // stopRepeatInterval is the time after which an order to stop a run is repeated.
-const stopRepeatInterval = 300 * time.Millisecond
+const stopRepeatInterval = 100 * time.Millisecond
 
 // checkRuns detaches the runs of a worker whose lease has expired, stops runs of unknown
 // jobs, repeats stops without effect, detects stalled runs and requests overdue reports.
