submission, plan: Ask a holder for all its jobs together; test what no test covered

Each job was asked for in a phase of its own, up to 40 messages a second from an entry to a holder; when one is due, all others of that holder are asked for with it, if they were not within the last 75 ms.

The bound of a worker's runs and the shortening for waiting jobs, which only keeps starts from being held up, are apart; two lost messages are covered by 600 ms, with the interval between checks; the check of the lease comes after the cheaper ones. TestGrantedLeaseOutlastsNoInterest fails without the note of a start's grant and without that of another holder, which no test of the package caught before (2 of 2 rows).

--- a/internal/gateway/submission/submission.go
+++ b/internal/gateway/submission/submission.go
@@ -46,7 +46,7 @@
 	completedTasks  []string    // tasks completed before the job moved
 	losses          []batch.Losses
 	lastHeard       time.Time
-	lastPolled      time.Time
+	lastPolled      time.Time // when its holder was asked for it last
 	holderDue       time.Time // when it is refused unless its group has a holder
 }
 
@@ -285,19 +285,20 @@
 
 // Sweep checks all jobs once. It refuses jobs that no holder will accept, gives up those
 // whose results no longer arrive, places jobs again whose holder has changed or has not
-// accepted them, and polls holders for jobs without news. After a stall it sends nothing once, so that
+// accepted them, and polls holders. After a stall it sends nothing once, so that
 // clients that have left meanwhile are noticed first.
 func (t *Tracker) Sweep(ctx context.Context) {
 	now, isolated, resultsLost := time.Now(), t.options.Isolated(), t.options.ResultsLost()
 	var unplaced []*pendingJob
-	silentJobs := map[GroupHolder][]string{}
+	accepted := map[GroupHolder][]*pendingJob{}
+	due := map[GroupHolder]bool{}
 	t.mu.Lock()
 	t.extendHolderWaits(now)
 	t.resuming = !t.resuming && t.stalled(now)
 	t.sweptAt = now
 	// A job is ended under the lock under which it was found not to be sent, so that no holder
 	// gets it in between.
-	for id, job := range t.jobs {
+	for _, job := range t.jobs {
 		if job.placing {
 			continue
 		}
@@ -314,16 +315,22 @@
 		case !ok, t.resuming:
 		case !job.accepted || job.holder.ID != holder.ID || job.holder.Epoch != holder.Epoch:
 			unplaced = append(unplaced, job)
-		case now.Sub(job.lastPolled) > askInterval:
-			job.lastPolled = now
-			silentJobs[holder] = append(silentJobs[holder], id)
+		default:
+			accepted[holder] = append(accepted[holder], job)
+			due[holder] = due[holder] || now.Sub(job.lastPolled) > askInterval
+		}
+	}
+	polls := map[GroupHolder][]string{}
+	for holder := range due {
+		if due[holder] {
+			polls[holder] = jobsToPoll(accepted[holder], now)
 		}
 	}
 	t.mu.Unlock()
 	for _, job := range unplaced {
 		t.place(ctx, job)
 	}
-	for holder, ids := range silentJobs {
+	for holder, ids := range polls {
 		if holder.Local {
 			t.poll(ctx, holder, ids, now)
 			continue
@@ -335,6 +342,19 @@
 	t.mu.Unlock()
 }
 
+// jobsToPoll returns the IDs of the jobs that a poll of their holder asks for, and notes the poll: all but those
+// that it has been asked for just now, so that there are few polls.
+func jobsToPoll(jobs []*pendingJob, now time.Time) []string {
+	var ids []string
+	for _, job := range jobs {
+		if now.Sub(job.lastPolled) > askInterval/2 {
+			job.lastPolled = now
+			ids = append(ids, job.batch.ID)
+		}
+	}
+	return ids
+}
+
 // stalled reports whether this process has been held up, so that connections of clients may have closed
 // unnoticed. What is sent to a holder for such a client would keep its job running while another entry has it.
 // The caller holds t.mu.
--- a/internal/placement/plan/choose.go
+++ b/internal/placement/plan/choose.go
@@ -82,13 +82,13 @@
 // within the step's limit of tasks per worker. Workers that are ejected or to be avoided
 // cannot run it, nor those whose lease does not fit its job.
 func (p *Plan) canRun(t *task, step batch.Step, w *worker) bool {
-	if w.Service != t.job.Service || t.avoidedWorkers[w.ID] || !step.Resources.FitsIn(w.free()) || p.outliers.IsEjected(w.ID) || t.mayEndanger(w, p.now) || !p.leaseFits(w, t.job) {
+	if w.Service != t.job.Service || t.avoidedWorkers[w.ID] || !step.Resources.FitsIn(w.free()) || p.outliers.IsEjected(w.ID) || t.mayEndanger(w, p.now) {
 		return false
 	}
 	if step.RequiredLabel != "" && !slices.Contains(w.Labels, step.RequiredLabel) {
 		return false
 	}
-	return step.MaxPerWorker == 0 || p.countSameStep(t, w) < step.MaxPerWorker
+	return (step.MaxPerWorker == 0 || p.countSameStep(t, w) < step.MaxPerWorker) && p.leaseFits(w, t.job)
 }
 
 // countSameStep counts the tasks of the same job and step on a worker.
--- a/internal/placement/plan/earlierlease_test.go
+++ b/internal/placement/plan/earlierlease_test.go
@@ -1,6 +1,11 @@
 package plan
 
-import "testing"
+import (
+	"testing"
+	"time"
+
+	"github.com/radishgate/radishgate/internal/work/batch"
+)
 
 // TestEarlierLeaseOutlastsNoInterest guards against a run that goes on when its client may have sent the
 // job again, to another group. An earlier holder, which had not heard of the takeover, may have
@@ -42,3 +47,43 @@
 		})
 	}
 }
+
+// TestGrantedLeaseOutlastsNoInterest guards against the same: the lease was granted by the start of another job, or
+// by another holder that was seen at the worker.
+func TestGrantedLeaseOutlastsNoInterest(t *testing.T) {
+	tests := []struct {
+		name  string
+		grant func(p *Plan) // until 5000 ms
+	}{
+		{"by a start", func(p *Plan) { p.Admit(smallJob("00000000000000bb", after(5000)), nil, after(5000)) }},
+		{"by another holder", func(p *Plan) {
+			p.OtherHolderSeen("w1", after(4900))
+			p.HandleReport(Report{Worker: "w1", Sent: after(4999), Fenced: true}, after(5000))
+		}},
+	}
+	for _, c := range tests {
+		t.Run(c.name, func(t *testing.T) {
+			p := fencedPlan(testWorker("w1", 4))
+			c.grant(p)
+			p.Orders()
+			b := smallJob("00000000000000aa", after(4700))
+			b.AskedAt = after(4700)
+			p.Admit(b, nil, after(5000))
+			if got := starts(p); len(got) > 0 {
+				t.Fatalf("%s starts under a lease that may last until 6020 ms; its client may send it again from 6000 ms on", got[0].Task)
+			}
+			p.KeepAlive(b.ID, after(5010))
+			p.Tick(after(5010))
+			if got := starts(p); len(got) != 1 {
+				t.Errorf("%d starts once its entry has asked again, want 1", len(got))
+			}
+		})
+	}
+}
+
+// smallJob returns a job of one task, of which several fit on a test worker.
+func smallJob(id string, at time.Time) *batch.Batch {
+	b := testJob(id, 1, at)
+	b.Steps[0].Resources.MemoryMB = 10
+	return b
+}
--- a/internal/placement/plan/lease.go
+++ b/internal/placement/plan/lease.go
@@ -30,8 +30,8 @@
 // StartSent records that the last copy of a start was sent at a time. The next incarnation of the worker
 // counts its lease from then on, at the latest.
 func (p *Plan) StartSent(worker, task string, runNumber int, at time.Time) {
-	p.RenewalSent(worker, at, time.Time{})
 	if w, known := p.workers[worker]; known {
+		w.noteRenewal(at, w.grantedUntil) // copies of the start grant the same lease
 		if r, known := w.runs[runKey{task, runNumber}]; known && !r.lateStartEnd.IsZero() {
 			r.lateStartEnd = p.leaseEnd(at.Add(maxOrderDelay))
 		}
@@ -95,23 +95,29 @@
 	if !known {
 		return time.Time{}
 	}
-	end := now.Add(p.longestLease())
+	end := p.interestInRuns(w, now.Add(p.longestLease()))
+	if !end.After(now) {
+		return time.Time{}
+	}
 	if p.waitingInterestEnd.After(now) && p.waitingInterestEnd.Before(end) {
-		end = p.waitingInterestEnd
+		return p.waitingInterestEnd
 	}
+	return end
+}
+
+// interestInRuns returns when the interest in the runs of a worker ends first, but not after latest. It is the zero
+// time if a run's job is not known here.
+func (p *Plan) interestInRuns(w *worker, latest time.Time) time.Time {
 	for _, r := range w.runs {
 		j := p.jobOfRun(r)
 		if j == nil {
 			return time.Time{}
 		}
-		if latest := p.interestEnd(j); latest.Before(end) {
-			end = latest
+		if end := p.interestEnd(j); end.Before(latest) {
+			latest = end
 		}
 	}
-	if !end.After(now) {
-		return time.Time{}
-	}
-	return end
+	return latest
 }
 
 // interestEnd returns the time by which the leases of the workers that run a job must have expired unless
@@ -126,8 +132,8 @@
 	return p.options.ClientRetryAfter - batch.MaxAskDelay - leaseMargin
 }
 
-// updateWaitingInterest updates waitingInterestEnd. Jobs whose entry may have been lost do not count: they
-// would shorten the leases of all workers.
+// updateWaitingInterest updates waitingInterestEnd, which no safety depends on. Jobs whose entry may have been lost
+// do not count: they would shorten the leases of all workers.
 func (p *Plan) updateWaitingInterest() {
 	p.waitingInterestEnd = time.Time{}
 	for _, j := range p.waiting {
@@ -140,7 +146,7 @@
 
 // maxMissedAsks is the time without a message of an entry after which it may have been lost. It covers two
 // messages that are lost.
-const maxMissedAsks = 500 * time.Millisecond
+const maxMissedAsks = 600 * time.Millisecond
 
 // leaseFits reports whether a task of a job may start under the lease of a worker. A lease that has been
 // granted is not shortened by a start, so it must not outlast the interest in the job; and the jobs that
--- a/internal/placement/plan/leaseend_test.go
+++ b/internal/placement/plan/leaseend_test.go
@@ -22,8 +22,13 @@
 		{"the same, for longer", func(p *Plan) { p.Tick(after(3100)) }, 3190, 0},
 		{"asked for again", func(p *Plan) { p.KeepAlive("00000000000000aa", after(2400)) }, 2500, 2500 + full},
 		{"another job on the worker is asked for", func(p *Plan) {
-			p.Admit(testJob("00000000000000bb", 1, after(2400)), nil, after(2400))
+			p.Admit(smallJob("00000000000000bb", after(2050)), nil, after(2050))
+			p.KeepAlive("00000000000000bb", after(2450))
 		}, 2500, 2000 + 1190},
+		{"the same, the worker runs both", func(p *Plan) {
+			p.Admit(smallJob("00000000000000bb", after(2050)), nil, after(2050))
+			p.KeepAlive("00000000000000aa", after(2450))
+		}, 2500, 2050 + 1190},
 		{"a run that no entry has asked for", func(p *Plan) {
 			p.HandleReport(Report{Worker: "w1", Sent: after(2001), Running: []RunProgress{{"00000000000000aa.0.0.0", 1, 1}, {"00000000000000cc.0.0.0", 1, 1}}}, after(2002))
 		}, 2002, 0},
@@ -42,7 +47,7 @@
 	for _, c := range tests {
 		t.Run(c.name, func(t *testing.T) {
 			p := fencedPlan(testWorker("w1", 4))
-			b := testJob("00000000000000aa", 1, after(2000))
+			b := smallJob("00000000000000aa", after(2000))
 			b.Steps[0].Hint = 4 * time.Second
 			p.Admit(b, nil, after(2000))
 			started := starts(p)[0]
--- a/internal/placement/plan/plan.go
+++ b/internal/placement/plan/plan.go
@@ -94,7 +94,7 @@
 // A job that its entry no longer asks for is abandoned before the leases of its workers end, so that
 // these are renewed for their other runs once its own have been stopped. See interestEnd.
 const (
-	abandonMargin          = 300 * time.Millisecond // before the client sends the job again; covers the stop and the renewal
+	abandonMargin          = 300 * time.Millisecond // before the client sends the job again; covers the stop, a second one, and the renewal
 	spilloverAbandonMargin = 600 * time.Millisecond // larger, since the client sends a job from another zone to another holder
 	minAbandonDelay        = 300 * time.Millisecond // shortest time until a job is abandoned, above the interval at which entries ask
 )
@@ -122,8 +122,8 @@
 	orders            []Order
 	now               time.Time // time of the event being handled
 	tickedAt          time.Time // time of the last tick
-	// waitingInterestEnd is when the interest in a waiting job ends first. Leases that outlast it would keep the
-	// job from starting.
+	// waitingInterestEnd is when the interest in a waiting job ended first at the last tick. Leases that outlast it
+	// would keep the job from starting.
 	waitingInterestEnd time.Time
 	// otherLeasesEnd is the time by which every lease that another holder may have granted
 	// has expired.
@@ -212,7 +212,7 @@
 const (
 	usualAskAge       = 170 * time.Millisecond // age of the last message about a job that an entry asks for
 	clockSlackDivisor = 50                     // a worker's clock runs slow by at most 1/50, that is 2%
-	leaseMargin       = 60 * time.Millisecond  // time to kill a run whose lease has expired, plus the network delay
+	leaseMargin       = 60 * time.Millisecond  // time to kill a run whose lease has expired, plus the network delay; part of every limit
 )
 
 // otherLeasesActive reports whether runs that another holder started may still be running
