holder: Renew a lease soon after an entry has asked for the runs of a worker

Found by reading: where a lease could not be renewed, the difference to the zero time overflowed, so that the hold waited for 400 ms instead of 100 ms, and the leases of runs that entries had asked for again after a takeover could end meanwhile. Safety was not affected.

--- a/internal/placement/holder/session.go
+++ b/internal/placement/holder/session.go
@@ -77,9 +77,12 @@
 	})
 }
 
-// renewalWait returns how long a hold waits for a run to end if the lease can be renewed until a time: so that
-// the next hold comes in time for the next renewal.
+// renewalWait returns how long a hold waits for a run to end if the lease can be renewed until a time, or not at
+// all if that is zero: so that the next hold comes in time for the next renewal.
 func renewalWait(end, now time.Time) time.Duration {
+	if end.IsZero() {
+		return minHoldWait
+	}
 	return min(holdWait, max(minHoldWait, end.Sub(now)-renewalReserve))
 }
 
@@ -106,7 +109,8 @@
 // passes the worker's report to the plan. A worker that has not accepted the token yet, or
 // did not answer the last hold, is asked for its report at once and gets no lease. Nor are its
 // ends acknowledged: it may have restarted and count them anew. For the same reason an
-// acknowledgement is not repeated once it has been answered.
+// acknowledgement is not repeated once it has been answered. One with runs that no entry asks for gets no lease
+// either.
 func (s *session) hold() {
 	holder := s.holder
 	holder.mu.Lock()
