plan: Stop a run that nobody asks for sooner beside others

After a takeover the lease of a worker is not renewed while it has a run that no entry asks for, until that run is stopped after 0.4 s; runs beside it, which their entries had asked for within 0.2 s, lapsed.

--- a/internal/placement/plan/worker.go
+++ b/internal/placement/plan/worker.go
@@ -268,13 +268,13 @@
 // checkRuns detaches the runs of a worker whose lease has expired, stops runs of unknown
 // jobs, repeats stops without effect, detects stalled runs and requests overdue reports.
 func (p *Plan) checkRuns(w *worker) {
-	lapsed := p.leaseLapsed(w)
+	lapsed, unknownSince := p.leaseLapsed(w), p.now.Add(-p.unknownRunGrace(w))
 	for _, r := range w.runs {
 		switch {
 		case lapsed && r.phase == unaccounted:
 		case lapsed:
 			p.detachRun(r)
-		case r.phase == unaccounted && p.now.After(r.sentAt.Add(p.options.UnknownJobGrace)) && !p.now.Before(r.stopSentAt.Add(stopRepeatInterval)):
+		case r.phase == unaccounted && unknownSince.After(r.sentAt) && !p.now.Before(r.stopSentAt.Add(stopRepeatInterval)):
 			p.stopRun(r, "its job is not known here")
 		case r.phase == stopping:
 			p.stopRun(r, "stop not confirmed yet")
@@ -285,6 +285,17 @@
 	p.requestOverdueReport(w)
 }
 
+// unknownRunGrace returns how long a run of an unknown job may go on at a worker. It is shorter beside runs
+// that entries have asked for, since these lapse if the lease can't be renewed.
+func (p *Plan) unknownRunGrace(w *worker) time.Duration {
+	for _, r := range w.runs {
+		if r.task != nil {
+			return p.options.UnknownJobGrace / 2
+		}
+	}
+	return p.options.UnknownJobGrace
+}
+
 // Times for requesting reports outside a worker's regular calls.
 const (
 	overdueMargin         = 30 * time.Millisecond  // covers the network delay and part of the variation of run times; replays with 10 ms give no better results
