--- a/peer/age_test.go
+++ b/peer/age_test.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"context"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -11,25 +12,27 @@
 	"github.com/radishgate/radishgate/internal/work/batch"
 )
 
+// jobMessages are the messages that say that a client waits for a job.
+var jobMessages = []struct {
+	name string
+	send func(ctx context.Context, c *Client, address string) error
+}{
+	{"a job", func(ctx context.Context, c *Client, address string) error {
+		_, err := c.Place(ctx, address, "a", 1, &batch.Batch{ID: "j", AskedAt: time.Now()}, nil)
+		return err
+	}},
+	{"a poll", func(ctx context.Context, c *Client, address string) error {
+		_, _, _, err := c.Await(ctx, address, "a", 1, []string{"j"}, time.Now())
+		return err
+	}},
+}
+
 // TestAgeOfALateMessageIsKnown guards against a message that counts from when it is read: it has waited
 // in a link, or for a process that stood still.
 func TestAgeOfALateMessageIsKnown(t *testing.T) {
 	const delay = 50 * time.Millisecond
 	const rounding = 3 * time.Millisecond // of two clocks in whole milliseconds
-	tests := []struct {
-		name string
-		send func(c *Client, address string) error
-	}{
-		{"a job", func(c *Client, address string) error {
-			_, err := c.Place(t.Context(), address, "a", 1, &batch.Batch{ID: "j"}, nil)
-			return err
-		}},
-		{"a poll", func(c *Client, address string) error {
-			_, _, _, err := c.Await(t.Context(), address, "a", 1, []string{"j"}, time.Now())
-			return err
-		}},
-	}
-	for _, c := range tests {
+	for _, c := range jobMessages {
 		t.Run(c.name, func(t *testing.T) {
 			var age time.Duration
 			handlers := JobHandlers{
@@ -52,7 +55,7 @@
 			defer server.Close()
 			client := NewClient(nil, &counted.Counter{}, nil)
 			defer client.Close()
-			if err := c.send(client, strings.TrimPrefix(server.URL, "http://")); err != nil {
+			if err := c.send(t.Context(), client, strings.TrimPrefix(server.URL, "http://")); err != nil {
 				t.Fatal(err)
 			}
 			if age < delay-rounding {
--- a/peer/sending_test.go
+++ b/peer/sending_test.go
@@ -17,20 +17,7 @@
 func TestMessageCountsFromTheCall(t *testing.T) {
 	const delay = 100 * time.Millisecond
 	const rounding = 3 * time.Millisecond // of two clocks in whole milliseconds
-	tests := []struct {
-		name string
-		send func(c *Client, address string) error
-	}{
-		{"a job", func(c *Client, address string) error {
-			_, err := c.Place(t.Context(), address, "a", 1, &batch.Batch{ID: "j", AskedAt: time.Now()}, nil)
-			return err
-		}},
-		{"a poll", func(c *Client, address string) error {
-			_, _, _, err := c.Await(t.Context(), address, "a", 1, []string{"j"}, time.Now())
-			return err
-		}},
-	}
-	for _, c := range tests {
+	for _, c := range jobMessages {
 		t.Run(c.name, func(t *testing.T) {
 			var countsFrom time.Time
 			handlers := JobHandlers{
@@ -52,7 +39,7 @@
 			client := NewClient(nil, &counted.Counter{}, nil)
 			defer client.Close()
 			called := time.Now()
-			if err := c.send(client, strings.TrimPrefix(server.URL, "http://")); err != nil {
+			if err := c.send(t.Context(), client, strings.TrimPrefix(server.URL, "http://")); err != nil {
 				t.Fatal(err)
 			}
 			if late := countsFrom.Sub(called); late > rounding {
