--- a/internal/placement/holder/holder.go
+++ b/internal/placement/holder/holder.go
@@ -194,15 +194,6 @@
 	return results
 }
 
-// askedMilli returns for how many milliseconds no entry has asked for the job of an order, for the log; -1
-// if the job is not known.
-func askedMilli(o plan.Order, now time.Time) int64 {
-	if o.AskedAt.IsZero() {
-		return -1
-	}
-	return now.Sub(o.AskedAt).Milliseconds()
-}
-
 // AddWorker adds a worker, or updates it from a newer registration. A worker whose
 // address or incarnation has changed gets a new session. A registration of an incarnation
 // before the one that answers is out of date and is ignored, as is one with another address while
--- a/internal/placement/holder/orders.go
+++ b/internal/placement/holder/orders.go
@@ -106,3 +106,12 @@
 	s.holder.options.Log.Info("run stopped", "task", o.Task, "run", o.Run, "worker", s.target.ID,
 		"reason", o.Reason, "verdict", string(report.Verdict), "error", err, "asked_ms", askedMilli)
 }
+
+// askedMilli returns for how many milliseconds no entry has asked for the job of an order, for the log; -1
+// if the job is not known.
+func askedMilli(o plan.Order, now time.Time) int64 {
+	if o.AskedAt.IsZero() {
+		return -1
+	}
+	return now.Sub(o.AskedAt).Milliseconds()
+}
