--- a/review/stand2/cases.go
+++ b/review/stand2/cases.go
@@ -15,7 +15,8 @@
 	"cancelled": playCancelled,
 	"handover":  playHandover,
 	"drain":     playDrain,
-	"late":      playLate,
+	"fenced":    playLateAfterFence,
+	"copy":      playLateCopy,
 }
 
 // startsAfterCancel returns the runs of a job that break UNASKED: starts later than cancel_ms after its cancelling was
@@ -56,7 +57,7 @@
 		return nil, err
 	}
 	if trouble {
-		w.submit(ctx, w.entries[2], id, body, deadline)
+		w.submit(ctx, w.entries[entriesPerZone], id, body, deadline)
 	}
 	if err := sleep(ctx, 6*time.Second); err != nil {
 		return nil, err
@@ -76,48 +77,50 @@
 	return nil, fmt.Errorf("no entry of %s schedules its tasks", zone)
 }
 
-// otherThanHolder returns an entry of a zone that does not schedule its tasks.
-func (w *world) otherThanHolder(zone string) (*entry, error) {
+// otherThanHolder returns the entries of a zone that do not schedule its tasks.
+func (w *world) otherThanHolder(zone string) ([]*entry, error) {
 	holder, err := w.holderOf(zone)
 	if err != nil {
 		return nil, err
 	}
+	var others []*entry
 	for _, e := range w.entries {
 		if e.zone == zone && e != holder {
-			return e, nil
+			others = append(others, e)
 		}
 	}
-	return nil, fmt.Errorf("%s has one entry only", zone)
+	return others, nil
 }
 
-// playHandover cancels jobs while the entry that schedules their tasks is stopped and the other entry of its zone,
-// through which they were handed in, takes its place. The cancels reach an entry of another zone.
+// playHandover cancels jobs just after the entry that schedules their tasks was killed, while another one of its zone
+// takes its place. The cancels reach the entries of another zone.
 func playHandover(ctx context.Context, w *world, trouble bool) ([]string, error) {
-	const count, deadline, lasts, gap = 60, 30 * time.Second, 5 * time.Second, 15 * time.Millisecond
+	const count, deadline, lasts, gap = 100, 30 * time.Second, 5 * time.Second, 5 * time.Millisecond
 	holder, err := w.holderOf(zoneNames[0])
 	if err != nil {
 		return nil, err
 	}
-	other, err := w.otherThanHolder(zoneNames[0])
+	others, err := w.otherThanHolder(zoneNames[0])
 	if err != nil {
 		return nil, err
 	}
+	elsewhere := w.entries[entriesPerZone:]
 	var ids []string
 	for i := range count {
 		id := fmt.Sprintf("5c0e7a21d94b%04x", i)
 		ids = append(ids, id)
-		w.submit(ctx, other, id, twoSteps(500, lasts), deadline)
+		w.submit(ctx, others[i%len(others)], id, twoSteps(500, lasts), deadline)
 	}
 	if err := sleep(ctx, time.Second); err != nil {
 		return nil, err
 	}
 	if trouble {
-		w.signal(holder, handoverSignal)
+		w.signal(holder, syscall.SIGKILL)
 	}
 	var calls sync.WaitGroup
 	cancels := make([]reply, count)
 	for i, id := range ids {
-		calls.Go(func() { cancels[i] = w.call(ctx, w.entries[2], http.MethodDelete, id, "", deadline) })
+		calls.Go(func() { cancels[i] = w.call(ctx, elsewhere[i%len(elsewhere)], http.MethodDelete, id, "", deadline) })
 		if err := sleep(ctx, gap); err != nil {
 			return nil, err
 		}
@@ -135,17 +138,15 @@
 	return broken, nil
 }
 
-// handoverSignal stops the holder in playHandover.
-const handoverSignal = syscall.SIGKILL
-
 // playDrain stops an entry while a job that was handed in there waits for room.
 func playDrain(ctx context.Context, w *world, trouble bool) ([]string, error) {
 	const deadline, long, short = 25 * time.Second, 16 * time.Second, 500 * time.Millisecond
 	const waiting = "5c0e7a21d94b0002"
-	stopped, err := w.otherThanHolder(zoneNames[0])
+	others, err := w.otherThanHolder(zoneNames[0])
 	if err != nil {
 		return nil, err
 	}
+	stopped := others[0]
 	for i := range zoneNames {
 		w.submit(ctx, w.entries[i*entriesPerZone], fmt.Sprintf("5c0e7a21d94b010%d", i), job(2*runnersPerZone, runnerCPU/2, long), deadline)
 	}
@@ -174,4 +175,97 @@
 	}
 }
 
-func playLate(_ context.Context, _ *world, _ bool) ([]string, error) { return nil, nil }
+// lateStart is a start that a runner leaves unanswered in its first copies and carries out later.
+type lateStart struct {
+	mu     sync.Mutex
+	copies int // number of copies to leave unanswered
+	runner string
+	order  order
+	sentAt time.Time
+}
+
+// holdBack reports whether a copy of a start gets no answer.
+func (l *lateStart) holdBack(record *record, runner string, o order) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.runner == "" {
+		l.runner, l.order, l.sentAt = runner, o, time.Now()
+	}
+	if l.copies == 0 || l.runner != runner || l.order.Run != o.Run {
+		return false
+	}
+	l.copies--
+	record.note("%s leaves the start of run %d of %s unanswered", runner, o.Run, o.Task)
+	return true
+}
+
+// crash says when the runner of a job crashes, and when it is back.
+type crash struct {
+	after, downFor time.Duration
+	copies         int // copies of the first start that get no answer
+}
+
+// playLateAfterFence has a runner leave one start unanswered, in all of its copies, and take the next one. Then it
+// crashes, comes back under its id, and the first start reaches it.
+func playLateAfterFence(ctx context.Context, w *world, trouble bool) ([]string, error) {
+	return playLate(ctx, w, trouble, crash{after: 1500 * time.Millisecond, downFor: 2 * time.Second, copies: 4})
+}
+
+// playLateCopy has a runner leave one copy of a start unanswered and take the next one. Then it crashes, comes back
+// under its id, and the first copy reaches it.
+func playLateCopy(ctx context.Context, w *world, trouble bool) ([]string, error) {
+	return playLate(ctx, w, trouble, crash{after: 2500 * time.Millisecond, downFor: 4800 * time.Millisecond, copies: 1})
+}
+
+func playLate(ctx context.Context, w *world, trouble bool, c crash) ([]string, error) {
+	const id, deadline, lasts, lateDelay = "5c0e7a21d94b36f8", 40 * time.Second, 15 * time.Second, 50 * time.Millisecond
+	late := &lateStart{copies: c.copies}
+	if trouble {
+		w.holdBack(zoneNames[0], func(runner string, o order) bool { return late.holdBack(w.record, runner, o) })
+	}
+	w.submit(ctx, w.entries[0], id, job(1, 4000, lasts), deadline)
+	if err := sleep(ctx, c.after); err != nil {
+		return nil, err
+	}
+	all := w.runs.of(id)
+	if len(all) != 1 || !all[0].endedAt.IsZero() || trouble && all[0].runner != late.runner {
+		return nil, fmt.Errorf("the job is not running at the runner that has left a start unanswered")
+	}
+	if err := w.restartRunner(ctx, all[0].runner, c.downFor); err != nil {
+		return nil, err
+	}
+	if err := sleep(ctx, lateDelay); err != nil {
+		return nil, err
+	}
+	if trouble {
+		w.record.note("%s carries out the start of run %d of %s, %d ms after it was sent", late.runner, late.order.Run, late.order.Task, time.Since(late.sentAt).Milliseconds())
+		status, body := w.runner(late.runner).carryOut(ctx, "/run-start", late.order)
+		w.record.note("%s answers %d %s", late.runner, status, body.Reason)
+	}
+	if err := sleep(ctx, 3*time.Second); err != nil {
+		return nil, err
+	}
+	return w.overlaps(id), nil
+}
+
+// overlaps returns the pairs of runs of a task of a job that went on at the same time.
+func (w *world) overlaps(id string) []string {
+	var broken []string
+	all := w.runs.of(id)
+	for i, a := range all {
+		for _, b := range all[i+1:] {
+			if a.task != b.task || !a.endedAt.IsZero() && a.endedAt.Before(b.startedAt) {
+				continue
+			}
+			end := time.Now()
+			for _, at := range []time.Time{a.endedAt, b.endedAt} {
+				if !at.IsZero() && at.Before(end) {
+					end = at
+				}
+			}
+			broken = append(broken, fmt.Sprintf("TWICE: %s runs run %d of %s from %s on, while run %d goes on at %s, for %d ms",
+				b.runner, b.number, b.task, w.record.seconds(b.startedAt), a.number, a.runner, end.Sub(b.startedAt).Milliseconds()))
+		}
+	}
+	return broken
+}
--- a/review/stand2/runner.go
+++ b/review/stand2/runner.go
@@ -109,10 +109,9 @@
 	runs    *runs
 	server  *http.Server
 	born    time.Time
-	// holdBack reports whether a start gets no answer and is not carried out yet; nil means never.
-	holdBack func(o order) bool
 
 	mu       sync.Mutex
+	holdBack func(o order) bool // reports whether a start gets no answer and is not carried out yet; nil means never
 	dead     bool
 	token    int64
 	holdEnd  time.Time
@@ -170,7 +169,10 @@
 		out.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	if request.URL.Path == "/run-start" && r.holdBack != nil && r.holdBack(o) {
+	r.mu.Lock()
+	holdBack := r.holdBack
+	r.mu.Unlock()
+	if request.URL.Path == "/run-start" && holdBack != nil && holdBack(o) {
 		<-request.Context().Done()
 		panic(http.ErrAbortHandler)
 	}
--- a/review/stand2/world.go
+++ b/review/stand2/world.go
@@ -20,13 +20,13 @@
 	"github.com/radishgate/radishgate/standin/ledger"
 )
 
-// The deployment: two zones, each with two entries and some runners.
+// The deployment: two zones, each with three entries and three runners.
 const (
 	serviceName    = "listing-svc"
 	hostName       = "listing.example"
 	prefix         = "/jobs/"
 	runnerCPU      = 32000 // thousandths of a core
-	entriesPerZone = 2
+	entriesPerZone = 3
 	runnersPerZone = 3
 	beat           = 1500 * time.Millisecond // heartbeat-ms
 	graceSeconds   = 6                       // grace-s
@@ -127,6 +127,33 @@
 	return w, nil
 }
 
+// startTries bounds the attempts to start the entries: another process may take one of their ports first.
+const startTries = 3
+
+// startEntries starts all entries and waits until they are ready.
+func (w *world) startEntries() error {
+	for try := 1; ; try++ {
+		err := w.tryEntries()
+		if err == nil || try == startTries {
+			return err
+		}
+		w.record.note("the entries start again: %v", err)
+		w.killEntries()
+	}
+}
+
+// killEntries ends the processes of all entries.
+func (w *world) killEntries() {
+	for _, e := range w.entries {
+		if e.command == nil || e.command.Process == nil {
+			continue
+		}
+		_ = e.command.Process.Kill() // an error means that it has exited
+		<-e.ended
+	}
+	w.entries = nil
+}
+
 // configuration returns the operators' configuration.
 func configuration(version int) []byte {
 	return fmt.Appendf(nil, `{"version":%d,"routes":[{"name":"hold","host":%q,"path-prefix":%q,"backend":%q,"timeout-ms":60000,"priority":1,"max-attempts":3,"slack-factor":1.6,"slo-ms":60}],"services":[{"name":%q,"admission-check":false}],"limits":{"max-body-bytes":262144}}`,
@@ -152,6 +179,50 @@
 	w.store.Put("keyed.servers", id, w.runners[id].registration(w.zones[id], w.sequence))
 }
 
+// runner returns the present life of a runner.
+func (w *world) runner(id string) *runner {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.runners[id]
+}
+
+// holdBack sets which starts the runners of a zone leave unanswered; nil means none.
+func (w *world) holdBack(zone string, holdBack func(runner string, o order) bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for id, r := range w.runners {
+		if w.zones[id] != zone {
+			continue
+		}
+		r.mu.Lock()
+		r.holdBack = nil
+		if holdBack != nil {
+			r.holdBack = func(o order) bool { return holdBack(id, o) }
+		}
+		r.mu.Unlock()
+	}
+}
+
+// restartRunner crashes a runner and starts it again after a while, under its id and at its address.
+func (w *world) restartRunner(ctx context.Context, id string, downFor time.Duration) error {
+	old := w.runner(id)
+	w.record.note("%s crashes", id)
+	old.crash()
+	if err := sleep(ctx, downFor); err != nil {
+		return err
+	}
+	next, err := startRunner(id, old.address, w.runs, nil)
+	if err != nil {
+		return err
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.runners[id] = next
+	w.register(id)
+	w.record.note("%s is back", id)
+	return nil
+}
+
 // heartbeats registers the runners that are up until the context ends.
 func (w *world) heartbeats() {
 	ticker := time.NewTicker(beat)
@@ -197,8 +268,8 @@
 	return nil, fmt.Errorf("only %d of %d free ports found", len(found), count)
 }
 
-// startEntries starts all entries and waits until they are ready.
-func (w *world) startEntries() error {
+// tryEntries is one attempt to start all entries.
+func (w *world) tryEntries() error {
 	template, err := os.ReadFile(w.template)
 	if err != nil {
 		return err
@@ -301,7 +372,7 @@
 	limit := time.Now().Add(15 * time.Second)
 	for _, e := range w.entries {
 		for !isReady(e) {
-			if time.Now().After(limit) {
+			if time.Now().After(limit) || e.hasEnded() {
 				return fmt.Errorf("%s is not ready: %s", e.name, e.log)
 			}
 			if err := sleep(w.ctx, 50*time.Millisecond); err != nil {
@@ -313,6 +384,16 @@
 	return sleep(w.ctx, settleTime)
 }
 
+// hasEnded reports whether the process of an entry has ended.
+func (e *entry) hasEnded() bool {
+	select {
+	case <-e.ended:
+		return true
+	default:
+		return false
+	}
+}
+
 func isReady(e *entry) bool {
 	response, err := http.Get("http://" + e.ready + platform.ReadyPath)
 	if err != nil {
@@ -336,13 +417,7 @@
 
 // close ends all processes that the case has started.
 func (w *world) close() {
-	for _, e := range w.entries {
-		if e.command == nil || e.command.Process == nil {
-			continue
-		}
-		_ = e.command.Process.Kill() // an error means that it has exited
-		<-e.ended
-	}
+	w.killEntries()
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for _, r := range w.runners {
