--- a/review/stand2/cases.go
+++ b/review/stand2/cases.go
@@ -218,7 +218,7 @@
 }
 
 func playLate(ctx context.Context, w *world, trouble bool, c crash) ([]string, error) {
-	const id, deadline, lasts, lateDelay = "5c0e7a21d94b36f8", 40 * time.Second, 15 * time.Second, 50 * time.Millisecond
+	const id, deadline, lasts, lateDelay = "5c0e7a21d94b36f8", 40 * time.Second, 15 * time.Second, 10 * time.Millisecond
 	late := &lateStart{copies: c.copies}
 	if trouble {
 		w.holdBack(zoneNames[0], func(runner string, o order) bool { return late.holdBack(w.record, runner, o) })
