--- a/review/stand2/cases.go
+++ b/review/stand2/cases.go
@@ -17,6 +17,7 @@
 	"drain":     playDrain,
 	"fenced":    playLateAfterFence,
 	"copy":      playLateCopy,
+	"frozen":    playFrozen,
 }
 
 // startsAfterCancel returns the runs of a job that break UNASKED: starts later than cancel_ms after its cancelling was
@@ -138,6 +139,45 @@
 	return broken, nil
 }
 
+// playFrozen cancels a job through an entry of another zone while the entry at which its client waits stands still.
+func playFrozen(ctx context.Context, w *world, trouble bool) ([]string, error) {
+	const id, deadline, lasts = "5c0e7a21d94b36f8", 30 * time.Second, 3 * time.Second
+	const frozenFor, cancelAfter = 4 * time.Second, 1500 * time.Millisecond
+	others, err := w.otherThanHolder(zoneNames[0])
+	if err != nil {
+		return nil, err
+	}
+	frozen, elsewhere := others[0], w.entries[entriesPerZone]
+	w.submit(ctx, frozen, id, twoSteps(4000, lasts), deadline)
+	if err := sleep(ctx, time.Second); err != nil {
+		return nil, err
+	}
+	if len(w.runs.of(id)) == 0 {
+		return nil, fmt.Errorf("the job has not started")
+	}
+	resumeAt := time.Now().Add(frozenFor)
+	if trouble {
+		w.signal(frozen, syscall.SIGSTOP)
+	}
+	if err := sleep(ctx, cancelAfter); err != nil {
+		return nil, err
+	}
+	cancelled := w.call(ctx, elsewhere, http.MethodDelete, id, "", deadline)
+	if cancelled.status != http.StatusOK && cancelled.status != http.StatusGone {
+		return nil, fmt.Errorf("the cancel was answered: %s", cancelled)
+	}
+	if err := sleep(ctx, time.Until(resumeAt)); err != nil {
+		return nil, err
+	}
+	if trouble {
+		w.signal(frozen, syscall.SIGCONT)
+	}
+	if err := sleep(ctx, 10*time.Second); err != nil {
+		return nil, err
+	}
+	return startsAfterCancel(w, id, cancelled.at), nil
+}
+
 // playDrain stops an entry while a job that was handed in there waits for room.
 func playDrain(ctx context.Context, w *world, trouble bool) ([]string, error) {
 	const deadline, long, short = 25 * time.Second, 16 * time.Second, 500 * time.Millisecond
