--- a/review/stand2/cases.go
+++ b/review/stand2/cases.go
@@ -18,6 +18,7 @@
 	"fenced":    playLateAfterFence,
 	"copy":      playLateCopy,
 	"frozen":    playFrozen,
+	"successor": playSuccessor,
 }
 
 // startsAfterCancel returns the runs of a job that break UNASKED: starts later than cancel_ms after its cancelling was
@@ -257,6 +258,44 @@
 	return playLate(ctx, w, trouble, crash{after: 2500 * time.Millisecond, downFor: 4800 * time.Millisecond, copies: 1})
 }
 
+// playSuccessor has a runner leave a start unanswered and crash at once. Then the holder is killed, and the next one does not
+// know of the start, which reaches the runner when it is back under its id.
+func playSuccessor(ctx context.Context, w *world, trouble bool) ([]string, error) {
+	const id, deadline, lasts, downFor, lateDelay = "5c0e7a21d94b36f8", 40 * time.Second, 15 * time.Second, 4500 * time.Millisecond, 10 * time.Millisecond
+	holder, err := w.holderOf(zoneNames[0])
+	if err != nil {
+		return nil, err
+	}
+	others, err := w.otherThanHolder(zoneNames[0])
+	if err != nil {
+		return nil, err
+	}
+	late := &lateStart{copies: 4}
+	if trouble {
+		w.holdBack(zoneNames[0], func(runner string, o order) bool { return late.holdBack(w.record, runner, o) })
+	}
+	w.submit(ctx, others[0], id, job(1, 4000, lasts), deadline)
+	if err := sleep(ctx, 50*time.Millisecond); err != nil {
+		return nil, err
+	}
+	if trouble {
+		w.signal(holder, syscall.SIGKILL)
+		if err := w.restartRunner(ctx, late.runner, downFor); err != nil {
+			return nil, err
+		}
+		if err := sleep(ctx, lateDelay); err != nil {
+			return nil, err
+		}
+		w.record.note("%s carries out the start of run %d of %s, %d ms after it was sent", late.runner, late.order.Run, late.order.Task, time.Since(late.sentAt).Milliseconds())
+		status, body := w.runner(late.runner).carryOut(ctx, "/run-start", late.order)
+		w.record.note("%s answers %d %s", late.runner, status, body.Reason)
+	}
+	if err := sleep(ctx, 3*time.Second); err != nil {
+		return nil, err
+	}
+	return w.overlaps(id), nil
+}
+
 func playLate(ctx context.Context, w *world, trouble bool, c crash) ([]string, error) {
 	const id, deadline, lasts, lateDelay = "5c0e7a21d94b36f8", 40 * time.Second, 15 * time.Second, 10 * time.Millisecond
 	late := &lateStart{copies: c.copies}
