--- a/review/stand2/cases.go
+++ b/review/stand2/cases.go
@@ -61,7 +61,7 @@
 	if trouble {
 		w.submit(ctx, w.entries[entriesPerZone], id, body, deadline)
 	}
-	if err := sleep(ctx, 6*time.Second); err != nil {
+	if err := sleep(ctx, 8*time.Second); err != nil {
 		return nil, err
 	}
 	return startsAfterCancel(w, id, cancelled.at), nil
@@ -95,7 +95,7 @@
 }
 
 // playHandover cancels jobs just after the entry that schedules their tasks was killed, while another one of its zone
-// takes its place. The cancels reach the entries of another zone.
+// takes its place. Each cancel reaches an entry of the zone at which the job's client does not wait.
 func playHandover(ctx context.Context, w *world, trouble bool) ([]string, error) {
 	const count, deadline, lasts, gap = 100, 30 * time.Second, 5 * time.Second, 5 * time.Millisecond
 	holder, err := w.holderOf(zoneNames[0])
@@ -106,7 +106,6 @@
 	if err != nil {
 		return nil, err
 	}
-	elsewhere := w.entries[entriesPerZone:]
 	var ids []string
 	for i := range count {
 		id := fmt.Sprintf("5c0e7a21d94b%04x", i)
@@ -122,13 +121,13 @@
 	var calls sync.WaitGroup
 	cancels := make([]reply, count)
 	for i, id := range ids {
-		calls.Go(func() { cancels[i] = w.call(ctx, elsewhere[i%len(elsewhere)], http.MethodDelete, id, "", deadline) })
+		calls.Go(func() { cancels[i] = w.call(ctx, others[(i+1)%len(others)], http.MethodDelete, id, "", deadline) })
 		if err := sleep(ctx, gap); err != nil {
 			return nil, err
 		}
 	}
 	calls.Wait()
-	if err := sleep(ctx, 2*lasts); err != nil {
+	if err := sleep(ctx, 2*lasts+2*time.Second); err != nil {
 		return nil, err
 	}
 	var broken []string
