--- a/internal/gateway/feed/follower.go
+++ b/internal/gateway/feed/follower.go
@@ -33,6 +33,9 @@
 	ReadDelay time.Duration // between reads; batches the records of topics that change all the time
 	Reset     func(records []platform.KeyedRecord)
 	Apply     func(records []platform.KeyedRecord)
+	// OnPosition is called before Reset and Apply with the offset from which the topic is read on
+	// after their records, and whether those of Reset are only part of the newest. It may be nil.
+	OnPosition func(next int64, partial bool)
 	// OnUnavailable is called when reading starts to fail, and before Reset if it gets only
 	// part of the records. OnAvailable is called after the first successful read and after
 	// the first one that follows OnUnavailable.
@@ -136,16 +139,25 @@
 		if partial && f.Relist {
 			f.relistAt = time.Now().Add(maxRetryDelay)
 		}
+		f.notePosition(r.next, partial)
 		f.Reset(r.records)
 		f.offset = r.next
 	default:
 		f.offset, f.truncations = r.next, 0
 		if len(r.records) > 0 {
+			f.notePosition(r.next, false)
 			f.Apply(r.records)
 		}
 	}
 }
 
+// notePosition calls OnPosition if it is set.
+func (f *Follower) notePosition(next int64, partial bool) {
+	if f.OnPosition != nil {
+		f.OnPosition(next, partial)
+	}
+}
+
 // maxLoggedFailures is the number of consecutive failures of which each is logged.
 const maxLoggedFailures = 20
 
--- a/internal/gateway/feed/partial_test.go
+++ b/internal/gateway/feed/partial_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -33,9 +34,19 @@
 		}
 		var lines strings.Builder
 		lists := 0
+		type position struct {
+			next    int64
+			partial bool
+		}
+		var positions []position // the first and the last
 		f := &Follower{
 			Name: "configuration", Wait: pollWait, Relist: true, Log: slog.New(slog.NewTextHandler(&lines, nil)),
 			Reset: take, Apply: take, OnUnavailable: func() {}, OnAvailable: func() {},
+			OnPosition: func(next int64, partial bool) {
+				if positions = append(positions, position{next, partial}); len(positions) > 2 {
+					positions = slices.Delete(positions, 1, 2)
+				}
+			},
 			Feed: platform.Feed{
 				Reconnect: func() {},
 				Newest: func(context.Context) ([]platform.KeyedRecord, int64, error) {
@@ -78,6 +89,9 @@
 		if lists > 9 {
 			t.Errorf("%d lists requested, want none after the first complete one", lists)
 		}
+		if want := []position{{6, true}, {7, false}}; !slices.Equal(positions, want) {
+			t.Errorf("first and last position %v, want %v", positions, want)
+		}
 		if count := strings.Count(lines.String(), "only in part"); count != 1 {
 			t.Errorf("partial lists are logged %d times, want once", count)
 		}
