eligibility: Decide in one place whether a worker may get a task

Four places of the plan asked for the state, draining, registration and ejection of a worker. An evacuated zone would have been a fifth condition in each of them, and one that is forgotten starts tasks in an evacuated zone.

eligibility.Judge takes the facts about a worker and returns a verdict, whose words are labels. It replaces worker.usable and the conditions of canRun, FreeSlots and capacityAndLoad. New facts are the evacuated zone, evacuations that are not known, and a worker that refuses connections.

Jobs with pending tasks leave the group of an evacuated zone (plan.leaveEvacuated): at once if nothing has started, otherwise when their tasks could start again in the group, with the names of those that completed. Such a result has Started set, since the other group would send the job back otherwise. Ruled out: MaybeStarted for these jobs. The other group would wait 1.1 s for leases although it is proved that no run is left, and most clients wait 1.5 s.

--- /dev/null
+++ b/internal/placement/eligibility/verdict_test.go
@@ -0,0 +1,31 @@
+package eligibility
+
+import "testing"
+
+// TestOneFactIsEnough guards against a fact that keeps no worker from getting tasks, or whose reason is
+// hidden behind one of less weight.
+func TestOneFactIsEnough(t *testing.T) {
+	all := Worker{Ready, true, true, true, true, true, true, true}
+	tests := []struct {
+		name   string
+		worker Worker
+		want   Verdict
+	}{
+		{"ready", Worker{State: Ready}, Eligible},
+		{"just added", Worker{}, Unfenced},
+		{"silent", Worker{State: Unresponsive}, Silent},
+		{"refusing", Worker{State: Unresponsive, Refusing: true}, Refusing},
+		{"evacuations unknown", Worker{State: Ready, EvacuationsUnknown: true}, Unknown},
+		{"evacuated", Worker{State: Ready, Evacuated: true}, Evacuated},
+		{"draining", Worker{State: Ready, Draining: true}, Draining},
+		{"unregistered", Worker{State: Ready, Unregistered: true}, Unregistered},
+		{"runs unknown", Worker{State: Ready, RunsUnknown: true}, Unlisted},
+		{"ejected", Worker{State: Ready, Ejected: true}, Ejected},
+		{"everything", all, Unknown},
+	}
+	for _, c := range tests {
+		if got := Judge(c.worker); got != c.want {
+			t.Errorf("%s: %s, want %s", c.name, got, c.want)
+		}
+	}
+}
--- a/internal/placement/plan/choose.go
+++ b/internal/placement/plan/choose.go
@@ -79,10 +79,10 @@
 const leftoverWeight = 0.3
 
 // canRun reports whether a worker offers the service, resources and label that a task needs,
-// within the step's limit of tasks per worker. Workers that are ejected or to be avoided
+// within the step's limit of tasks per worker. Workers that are not eligible or to be avoided
 // cannot run it, nor those whose lease does not fit its job.
 func (p *Plan) canRun(t *task, step batch.Step, w *worker) bool {
-	if w.Service != t.job.Service || t.avoidedWorkers[w.ID] || !step.Resources.FitsIn(w.free()) || p.outliers.IsEjected(w.ID) || t.mayEndanger(w, p.now) {
+	if w.Service != t.job.Service || t.avoidedWorkers[w.ID] || !step.Resources.FitsIn(w.free()) || !p.isEligible(w) || t.mayEndanger(w, p.now) {
 		return false
 	}
 	if step.RequiredLabel != "" && !slices.Contains(w.Labels, step.RequiredLabel) {
--- a/internal/placement/plan/job.go
+++ b/internal/placement/plan/job.go
@@ -128,7 +128,7 @@
 // newJob adds a job. Tasks that have succeeded already are done, and those that run are
 // adopted.
 func (p *Plan) newJob(b *batch.Batch, completed []string) *job {
-	j := &job{Batch: b, result: batch.Result{ID: b.ID, State: batch.Pending}, started: b.MaybeStarted, startedBefore: b.MaybeStarted}
+	j := &job{Batch: b, result: batch.Result{ID: b.ID, State: batch.Pending}, started: b.MaybeStarted || len(completed) > 0, startedBefore: b.MaybeStarted}
 	p.awaitEarlierRuns(j)
 	p.jobs[b.ID] = j
 	completedNames := map[string]bool{}
--- a/internal/placement/plan/place.go
+++ b/internal/placement/plan/place.go
@@ -27,6 +27,7 @@
 	if len(p.waiting) == 0 || p.takeoverSuspected {
 		return
 	}
+	p.leaveEvacuated(p.waiting)
 	p.sortWaiting()
 	p.placeOnWorkers(p.openWorkers())
 	p.spillOver(p.waiting)
@@ -39,7 +40,7 @@
 // placeOnWorker places pending tasks on one worker whose free resources have changed. The
 // others need not be checked: nothing pending fitted them before.
 func (p *Plan) placeOnWorker(w *worker) {
-	if len(p.waiting) == 0 || p.takeoverSuspected || !w.usable() {
+	if len(p.waiting) == 0 || p.takeoverSuspected || !p.isEligible(w) {
 		return
 	}
 	if !p.waitingSorted {
@@ -55,6 +56,7 @@
 	if p.takeoverSuspected {
 		return
 	}
+	p.leaveEvacuated([]*job{j})
 	open := p.openWorkers()
 	if len(open) > 0 && !p.mayRunElsewhere(j) && (!p.otherLeasesActive() || p.allFenced(j.Service)) {
 		p.placeJob(j, open, maxFree(open))
@@ -188,12 +190,12 @@
 // under load. Replays of 1.5 to 3 times the usual load give similar results for 40 to 90 ms.
 const placementSpan = 60 * time.Millisecond
 
-// openWorkers returns the usable workers with free cores. The result is valid until the next
+// openWorkers returns the eligible workers with free cores. The result is valid until the next
 // call.
 func (p *Plan) openWorkers() []*worker {
 	open := p.openBuffer[:0]
 	for _, w := range p.workerList {
-		if w.free().MilliCores > 0 && w.usable() {
+		if w.free().MilliCores > 0 && p.isEligible(w) {
 			open = append(open, w)
 		}
 	}
--- a/internal/placement/plan/plan.go
+++ b/internal/placement/plan/plan.go
@@ -81,6 +81,11 @@
 	WorkersIncompleteUntil time.Time
 	// StartedElsewhere returns another group whose holder has started a job, or "". Nil means never.
 	StartedElsewhere func(id string) string
+	// Zone is the availability zone of the group.
+	Zone string
+	// EvacuationTarget returns the group of another availability zone that takes a job while the own
+	// zone is evacuated, or "" if there is none. Nil means that there never is.
+	EvacuationTarget func(id string) string
 }
 
 // Defaults of options that are zero.
@@ -134,6 +139,7 @@
 	lastContact    time.Time // see SetLastContact
 	conflictEnd    time.Time // until when another holder that was seen at a worker may be taking over others
 	otherFreeSlots spillover.Slots
+	evacuations    Evacuations
 	arrivals       map[string]*arrivalRate // by service
 	formerRoom     map[string]formerRoom   // by service
 	nextReturn     map[string]time.Time    // when the next refused client may send again, by service
@@ -164,6 +170,9 @@
 	if options.StartedElsewhere == nil {
 		options.StartedElsewhere = func(string) string { return "" }
 	}
+	if options.EvacuationTarget == nil {
+		options.EvacuationTarget = func(string) string { return "" }
+	}
 	p := &Plan{
 		options: options, estimator: runtimes.New(), now: tookOverAt, tickedAt: tookOverAt, restarts: firstRestarts,
 		arrivals: map[string]*arrivalRate{}, formerRoom: map[string]formerRoom{}, nextReturn: map[string]time.Time{}, nextTrial: map[string]time.Time{}, workers: map[string]*worker{}, jobs: map[string]*job{}, earlyCompletions: map[string]earlyCompletion{}, unaccountedRuns: map[string][]*run{}, minFactor: map[string]float64{}, meanFactor: map[string]float64{},
--- a/internal/placement/plan/refuse.go
+++ b/internal/placement/plan/refuse.go
@@ -10,6 +10,9 @@
 // unservableReason returns why a job cannot be completed in its client's time, or "" if it
 // can or no worker of its service is known. The job may become a trial job, see refusedTooLate.
 func (p *Plan) unservableReason(j *job) string {
+	if p.evacuated() {
+		return "" // the job goes to another group, which judges by its own workers
+	}
 	largest := resources.Resources{}
 	workers := 0
 	for _, w := range p.workers {
@@ -100,7 +103,7 @@
 // holder that has just taken over would otherwise refuse all the jobs that come first.
 func (p *Plan) capacityAndLoad(service string) (capacity, load float64) {
 	for _, w := range p.workerList {
-		if w.Service != service || w.unanswered || w.Draining || w.Unregistered {
+		if w.Service != service || !p.isEligibleSoon(w) {
 			continue
 		}
 		capacity += float64(w.Capacity.MilliCores) * packingShare
--- a/internal/placement/plan/spillover.go
+++ b/internal/placement/plan/spillover.go
@@ -28,7 +28,7 @@
 	slots := 0
 	for _, w := range p.workers {
 		// A worker that has shrunk may lack resources that its runs use.
-		if free := w.free(); w.usable() && !p.outliers.IsEjected(w.ID) && (resources.Resources{}).FitsIn(free) {
+		if free := w.free(); p.isEligible(w) && (resources.Resources{}).FitsIn(free) {
 			slots += int(float64(free.MilliCores) / p.meanTaskSize)
 		}
 	}
--- a/internal/placement/plan/worker.go
+++ b/internal/placement/plan/worker.go
@@ -5,16 +5,17 @@
 	"slices"
 	"time"
 
+	"github.com/radishgate/radishgate/internal/placement/eligibility"
 	"github.com/radishgate/radishgate/internal/work/resources"
 )
 
 // workerState says whether this holder can use a worker.
-type workerState int
+type workerState = eligibility.State
 
 const (
-	fencing      workerState = iota // has not yet accepted the fencing token of this holder
-	ready                           // answers and has accepted the fencing token
-	unresponsive                    // was ready, but does not answer now
+	fencing      = eligibility.Fencing
+	ready        = eligibility.Ready
+	unresponsive = eligibility.Unresponsive // was ready, but does not answer now
 )
 
 // phase is the state of a run as far as this holder knows it.
@@ -78,19 +79,6 @@
 	reportRequestedAt time.Time // when the last report outside its regular calls was requested
 }
 
-// usable reports whether new runs may start on the worker.
-func (w *worker) usable() bool {
-	if w.state != ready || w.Draining || w.Unregistered {
-		return false
-	}
-	for _, r := range w.runs {
-		if r.phase == unaccounted || r.phase == startUnknown {
-			return false // the resources it uses are unknown
-		}
-	}
-	return true
-}
-
 // free returns the resources that no run uses.
 func (w *worker) free() resources.Resources { return w.Capacity.Sub(w.used) }
 
