submission: Send jobs of an evacuated zone to another one

Jobs were moved once at most: a second message that moved them counted as a duplicate of the first. New jobs always went to a group of the own zone.

Options.Redirect names the group of a job that has not been sent; without one it is refused at once. Messages that move a job again count unless they name a group that the job has left; the holder that was polled for the job may also move it back. A job with completed tasks is handed over as new work that was started here, and no refusal is given for it, since tasks of it have run.

Ruled out: a new field for moves after a start. Started with the names of completed tasks says that no run is left; Started alone keeps its meaning, so the next group waits for leases.

Tests of submission pass. Without each of these rules TestJobLeavesAnEvacuatedZone or TestWaitingJobIsRedirected fails.

--- a/internal/gateway/submission/ending.go
+++ b/internal/gateway/submission/ending.go
@@ -14,8 +14,12 @@
 	reasonCancelled   = "a client has cancelled it"
 )
 
-// refusal returns the result for a job that no holder has accepted.
+// refusal returns the result for a job that no holder has accepted. It is no refusal if tasks of the
+// job completed before it moved.
 func (j *pendingJob) refusal(reason string, retryDelay time.Duration) batch.Result {
+	if len(j.completedTasks) > 0 {
+		return batch.Result{ID: j.batch.ID, Attempt: j.batch.Attempt, State: batch.Unknown, Reason: reason}
+	}
 	return batch.Result{ID: j.batch.ID, Attempt: j.batch.Attempt, State: batch.Refused, Reason: reason, RetryAt: time.Now().Add(retryDelay)}
 }
 
@@ -46,7 +50,7 @@
 func (t *Tracker) expiredResult(job *pendingJob) batch.Result {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if job.maybeAccepted {
+	if job.maybeAccepted || len(job.completedTasks) > 0 {
 		return batch.Result{ID: job.batch.ID, State: batch.Unknown, Reason: "its client's time is over"}
 	}
 	return batch.Result{ID: job.batch.ID, State: batch.Refused, RetryAt: time.Now().Add(retryDelay)}
--- a/internal/gateway/submission/options.go
+++ b/internal/gateway/submission/options.go
@@ -25,6 +25,9 @@
 	RequestNumber func() uint64 // returns a number for a new request; random if nil
 	// GroupOf returns the group whose holder gets a new job.
 	GroupOf func(b *batch.Batch) string
+	// Redirect returns the group to which a job goes that has not been sent to its group: that group
+	// itself, another one while its zone is evacuated, or "" if there is none. Nil means the group itself.
+	Redirect func(id, group string) string
 	// FindHolder returns the current holder of a group, and false if none is known.
 	FindHolder func(group string) (GroupHolder, bool)
 	// Detour returns another group for a job of which nothing was sent yet, if the holder of
--- a/internal/gateway/submission/polling.go
+++ b/internal/gateway/submission/polling.go
@@ -31,7 +31,7 @@
 		t.options.Log.Warn("polling holder for jobs failed", "jobs", len(ids), "of", holder.ID, "error", err)
 		return
 	}
-	t.DeliverResults(results)
+	t.applyResults(results, &holder)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if !isHolder {
--- a/internal/gateway/submission/submission.go
+++ b/internal/gateway/submission/submission.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -48,6 +49,7 @@
 	lastHeard       time.Time
 	lastPolled      time.Time // when its holder was asked for it last
 	holderDue       time.Time // when it is refused unless its group has a holder
+	leftGroups      []string  // whose holders have moved it to another group
 }
 
 // Tracker tracks the jobs that clients of this entry are waiting for. It is safe
@@ -73,6 +75,9 @@
 	if options.Detour == nil {
 		options.Detour = func(string, int) string { return "" }
 	}
+	if options.Redirect == nil {
+		options.Redirect = func(_, group string) string { return group }
+	}
 	if options.ResultsLost == nil {
 		options.ResultsLost = func() bool { return false }
 	}
@@ -149,6 +154,10 @@
 		t.mu.Unlock()
 		return
 	}
+	if t.jobs[job.batch.ID] == job && !t.leaveEvacuated(job) {
+		t.mu.Unlock()
+		return
+	}
 	if !job.placing && !job.maybeAccepted && !job.batch.SpilledOver {
 		if group := t.options.Detour(job.group, job.batch.Tasks()); group != "" {
 			t.options.Log.Info("job takes a detour", "job", job.batch.ID, "from", job.group, "to", group)
@@ -222,7 +231,10 @@
 
 // DeliverResults applies results from holders: it ends jobs, or marks them to be
 // placed again or in another group. Outdated results are ignored, except for their losses.
-func (t *Tracker) DeliverResults(results []batch.Result) {
+func (t *Tracker) DeliverResults(results []batch.Result) { t.applyResults(results, nil) }
+
+// applyResults applies results, of a holder that was polled for them if from is set.
+func (t *Tracker) applyResults(results []batch.Result, from *GroupHolder) {
 	var rerouted []*pendingJob
 	for _, r := range results {
 		t.mu.Lock()
@@ -238,12 +250,15 @@
 		case r.Started && r.TargetGroup == job.group:
 			// Duplicate of the message that rerouted the job.
 		case r.Started:
+			job.completedTasks = append(job.completedTasks, r.CompletedTasks...)
 			job.reroute(r.TargetGroup, true)
+			// A holder that names completed tasks has started the job itself, and none of its runs is left.
+			job.maybeAccepted = len(r.CompletedTasks) == 0
 			rerouted = append(rerouted, job)
 		case job.multipleHolders && (r.State == batch.Refused || r.TargetGroup != ""):
 			// May come from an earlier holder while a later one has started the job.
-		case r.TargetGroup != "" && job.batch.SpilledOver:
-			// Duplicate of the message that rerouted the job.
+		case r.TargetGroup != "" && job.hasTaken(r.TargetGroup, from):
+			// Duplicate of a message that rerouted the job.
 		case r.TargetGroup != "":
 			job.reroute(r.TargetGroup, false)
 			rerouted = append(rerouted, job)
@@ -265,6 +280,9 @@
 func (j *pendingJob) reroute(group string, started bool) {
 	b := *j.batch
 	b.SpilledOver, b.StartedHere = group != j.homeGroup, started
+	if !slices.Contains(j.leftGroups, j.group) {
+		j.leftGroups = append(j.leftGroups, j.group)
+	}
 	j.batch, j.group = &b, group
 	j.holder, j.accepted, j.maybeAccepted, j.multipleHolders = GroupHolder{}, false, started, false
 }
@@ -304,6 +322,8 @@
 		}
 		holder, ok := t.options.FindHolder(job.group)
 		switch {
+		case !job.maybeAccepted && !t.resuming && t.options.Redirect(job.batch.ID, job.group) != job.group:
+			unplaced = append(unplaced, job)
 		case isolated && !job.maybeAccepted:
 			t.end(job, job.refusal(reasonIsolated, isolatedRetryDelay))
 		case resultsLost && job.maybeAccepted && !job.holder.Local:
