node: Evacuate availability zones

Entries read the evacuations with the configuration and pass them on in heartbeats. Holders start nothing in evacuated zones, and nothing at all until the evacuations are known. New jobs of an evacuated zone go to the groups of the others by a rendezvous hash of their ID, so that all entries choose the same one; without a holder that answers they are refused with 503. Groups of evacuated zones get no jobs that spill over or take a detour.

Heartbeats carry the names of zones up to 1,024 bytes in all; beyond that only zones of the settings, since no group has workers in others. The bound [platform] evacuate (5 s by default) also limits how long a read of the operators' topic waits, to a fifth of it.

Ruled out: choosing among the groups whose holders answer this entry. Entries would choose different groups for a job that is sent again.

--- a/internal/gateway/node/freeslots.go
+++ b/internal/gateway/node/freeslots.go
@@ -26,6 +26,7 @@
 	mu       sync.Mutex
 	sequence uint64
 	groups   map[string]groupFreeSlots
+	excluded func(group string) bool // whether a group gets no work of others; nil means never
 }
 
 // merge stores the received reports that are newer than the known ones, by epoch and
@@ -61,7 +62,7 @@
 	defer v.mu.Unlock()
 	slots := spillover.Slots{}
 	for group, known := range v.groups {
-		if group != own && time.Since(known.receivedAt) < maxFreeSlotsAge {
+		if group != own && time.Since(known.receivedAt) < maxFreeSlotsAge && (v.excluded == nil || !v.excluded(group)) {
 			slots[group] = known.slots
 		}
 	}
--- a/internal/gateway/node/groups.go
+++ b/internal/gateway/node/groups.go
@@ -165,6 +165,7 @@
 		MayBeReplaced:     n.mayBeReplaced,
 		LastContact:       n.lastContact,
 		StartedElsewhere:  func(id string) string { return n.startedElsewhere(c.Group, id) },
+		Zone:              zoneOfGroup(c.Group), Evacuations: n.planEvacuations, EvacuationTarget: n.evacuationTarget,
 		OnConflict: func() bool {
 			now := time.Now()
 			n.claims.NoteConflict(n.hearsPeers(), n.members.HasMajority(), now)
--- a/internal/gateway/node/heartbeats.go
+++ b/internal/gateway/node/heartbeats.go
@@ -186,7 +186,7 @@
 // newHeartbeat returns a heartbeat with the given records, all claims and the recent
 // reports of free slots.
 func (n *Node) newHeartbeat(records []member.Record) *wire.Beat {
-	heartbeat := &wire.Beat{Claims: peer.PackClaims(n.claims.Claims()), Vacancies: n.freeSlots.pack()}
+	heartbeat := &wire.Beat{Claims: peer.PackClaims(n.claims.Claims()), Vacancies: n.freeSlots.pack(), Evacuations: n.packEvacuations()}
 	for _, r := range records {
 		heartbeat.Members = append(heartbeat.Members, peer.PackMember(r))
 	}
@@ -252,6 +252,7 @@
 		records = append(records, peer.UnpackMember(m))
 	}
 	n.freeSlots.merge(heartbeat.Vacancies)
+	n.mergeEvacuations(heartbeat.Evacuations)
 	for _, s := range heartbeat.Started {
 		n.remoteJobs.Note(s.Group, s.Jobs, time.Now())
 	}
--- a/internal/gateway/node/metrics.go
+++ b/internal/gateway/node/metrics.go
@@ -56,6 +56,9 @@
 		gauge("tasks_waiting", "Tasks without a worker in the groups of this entry.", func() float64 { return float64(n.load().Waiting) }),
 		gauge("tasks_running", "Tasks on the workers of the groups of this entry.", func() float64 { return float64(n.load().Running) }),
 		gauge("workers_aside", "Workers of these groups that get no ordinary work.", func() float64 { return float64(n.load().Ejected) }),
+		gauge("zones_evacuated", "Availability zones whose workers get no tasks.", func() float64 { return float64(len(n.evacuations.State().Zones)) }),
+		gauge("tasks_running_evacuated", "Tasks that run in evacuated zones, in the groups of this entry.", func() float64 { return float64(n.runningInEvacuatedZones()) }),
+		verdictCollector{node: n, desc: prometheus.NewDesc(name("workers"), "Workers of these groups, by whether they may get a task or what keeps them from it.", []string{"verdict"}, nil)},
 		gauge("jobs_waiting", "Jobs that clients wait for.", func() float64 { return float64(n.tracker.Len()) }),
 	)
 	return m
--- a/internal/gateway/node/node.go
+++ b/internal/gateway/node/node.go
@@ -14,6 +14,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/radishgate/radishgate/common/counted"
+	"github.com/radishgate/radishgate/internal/gateway/evacuation"
 	"github.com/radishgate/radishgate/internal/gateway/feed"
 	"github.com/radishgate/radishgate/internal/gateway/isolation"
 	"github.com/radishgate/radishgate/internal/gateway/routes"
@@ -69,6 +70,9 @@
 	contacts       contacts
 	candidateCache candidateCache
 
+	evacuations      *evacuation.Set
+	operatorPosition operatorPosition
+
 	freeSlots      freeSlotsTable
 	startedReports startedReports
 	rosters        rosters
@@ -112,7 +116,9 @@
 		pauseDetector: pauseDetector{threshold: suspectHeartbeats * s.HeartbeatInterval},
 		doubtedGroups: doubtedGroups{},
 		freeSlots:     freeSlotsTable{groups: map[string]groupFreeSlots{}},
+		evacuations:   evacuation.New(s.Zones),
 	}
+	n.freeSlots.excluded = n.inEvacuatedZone
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	if err := n.listen(options); err != nil {
 		return nil, err
@@ -133,7 +139,7 @@
 	n.instruments = newInstruments(n, options.DroppedLogLines)
 	n.outbox = newOutbox(n)
 	n.tracker = submission.New(submission.Options{
-		Self: s.VM, GroupOf: n.groupOfJob, FindHolder: n.currentHolder, Detour: n.detour, Place: n.placeAt, Await: n.awaitAt, Withdraw: n.withdrawAt,
+		Self: s.VM, GroupOf: n.groupOfJob, FindHolder: n.currentHolder, Detour: n.detour, Redirect: n.redirect, Place: n.placeAt, Await: n.awaitAt, Withdraw: n.withdrawAt,
 		OnEnd: n.jobEnded, Log: n.log, Isolated: func() bool { return n.isolation.Isolated(time.Now()) }, ResultsLost: n.isolation.ResultsLost,
 	})
 	n.contacts.add(s.Seeds...)
@@ -164,8 +170,16 @@
 func (n *Node) followers() []*feed.Follower {
 	return []*feed.Follower{
 		{
-			Name: "configuration", Feed: n.store.OperatorFeed(), Wait: configurationPollTimeout, Relist: true, Log: n.log,
-			Reset: n.applyConfiguration, Apply: n.applyConfiguration,
+			Name: "configuration", Feed: n.store.OperatorFeed(), Wait: n.operatorPollTimeout(), Relist: true, Log: n.log,
+			OnPosition: n.operatorPosition.set,
+			Reset: func(records []platform.KeyedRecord) {
+				n.resetEvacuations(records)
+				n.applyConfiguration(records)
+			},
+			Apply: func(records []platform.KeyedRecord) {
+				n.applyEvacuations(records)
+				n.applyConfiguration(records)
+			},
 			OnUnavailable: func() { n.onConfigurationAvailable(false) },
 			OnAvailable:   func() { n.onConfigurationAvailable(true) },
 		},
--- a/internal/gateway/node/node_test.go
+++ b/internal/gateway/node/node_test.go
@@ -102,10 +102,13 @@
 	f.nodes, f.stops, f.stopped = append(f.nodes, n), append(f.stops, stop), append(f.stopped, done)
 }
 
-// newNode returns an entry of zone a with the given settings, completed by those that are the
-// same for all. Its log goes to out.
+// newNode returns an entry with the given settings, completed by those that are the same for all. Its
+// zone is a unless the settings name one. Its log goes to out.
 func newNode(t testing.TB, out io.Writer, peers net.Listener, s settings.Settings) *Node {
-	s.Zone, s.Memory, s.Groups, s.Lease, s.Grace, s.HeartbeatInterval = "a", 256, 1, time.Second, fleetGrace, fleetHeartbeat
+	if s.Zone == "" {
+		s.Zone = "a"
+	}
+	s.Memory, s.Groups, s.Lease, s.Grace, s.HeartbeatInterval = 256, 1, time.Second, fleetGrace, fleetHeartbeat
 	s.Peers, s.AdvertisedAddress = peers.Addr().String(), peers.Addr().String()
 	n, err := New(Options{
 		Settings: &s, Log: slog.New(slog.NewTextHandler(out, nil)), DroppedLogLines: func() int64 { return 0 },
--- a/internal/gateway/settings/settings.go
+++ b/internal/gateway/settings/settings.go
@@ -30,6 +30,7 @@
 	Lease            time.Duration // maximum lease of a run on a worker
 	Grace            time.Duration // from SIGTERM until the process is killed
 	ClientRetryAfter time.Duration // time after which a client without an answer resends its job
+	EvacuationBound  time.Duration // within which an evacuation must be in force
 
 	Groups            int // number of worker groups in each zone; one entry schedules the tasks of a group
 	HeartbeatInterval time.Duration
@@ -61,6 +62,7 @@
 		Lease:             f.Duration("platform", "lease", time.Second, 100*time.Millisecond, time.Minute),
 		Grace:             f.Duration("platform", "grace", 6*time.Second, 500*time.Millisecond, time.Hour),
 		ClientRetryAfter:  f.Duration("platform", "resend", 1300*time.Millisecond, 500*time.Millisecond, time.Minute),
+		EvacuationBound:   f.Duration("platform", "evacuate", 5*time.Second, 100*time.Millisecond, time.Minute),
 		Groups:            int(f.Int("workers", "groups", 1, 1, 64)),
 		HeartbeatInterval: f.Duration("entry", "beat", 150*time.Millisecond, 10*time.Millisecond, 10*time.Second),
 		LogLevel:          f.String("logs", "level", "info"),
--- a/internal/gateway/settings/settings_test.go
+++ b/internal/gateway/settings/settings_test.go
@@ -37,7 +37,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if s.VM != "front-1" || s.Processors != 0.8 || len(s.Seeds) != 2 || len(s.Zones) != 2 || s.Lease != time.Second || s.Groups != 1 || s.AdvertisedAddress != s.Peers {
+	if s.VM != "front-1" || s.Processors != 0.8 || len(s.Seeds) != 2 || len(s.Zones) != 2 || s.Lease != time.Second || s.EvacuationBound != 5*time.Second || s.Groups != 1 || s.AdvertisedAddress != s.Peers {
 		t.Fatalf("%+v", s)
 	}
 	tests := []struct {
@@ -47,6 +47,8 @@
 		{"host name instead of an IP address", "127.0.0.1:8169", "store:8169", "store"},
 		{"seed without a port", "127.0.0.2:8166", "127.0.0.2", "seeds"},
 		{"resend without a unit", "1300ms", "1300", "resend"},
+		{"evacuation bound too short", "resend = 1300ms", "evacuate = 99ms", "evacuate"},
+		{"evacuation bound too long", "resend = 1300ms", "evacuate = 61s", "evacuate"},
 		{"lease without a unit", "1000ms", "1000", "lease"},
 		{"unknown key", "[logs]", "[logs]\nshape = x", "shape"},
 		{"share above one", "share = 0.4", "share = 4", "share"},
--- a/internal/placement/holder/holder.go
+++ b/internal/placement/holder/holder.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/radishgate/radishgate/internal/placement/eligibility"
 	"github.com/radishgate/radishgate/internal/placement/plan"
 	"github.com/radishgate/radishgate/internal/placement/spillover"
 	"github.com/radishgate/radishgate/internal/work/batch"
@@ -55,6 +56,12 @@
 	// StartedElsewhere returns another group whose holder has started a job, or "". Nil means
 	// that there never is.
 	StartedElsewhere func(id string) string
+	// Zone is the availability zone of the group. Evacuations returns the evacuated zones; nil
+	// means that there are none. EvacuationTarget returns the group of another zone that takes a job of an
+	// evacuated one, or "" if there is none.
+	Zone             string
+	Evacuations      func() plan.Evacuations
+	EvacuationTarget func(id string) string
 	// CountCall counts a call to a worker, named after its kind and answer, for metrics.
 	CountCall func(kind string)
 }
@@ -91,7 +98,7 @@
 		options: options, sessions: map[string]*session{}, ended: map[string]endedWorker{},
 		plan: plan.New(plan.Options{
 			Lease: options.Lease, ClientRetryAfter: options.ClientRetryAfter, WorkersIncompleteUntil: options.WorkersIncompleteUntil,
-			StartedElsewhere: options.StartedElsewhere,
+			StartedElsewhere: options.StartedElsewhere, Zone: options.Zone, EvacuationTarget: options.EvacuationTarget,
 		}, now),
 	}
 	h.ctx, h.cancel = context.WithCancel(ctx)
@@ -143,6 +150,9 @@
 	h.plan.SetTakeoverSuspected(suspected)
 	// The suspicion may time out before MayBeReplaced shows that other entries are not heard.
 	h.plan.SetMayBeReplaced(suspected, now)
+	if h.options.Evacuations != nil {
+		h.plan.SetEvacuations(h.options.Evacuations())
+	}
 	change(h.plan, now)
 	return h.dispatch(h.plan.Orders(), now)
 }
@@ -360,6 +370,14 @@
 	return h.plan.FreeSlots()
 }
 
+// Verdicts returns the number of workers by whether they may get a task, and otherwise by what keeps
+// them from it.
+func (h *Holder) Verdicts() map[eligibility.Verdict]int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.plan.Verdicts()
+}
+
 // StartedJobs returns the jobs that were started, or found running, since a time.
 func (h *Holder) StartedJobs(since time.Time) []plan.StartedJob {
 	h.mu.Lock()
