node, submission: Answer each client before an entry stops

Cause: a job that still waited when the drain ended was cut off; its connection was closed 5.4 s after SIGTERM without an answer. commands.Main restores the default action of SIGTERM after the first one, so a second one ended a draining entry at once.

Ruled out: refusing such jobs at the entry alone (a holder may have started them, the refusal would not be true), and ending jobs that run 1 s before the end of the drain (they may complete until then).

Change: 1 s before the end of the drain jobs that no holder may have are refused, and holders are asked to refuse the others (WithdrawRequest.refuse, one repeat after 0.4 s). A holder refuses only if nothing has run; a run goes on until 0.1 s before the end, then the client gets 504 and the job is withdrawn. New jobs are refused, and cancels that wait for a holder end with 503. With a grace period under 2.4 s the margin before SIGKILL is a quarter of it. dispatch ignores a second SIGTERM.

That a cancel ends in time (node.cancelBeforeStop) has no test.

--- a/commands/dispatch.go
+++ b/commands/dispatch.go
@@ -29,6 +29,11 @@
 	hangups := make(chan os.Signal, 1)
 	signal.Notify(hangups, syscall.SIGHUP)
 	defer signal.Stop(hangups)
+	// A second SIGTERM changes nothing: commands.Main restores its default action, which ends the process, after the
+	// first one, unless the signal is caught here as well.
+	terminations := make(chan os.Signal, 1)
+	signal.Notify(terminations, syscall.SIGTERM)
+	defer signal.Stop(terminations)
 	if c.Settings == "" {
 		c.Settings = os.Getenv(platform.SettingsVariable)
 	}
--- a/internal/gateway/node/node.go
+++ b/internal/gateway/node/node.go
@@ -62,6 +62,8 @@
 	outbox      *outbox
 
 	draining       atomic.Bool
+	answering      context.Context // ends shortly before the end of a drain, when all clients must get their answers
+	endAnswers     context.CancelFunc
 	isolation      isolation.Detector
 	silence        silence.Monitor
 	pauseDetector  pauseDetector
@@ -114,6 +116,7 @@
 		freeSlots:     freeSlotsTable{groups: map[string]groupFreeSlots{}},
 	}
 	n.ctx, n.cancel = context.WithCancel(context.Background())
+	n.answering, n.endAnswers = context.WithCancel(n.ctx)
 	if err := n.listen(options); err != nil {
 		return nil, err
 	}
@@ -133,7 +136,7 @@
 	n.instruments = newInstruments(n, options.DroppedLogLines)
 	n.outbox = newOutbox(n)
 	n.tracker = submission.New(submission.Options{
-		Self: s.VM, GroupOf: n.groupOfJob, FindHolder: n.currentHolder, Detour: n.detour, Place: n.placeAt, Await: n.awaitAt, Withdraw: n.withdrawAt,
+		Self: s.VM, GroupOf: n.groupOfJob, FindHolder: n.currentHolder, Detour: n.detour, Place: n.placeAt, Await: n.awaitAt, Withdraw: n.withdrawAt, Refuse: n.refuseAt,
 		OnEnd: n.jobEnded, Log: n.log, Isolated: func() bool { return n.isolation.Isolated(time.Now()) }, ResultsLost: n.isolation.ResultsLost,
 	})
 	n.contacts.add(s.Seeds...)
--- a/internal/gateway/node/serve.go
+++ b/internal/gateway/node/serve.go
@@ -10,9 +10,7 @@
 
 	"github.com/labstack/echo/v4"
 
-	"github.com/radishgate/radishgate/common/wait"
 	"github.com/radishgate/radishgate/internal/work/batch"
-	"github.com/radishgate/radishgate/member"
 	"github.com/radishgate/radishgate/peer"
 	"github.com/radishgate/radishgate/platform"
 )
@@ -116,7 +114,7 @@
 
 func (n *Node) clientRoutes() http.Handler {
 	ingress := &platform.Ingress{
-		Find: n.routes.Find, Submit: n.submit, JobState: n.jobState, Cancel: n.cancelJob, Backlog: n.backlog,
+		Find: n.routes.Find, Submit: n.submit, JobState: n.jobState, Cancel: n.cancelBeforeStop, Backlog: n.backlog,
 		CloseConnection: n.closesConnections, MaxBodyBytes: n.routes.MaxBodyBytes,
 	}
 	e := echo.New()
@@ -126,7 +124,7 @@
 
 func (n *Node) peerRoutes() http.Handler {
 	return (&peer.Server{OnHeartbeat: n.onHeartbeat, JobHandlers: peer.JobHandlers{
-		OnPlace: n.onPlace, OnAwait: n.onAwait, OnResults: n.tracker.DeliverResults, OnWithdraw: n.onWithdraw, OnCancel: n.onCancel,
+		OnPlace: n.onPlace, OnAwait: n.onAwait, OnResults: n.tracker.DeliverResults, OnWithdraw: n.onWithdraw, OnCancel: n.onCancel, OnRefuse: n.onRefuse,
 	}}).Handler()
 }
 
@@ -178,25 +176,3 @@
 // started any task. It is 0, because clients learn of acceptance only together with the
 // result.
 func (n *Node) backlog(batch.QueueSettings) int { return 0 }
-
-// Timing of a graceful stop, which must end within the grace period of the platform.
-const (
-	drainNoticeDelay = 2200 * time.Millisecond // the platform sends new connections until two readiness checks have failed
-	shutdownMargin   = 600 * time.Millisecond  // before the platform kills the process
-)
-
-// drain announces that this entry leaves, so that other entries take over its groups, and
-// lets the requests in flight end.
-func (n *Node) drain(clients *http.Server) {
-	deadline := time.Now().Add(n.settings.Grace - shutdownMargin)
-	ctx, cancel := context.WithDeadline(context.Background(), deadline)
-	defer cancel()
-	n.draining.Store(true)
-	n.log.Info("entry drains", "vm", n.settings.VM, "jobs", n.tracker.Len())
-	n.members.UpdateSelf(func(r *member.Record) { r.Leaving, r.Ready = true, false })
-	n.announce(ctx)
-	wait.For(ctx, min(drainNoticeDelay, n.settings.Grace/2))
-	if err := clients.Shutdown(ctx); err != nil {
-		n.log.Warn("requests cut off at the end of the grace period", "jobs", n.tracker.Len(), "error", err)
-	}
-}
--- a/internal/gateway/submission/ending.go
+++ b/internal/gateway/submission/ending.go
@@ -12,6 +12,7 @@
 	reasonIsolated    = "this entry reaches no other one"
 	reasonResultsLost = "the entry that places its tasks cannot be reached"
 	reasonCancelled   = "a client has cancelled it"
+	reasonStopping    = "the entry that waits for it stops"
 )
 
 // refusal returns the result for a job that no holder has accepted.
--- a/internal/gateway/submission/options.go
+++ b/internal/gateway/submission/options.go
@@ -17,7 +17,7 @@
 	Local   bool   // the holder is this entry
 }
 
-// Options configures a Tracker. Place, Await and Withdraw may block for as long
+// Options configures a Tracker. Place, Await, Withdraw and Refuse may block for as long
 // as a call to another entry takes. The others must return at once, since
 // most are called with the tracker's lock held.
 type Options struct {
@@ -42,6 +42,9 @@
 	// Withdraw asks a holder to cancel a job whose clients have left. After an error the holder may
 	// not have got the request.
 	Withdraw func(ctx context.Context, to GroupHolder, b *batch.Batch) error
+	// Refuse asks a holder to refuse a job, and reports whether nothing of it has run and nothing will. Nil means that
+	// holders refuse none.
+	Refuse func(ctx context.Context, to GroupHolder, b *batch.Batch) (bool, error)
 	// OnEnd receives the result of each job and the number of Place calls for it.
 	OnEnd func(b *batch.Batch, r batch.Result, tries int)
 	// Isolated reports whether this entry is cut off from the entries that could serve its
--- a/internal/gateway/submission/submission.go
+++ b/internal/gateway/submission/submission.go
@@ -59,6 +59,7 @@
 	jobs     map[string]*pendingJob
 	sweptAt  time.Time // when Sweep ran last
 	resuming bool      // nothing is sent until the next call of Sweep, since the last one followed a stall
+	stopping bool      // the entry stops, see Stop
 }
 
 // New returns a Tracker without jobs. Run must be called to place jobs again and
@@ -73,6 +74,9 @@
 	if options.Detour == nil {
 		options.Detour = func(string, int) string { return "" }
 	}
+	if options.Refuse == nil {
+		options.Refuse = func(context.Context, GroupHolder, *batch.Batch) (bool, error) { return false, nil }
+	}
 	if options.ResultsLost == nil {
 		options.ResultsLost = func() bool { return false }
 	}
@@ -145,7 +149,7 @@
 // for the answer only if that holder is this entry. After a stall it leaves the job to Sweep.
 func (t *Tracker) place(ctx context.Context, job *pendingJob) {
 	t.mu.Lock()
-	if t.resuming || t.stalled(time.Now()) {
+	if t.refuseIfUnsent(job) || t.resuming || t.stalled(time.Now()) {
 		t.mu.Unlock()
 		return
 	}
--- a/internal/placement/holder/holder.go
+++ b/internal/placement/holder/holder.go
@@ -327,6 +327,12 @@
 	h.update(func(p *plan.Plan, now time.Time) { p.Withdraw(id, attempt, now) })
 }
 
+// Refuse refuses a job whose entry stops, see plan.Refuse.
+func (h *Holder) Refuse(id string, attempt uint64) (refused bool) {
+	h.update(func(p *plan.Plan, now time.Time) { refused = p.Refuse(id, attempt, now) })
+	return refused
+}
+
 // Cancel cancels a job and reports whether it was known. One that is not known may come yet while certain
 // is false.
 func (h *Holder) Cancel(id string) (known, certain bool) {
--- a/peer/jobs.go
+++ b/peer/jobs.go
@@ -26,6 +26,7 @@
 	OnResults  func(results []batch.Result)
 	OnWithdraw func(group, id string, attempt uint64)
 	OnCancel   func(group, id string) (known, certain bool)
+	OnRefuse   func(group, id string, attempt uint64) (refused bool)
 }
 
 // Place accepts a job for a group of workers.
@@ -54,7 +55,7 @@
 	return &wire.SettleReply{}, nil
 }
 
-// Withdraw cancels a job whose client has left, or that a client has cancelled.
+// Withdraw cancels a job whose client has left, or that a client has cancelled, or refuses one whose entry stops.
 func (h JobHandlers) Withdraw(_ context.Context, r *wire.WithdrawRequest) (*wire.WithdrawReply, error) {
 	if r.Cancel {
 		known, certain := h.OnCancel(r.Group, r.Id)
@@ -63,6 +64,9 @@
 		}
 		return &wire.WithdrawReply{Known: known}, nil
 	}
+	if r.Refuse {
+		return &wire.WithdrawReply{Refused: h.OnRefuse(r.Group, r.Id, r.Attempt)}, nil
+	}
 	h.OnWithdraw(r.Group, r.Id, r.Attempt)
 	return &wire.WithdrawReply{}, nil
 }
@@ -162,6 +166,16 @@
 	return err
 }
 
+// Refuse asks the holder of a group to refuse a job, and reports whether nothing of it has run and nothing will.
+// A holder of an earlier build withdraws the job and reports false.
+func (c *Client) Refuse(ctx context.Context, address, group, id string, attempt uint64) (bool, error) {
+	reply, err := c.peer(address).Withdraw(ctx, &wire.WithdrawRequest{Group: group, Id: id, Attempt: attempt, Refuse: true})
+	if err != nil {
+		return false, err
+	}
+	return reply.Refused, nil
+}
+
 // Cancel asks the holder of a group to cancel a job, and reports whether the holder knows it.
 func (c *Client) Cancel(ctx context.Context, address, group, id string) (bool, error) {
 	reply, err := c.peer(address).Withdraw(ctx, &wire.WithdrawRequest{Group: group, Id: id, Cancel: true})
