--- a/internal/gateway/node/node.go
+++ b/internal/gateway/node/node.go
@@ -63,6 +63,8 @@
 	outbox      *outbox
 
 	draining       atomic.Bool
+	answering      context.Context // ends shortly before the end of a drain, when all clients must get their answers
+	endAnswers     context.CancelFunc
 	isolation      isolation.Detector
 	silence        silence.Monitor
 	pauseDetector  pauseDetector
@@ -120,6 +122,7 @@
 	}
 	n.freeSlots.excluded = n.inEvacuatedZone
 	n.ctx, n.cancel = context.WithCancel(context.Background())
+	n.answering, n.endAnswers = context.WithCancel(n.ctx)
 	if err := n.listen(options); err != nil {
 		return nil, err
 	}
@@ -139,7 +142,7 @@
 	n.instruments = newInstruments(n, options.DroppedLogLines)
 	n.outbox = newOutbox(n)
 	n.tracker = submission.New(submission.Options{
-		Self: s.VM, GroupOf: n.groupOfJob, FindHolder: n.currentHolder, Detour: n.detour, Redirect: n.redirect, Place: n.placeAt, Await: n.awaitAt, Withdraw: n.withdrawAt,
+		Self: s.VM, GroupOf: n.groupOfJob, FindHolder: n.currentHolder, Detour: n.detour, Redirect: n.redirect, Place: n.placeAt, Await: n.awaitAt, Withdraw: n.withdrawAt, Refuse: n.refuseAt,
 		OnEnd: n.jobEnded, Log: n.log, Isolated: func() bool { return n.isolation.Isolated(time.Now()) }, ResultsLost: n.isolation.ResultsLost,
 	})
 	n.contacts.add(s.Seeds...)
