submission, plan: Keep jobs that move twice whole

A review of the evacuation found four faults of jobs that move between groups more than once, all by reading. A job of which nothing had started and that came back to a group, since its own zone had been taken back and the other evacuated, got that group's earlier move as its answer, and went to and fro until its client left. A late copy of an earlier move with completed tasks took the job from the group that ran it by then, as one that may start at once. A job that left a group with two holders was handed over in the same way, although the other holder may have had runs. And a group that knew the job already, from another entry or from before it left, ignored the names of its completed tasks and ran these again.

A job that returns is marked as one that the group has had (StartedHere), which plan answers by reopening it. A message with completed tasks counts once, as one without does. With two holders the job counts as possibly started. Admit marks completed tasks of known jobs as done.

Ruled out: reopening every moved job that comes again, since a delayed first message would start it beside the group that has it now; a new attempt number for a job that returns, since the request of another entry has one as well.

--- a/internal/gateway/submission/evacuated_test.go
+++ b/internal/gateway/submission/evacuated_test.go
@@ -108,3 +108,58 @@
 		}
 	})
 }
+
+// TestSecondMoveFindsTheJobAgain guards against three faults of jobs that move twice between evacuated zones: a
+// holder that answers a job that returns with its earlier move, so that the job goes to and fro until its
+// client leaves; a late copy of an earlier move that takes a job from the group that runs it now; and a
+// job that starts anew at once although another holder of the group that it leaves may run it.
+func TestSecondMoveFindsTheJobAgain(t *testing.T) {
+	type call struct {
+		group                     string
+		maybeStarted, startedHere bool
+	}
+	thirdHolder := GroupHolder{Group: "c", Epoch: 1, ID: "g1", Local: true}
+	moved := func(group string, completed ...string) batch.Result {
+		return batch.Result{ID: "j", State: batch.Moved, TargetGroup: group, Attempt: currentRequest, Started: len(completed) > 0, CompletedTasks: completed}
+	}
+	tests := []struct {
+		name  string
+		steps func(f *fixture)
+		want  []call
+	}{
+		{"nothing has started and it returns", func(f *fixture) {
+			f.DeliverResults([]batch.Result{moved("b")})
+			f.applyResults([]batch.Result{moved("a")}, &otherZoneHolder)
+		}, []call{{"a", false, false}, {"b", false, false}, {"a", false, true}}},
+		{"tasks have completed and the first move comes again", func(f *fixture) {
+			f.DeliverResults([]batch.Result{moved("b", "j.0.0.0")})
+			f.DeliverResults([]batch.Result{moved("c", "j.0.0.0")})
+			f.DeliverResults([]batch.Result{moved("b", "j.0.0.0")})
+		}, []call{{"a", false, false}, {"b", false, true}, {"c", false, true}}},
+		{"two holders of its group", func(f *fixture) {
+			f.jobs["j"].multipleHolders = true
+			f.DeliverResults([]batch.Result{moved("b", "j.0.0.0")})
+		}, []call{{"a", false, false}, {"b", true, true}}},
+	}
+	for _, c := range tests {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFixture(firstHolder, otherZoneHolder, thirdHolder)
+				var got []call
+				f.options.Place = func(_ context.Context, to GroupHolder, b *batch.Batch, _ []string) (bool, error) {
+					got = append(got, call{to.Group, b.MaybeStarted, b.StartedHere})
+					return true, nil
+				}
+				done := make(chan batch.Result, 1)
+				go func() { done <- f.Submit(t.Context(), newJob(10*time.Second)) }()
+				synctest.Wait()
+				c.steps(f)
+				f.DeliverResults([]batch.Result{currentResult(batch.Completed)})
+				<-done
+				if !slices.Equal(got, c.want) {
+					t.Errorf("calls of Place %+v, want %+v", got, c.want)
+				}
+			})
+		})
+	}
+}
--- a/internal/gateway/submission/submission.go
+++ b/internal/gateway/submission/submission.go
@@ -247,20 +247,24 @@
 		case r.Attempt != job.batch.Attempt && r.State != batch.Completed:
 			// Answers an earlier request, which has already been answered. Completion
 			// counts for any request.
-		case r.Started && r.TargetGroup == job.group:
-			// Duplicate of the message that rerouted the job.
+		case r.Started && (r.TargetGroup == job.group || len(r.CompletedTasks) > 0 && job.hasTaken(r.TargetGroup, from)):
+			// Duplicate of a message that rerouted the job.
 		case r.Started:
 			job.completedTasks = append(job.completedTasks, r.CompletedTasks...)
+			// A holder that names completed tasks has started the job itself, and none of its runs is left. Another
+			// holder of its group may have runs.
+			maybeAccepted := len(r.CompletedTasks) == 0 || job.multipleHolders
 			job.reroute(r.TargetGroup, true)
-			// A holder that names completed tasks has started the job itself, and none of its runs is left.
-			job.maybeAccepted = len(r.CompletedTasks) == 0
+			job.maybeAccepted = maybeAccepted
 			rerouted = append(rerouted, job)
 		case job.multipleHolders && (r.State == batch.Refused || r.TargetGroup != ""):
 			// May come from an earlier holder while a later one has started the job.
 		case r.TargetGroup != "" && job.hasTaken(r.TargetGroup, from):
 			// Duplicate of a message that rerouted the job.
 		case r.TargetGroup != "":
-			job.reroute(r.TargetGroup, false)
+			// A group to which the job returns would otherwise answer with its earlier move.
+			job.reroute(r.TargetGroup, slices.Contains(job.leftGroups, r.TargetGroup))
+			job.maybeAccepted = false
 			rerouted = append(rerouted, job)
 		case r.State == batch.Moved:
 			job.accepted = false
@@ -275,8 +279,8 @@
 	}
 }
 
-// reroute assigns a job, of which nothing has started in its present group, to another group. started
-// says that the other group has started it.
+// reroute assigns a job, of which nothing runs in its present group, to another group. started
+// says that the other group has started it, or has had it before.
 func (j *pendingJob) reroute(group string, started bool) {
 	b := *j.batch
 	b.SpilledOver, b.StartedHere = group != j.homeGroup, started
--- a/internal/placement/plan/evacuate_test.go
+++ b/internal/placement/plan/evacuate_test.go
@@ -239,3 +239,35 @@
 		}
 	}
 }
+
+// TestCompletedTasksCountInAKnownJob guards against second runs of tasks that have completed in another group,
+// when the group to which their job moves knows the job: from another entry, or from before the job left.
+func TestCompletedTasksCountInAKnownJob(t *testing.T) {
+	tests := []struct {
+		name  string
+		moved bool // the job has left the group before
+	}{{"another entry has sent it", false}, {"it comes back", true}}
+	for _, c := range tests {
+		t.Run(c.name, func(t *testing.T) {
+			zones := map[string]bool{"a": c.moved}
+			p := New(Options{Zone: "a", EvacuationTarget: func(string) string { return "b/0" }}, start)
+			p.AddWorker(testWorker("w1", 2), start)
+			p.HandleReport(Report{Worker: "w1", Sent: start, Fenced: true}, start)
+			p.Tick(after(1200))
+			p.SetEvacuations(Evacuations{Zones: zones})
+			p.SetTakeoverSuspected(!c.moved) // the job waits
+			p.Admit(testJob(evacuatedJob, 2, after(1500)), nil, after(1500))
+			p.SetEvacuations(Evacuations{})
+			p.SetTakeoverSuspected(false)
+			p.Orders()
+			b := testJob(evacuatedJob, 2, after(1500))
+			b.StartedHere = true
+			p.Admit(b, []string{evacuatedJob + ".0.0.0"}, after(1510))
+			p.Tick(after(1525))
+			begun := starts(p)
+			if len(begun) != 1 || begun[0].Task != evacuatedJob+".0.0.1" {
+				t.Fatalf("starts %+v, want one of the second task", begun)
+			}
+		})
+	}
+}
--- a/internal/placement/plan/job.go
+++ b/internal/placement/plan/job.go
@@ -80,8 +80,10 @@
 			return
 		}
 		p.reopen(j, j.withOwnWork(b))
+		p.noteCompleted(j, completed)
 	default:
 		j.Batch = j.withOwnWork(b)
+		p.noteCompleted(j, completed)
 	}
 	j.noteAsked(p.askedAt(b))
 	j.addLosses(b.Losses)
@@ -159,6 +161,22 @@
 	return j
 }
 
+// noteCompleted marks tasks of a known job as done that have succeeded under another holder. The caller
+// delivers the result if none is left.
+func (p *Plan) noteCompleted(j *job, completed []string) {
+	for _, t := range j.tasks {
+		if t.done || !slices.Contains(completed, t.name) {
+			continue
+		}
+		if t.activeRun != nil {
+			p.stopRun(t.activeRun, "another run of its task has succeeded")
+		}
+		t.done, j.started = true, true
+		j.unfinished--
+		j.removePending(t)
+	}
+}
+
 // setObjective computes when a job should be completed, and its latest start, from its base times.
 func (p *Plan) setObjective(j *job) {
 	// Factors of workers and base times of queues are learned together, so both may drift
