--- a/internal/gateway/node/evacuation_test.go
+++ b/internal/gateway/node/evacuation_test.go
@@ -56,7 +56,7 @@
 }
 
 // TestJobsGoToOneOtherZone guards against a job that runs in two zones since the entries of an evacuated zone
-// choose different ones, and against jobs of all clients in the same zone.
+// choose different ones, jobs of all clients in the same zone, and jobs that wait for zones that are cut off.
 func TestJobsGoToOneOtherZone(t *testing.T) {
 	first, second := newLargeNode(t, 9), newLargeNode(t, 9)
 	for _, n := range []*Node{first, second} {
@@ -80,6 +80,14 @@
 	if len(count) != 2 || count["b/0"] < 100 || count["c/0"] < 100 {
 		t.Errorf("jobs by group: %v", count)
 	}
+	first.silence.Begin("e1", time.Now().Add(-time.Second))
+	if group, other := first.redirect("0000000000000001", "a/0"), second.redirect("0000000000000001", "a/0"); group != other {
+		t.Errorf("an entry that does not hear one holder chooses %s, another one %s", group, other)
+	}
+	first.silence.Begin("e2", time.Now().Add(-time.Second))
+	if group := first.redirect("0000000000000001", "a/0"); group != "" {
+		t.Errorf("a job goes to %s, whose holder does not answer, want a refusal", group)
+	}
 }
 
 // TestEvacuationOfAZone evacuates the zone of an entry, then all zones, and takes them back. It guards against
--- a/internal/placement/plan/evacuate_test.go
+++ b/internal/placement/plan/evacuate_test.go
@@ -162,6 +162,7 @@
 	}{
 		{"nothing has started", "b/0", nil, 4000, batch.Moved, false, 0},
 		{"it has moved before", "b/0", func(_ *Plan, b *batch.Batch) { b.SpilledOver = true }, 4000, batch.Moved, false, 0},
+		{"it is too large for the workers of the zone", "b/0", func(_ *Plan, b *batch.Batch) { b.Steps[0].Resources.MilliCores = 900_000 }, 4000, batch.Moved, false, 0},
 		{"no zone is left", "", nil, 4000, batch.Refused, false, 0},
 		{"an earlier holder may have started it", "b/0", func(_ *Plan, b *batch.Batch) { b.MaybeStarted = true }, 4000, "", false, 0},
 		{"a worker may run it", "b/0", func(p *Plan, _ *batch.Batch) {
