coldstart, plan: Give cold workers what they can do at present

Registrations state for how long a worker stays slow (cold-left-ms), which was not read: a worker that had just started got as many tasks as a warm one, and its late runs counted as slow for the worker and its kind long after it was warm.

The registry turns the time left into a time by its own clock. Package coldstart says how much slower the worker is (1.5 times until runs of its service on cold workers have taught it, fading out evenly) and which share of its capacity may be in use (a quarter, rising to all of it; one task always). eligibility has the verdict cold. Expected run times, capacity and free slots follow, and runs sent to cold workers teach nothing about the warm ones and eject none for being slow.

Ruled out: learning the factor with the worker's speed, which decays only over 20 s and raises that of its kind; a cold time that counts anew with each record, under which a worker that repeats its first value stays cold for good.

--- a/internal/placement/eligibility/verdict.go
+++ b/internal/placement/eligibility/verdict.go
@@ -21,6 +21,8 @@
 	Unregistered       bool // it has started again and not registered since
 	RunsUnknown        bool // the resources that its runs use are not known
 	Ejected            bool
+	ColdShare          float64 // share of its capacity that may be in use while it is cold; 0 if it is warm
+	UsedShare          float64 // share of its capacity that would be in use with one more task; 0 if it has none
 }
 
 // Verdict says whether a worker may get a task, and otherwise why not. The words are labels of a metric
@@ -39,6 +41,7 @@
 	Unregistered Verdict = "unregistered"
 	Unlisted     Verdict = "unlisted" // it may have runs whose resources are not known
 	Ejected      Verdict = "ejected"
+	Cold         Verdict = "cold" // and as much of its capacity is in use as may be
 )
 
 // Judge returns the verdict on a worker. If several reasons keep it from getting a task, the operators'
@@ -63,6 +66,8 @@
 		return Unlisted
 	case w.Ejected:
 		return Ejected
+	case w.ColdShare > 0 && w.UsedShare > w.ColdShare:
+		return Cold
 	}
 	return Eligible
 }
--- a/internal/placement/holder/holder.go
+++ b/internal/placement/holder/holder.go
@@ -237,7 +237,7 @@
 }
 
 func planWorker(r platform.Registration) plan.Worker {
-	w := plan.Worker{ID: r.ID, Service: r.Service, Zone: r.Zone, Labels: r.Labels, Capacity: r.Capacity, Draining: r.Draining}
+	w := plan.Worker{ID: r.ID, Service: r.Service, Zone: r.Zone, Labels: r.Labels, Capacity: r.Capacity, Draining: r.Draining, ColdUntil: r.ColdUntil}
 	if len(r.Labels) > 0 {
 		w.Kind = r.Labels[0] // labels list the kind first, then the rack
 	}
--- a/internal/placement/plan/choose.go
+++ b/internal/placement/plan/choose.go
@@ -12,7 +12,7 @@
 	if t == nil {
 		return defaultLease
 	}
-	return time.Duration(float64(t.job.baseTimes[t.step]) * w.factor)
+	return time.Duration(float64(t.job.baseTimes[t.step]) * w.factor * p.coldFactor(w))
 }
 
 // shortestTime returns the expected run time of a task on the fastest worker of its service,
@@ -28,8 +28,9 @@
 	count := map[string]float64{}
 	for _, w := range p.workerList {
 		w.factor = p.estimator.SlowdownFactor(w.ID, w.Kind)
-		if least, known := p.minFactor[w.Service]; !known || w.factor < least {
-			p.minFactor[w.Service] = w.factor
+		present := w.factor * p.coldFactor(w)
+		if least, known := p.minFactor[w.Service]; !known || present < least {
+			p.minFactor[w.Service] = present
 		}
 		count[w.Service]++
 		p.meanFactor[w.Service] += (p.estimator.KindFactor(w.Kind) - p.meanFactor[w.Service]) / count[w.Service]
@@ -82,7 +83,7 @@
 // within the step's limit of tasks per worker. Workers that are not eligible or to be avoided
 // cannot run it, nor those whose lease does not fit its job.
 func (p *Plan) canRun(t *task, step batch.Step, w *worker) bool {
-	if w.Service != t.job.Service || t.avoidedWorkers[w.ID] || !step.Resources.FitsIn(w.free()) || !p.isEligible(w) || t.mayEndanger(w, p.now) {
+	if w.Service != t.job.Service || t.avoidedWorkers[w.ID] || !step.Resources.FitsIn(w.free()) || !p.mayGet(w, step.Resources) || t.mayEndanger(w, p.now) {
 		return false
 	}
 	if step.RequiredLabel != "" && !slices.Contains(w.Labels, step.RequiredLabel) {
--- a/internal/placement/plan/evacuate.go
+++ b/internal/placement/plan/evacuate.go
@@ -1,8 +1,10 @@
 package plan
 
 import (
+	"github.com/radishgate/radishgate/internal/placement/coldstart"
 	"github.com/radishgate/radishgate/internal/placement/eligibility"
 	"github.com/radishgate/radishgate/internal/work/batch"
+	"github.com/radishgate/radishgate/internal/work/resources"
 )
 
 // Evacuations are the availability zones whose workers must get no tasks. The zero value says that
@@ -18,13 +20,27 @@
 // evacuated reports whether the zone of the group is evacuated.
 func (p *Plan) evacuated() bool { return p.evacuations.Zones[p.options.Zone] }
 
-// verdict returns whether a worker may get a task now, and otherwise why not.
-func (p *Plan) verdict(w *worker) eligibility.Verdict {
+// smallestTask stands for a task whose resources are not known.
+var smallestTask = resources.Resources{MilliCores: 1}
+
+// verdict returns whether a worker may get any task now, and otherwise why not.
+func (p *Plan) verdict(w *worker) eligibility.Verdict { return p.verdictOn(w, smallestTask) }
+
+// mayGet reports whether a worker may get a task of the given size now.
+func (p *Plan) mayGet(w *worker, task resources.Resources) bool {
+	return p.verdictOn(w, task) == eligibility.Eligible
+}
+
+// verdictOn returns whether a worker may get a task of the given size now, and otherwise why not.
+func (p *Plan) verdictOn(w *worker, task resources.Resources) eligibility.Verdict {
 	facts := p.lastingFacts(w)
 	facts.State, facts.Refusing, facts.EvacuationsUnknown = w.state, w.refusing, p.evacuations.Unknown
 	if verdict := eligibility.Judge(facts); verdict != eligibility.Eligible {
 		return verdict // what follows costs more to find out
 	}
+	if w.cold.Left(p.now) > 0 {
+		facts.ColdShare, facts.UsedShare = w.cold.Share(p.now), coldstart.UsedShare(w.used, task, w.Capacity)
+	}
 	facts.RunsUnknown, facts.Ejected = w.hasUnknownRuns(), p.outliers.IsEjected(w.ID)
 	return eligibility.Judge(facts)
 }
--- a/internal/placement/plan/job.go
+++ b/internal/placement/plan/job.go
@@ -213,6 +213,7 @@
 func (p *Plan) attachRun(r *run, t *task) {
 	p.dropUnaccounted(r)
 	r.worker.used = r.worker.used.Sub(r.resources)
+	r.cold = r.worker.cold
 	r.task, r.phase, r.resources = t, running, t.job.Steps[t.step].Resources
 	r.worker.used = r.worker.used.Add(r.resources)
 	r.sentAt, r.expectedEnd = time.Time{}, r.startedAt.Add(p.expectedTime(t, r.worker))
--- a/internal/placement/plan/place.go
+++ b/internal/placement/plan/place.go
@@ -246,7 +246,7 @@
 func (p *Plan) startRun(t *task, w *worker) {
 	t.lastRunNumber++
 	r := &run{
-		runKey: runKey{t.name, t.lastRunNumber}, worker: w, task: t, phase: starting,
+		runKey: runKey{t.name, t.lastRunNumber}, worker: w, task: t, phase: starting, cold: w.cold,
 		resources: t.job.Steps[t.step].Resources, sentAt: p.now, lateStartEnd: p.leaseEnd(p.now.Add(maxOrderDelay)),
 	}
 	t.activeRun = r
--- a/internal/placement/plan/plan.go
+++ b/internal/placement/plan/plan.go
@@ -5,6 +5,7 @@
 import (
 	"time"
 
+	"github.com/radishgate/radishgate/internal/placement/coldstart"
 	"github.com/radishgate/radishgate/internal/placement/runtimes"
 	"github.com/radishgate/radishgate/internal/placement/spillover"
 	"github.com/radishgate/radishgate/internal/work/batch"
@@ -21,6 +22,8 @@
 	Labels   []string
 	Capacity resources.Resources
 	Draining bool
+	// ColdUntil is when a cold worker is warm, see package coldstart. It has passed or is zero for a warm one.
+	ColdUntil time.Time
 	// Unregistered says that it has started again and not registered since. It may be of another
 	// kind, with another capacity, so it gets no work until registrationWait has passed.
 	Unregistered bool
@@ -140,6 +143,7 @@
 	conflictEnd    time.Time // until when another holder that was seen at a worker may be taking over others
 	otherFreeSlots spillover.Slots
 	evacuations    Evacuations
+	coldFactors    coldstart.Factors
 	arrivals       map[string]*arrivalRate // by service
 	formerRoom     map[string]formerRoom   // by service
 	nextReturn     map[string]time.Time    // when the next refused client may send again, by service
--- a/internal/placement/plan/refuse.go
+++ b/internal/placement/plan/refuse.go
@@ -106,7 +106,7 @@
 		if w.Service != service || !p.isEligibleSoon(w) {
 			continue
 		}
-		capacity += float64(w.Capacity.MilliCores) * packingShare
+		capacity += float64(w.Capacity.MilliCores) * packingShare * w.cold.Share(p.now)
 		for _, r := range w.runs {
 			if left := r.expectedEnd.Sub(p.now); left > 0 {
 				load += float64(r.resources.MilliCores) * left.Seconds()
--- a/internal/placement/plan/report.go
+++ b/internal/placement/plan/report.go
@@ -218,6 +218,10 @@
 	if expected := r.expectedEnd.Sub(r.startedAt); expected > 0 {
 		t.runtimeRatio = float64(p.now.Sub(r.startedAt)) / float64(expected)
 	}
+	if r.wasCold() {
+		p.learnFromCold(r)
+		return
+	}
 	p.learnFromTrial(r)
 	s := t.job.Steps[t.step]
 	p.estimator.Observe(t.job.Queue, r.worker.ID, r.worker.Kind, s.Hint, t.job.baseTimes[t.step], p.now.Sub(r.sentAt))
--- a/internal/placement/plan/restart.go
+++ b/internal/placement/plan/restart.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/radishgate/radishgate/internal/placement/coldstart"
 )
 
 // RetireWorker removes a worker of which no more is known than that it is not registered and
@@ -33,7 +35,7 @@
 func (p *Plan) RestartWorker(registration Worker, now time.Time) {
 	p.RequireFence(registration.ID, now)
 	if w, known := p.workers[registration.ID]; known {
-		w.leaseUnknown = true
+		w.leaseUnknown, w.cold = true, coldstart.Span{}
 		w.suspectCrash()
 	}
 	p.estimator.Forget(registration.ID)
--- a/internal/placement/plan/spillover.go
+++ b/internal/placement/plan/spillover.go
@@ -29,7 +29,9 @@
 	for _, w := range p.workers {
 		// A worker that has shrunk may lack resources that its runs use.
 		if free := w.free(); p.isEligible(w) && (resources.Resources{}).FitsIn(free) {
-			slots += int(float64(free.MilliCores) / p.meanTaskSize)
+			// A cold worker may not use all of its capacity.
+			free.MilliCores -= int64((1 - w.cold.Share(p.now)) * float64(w.Capacity.MilliCores))
+			slots += max(0, int(float64(free.MilliCores)/p.meanTaskSize))
 		}
 	}
 	for _, j := range p.waiting {
--- a/internal/placement/plan/straggler.go
+++ b/internal/placement/plan/straggler.go
@@ -69,7 +69,7 @@
 // straggler there. Run times of completed tasks alone would show that only after several tasks
 // have come too late.
 func (p *Plan) learnFromProgress(r *run, ratio float64) {
-	if r.learned {
+	if r.learned || r.wasCold() {
 		return
 	}
 	r.learned = true
--- a/internal/placement/plan/worker.go
+++ b/internal/placement/plan/worker.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/radishgate/radishgate/internal/placement/coldstart"
 	"github.com/radishgate/radishgate/internal/placement/eligibility"
 	"github.com/radishgate/radishgate/internal/work/resources"
 )
@@ -42,10 +43,11 @@
 	task        *task // nil while unaccounted
 	phase       phase
 	resources   resources.Resources
-	sentAt      time.Time // when the start was sent, or when a run not started here was first listed; zero once such a run is adopted
-	startedAt   time.Time // when it was first known to run
-	expectedEnd time.Time // when it should end
-	stopSentAt  time.Time // when the last stop was sent
+	sentAt      time.Time      // when the start was sent, or when a run not started here was first listed; zero once such a run is adopted
+	cold        coldstart.Span // of its worker when it was sent
+	startedAt   time.Time      // when it was first known to run
+	expectedEnd time.Time      // when it should end
+	stopSentAt  time.Time      // when the last stop was sent
 	// lateStartEnd is the time by which a copy of its start without an answer has been executed, if
 	// ever, and the lease that it carried has expired. It is zero if there is no such copy.
 	lateStartEnd time.Time
@@ -62,7 +64,8 @@
 	Worker
 	state             workerState
 	used              resources.Resources // by runs, including those that are being stopped
-	factor            float64             // learned slowdown factor: run time of a task here as a multiple of its base time
+	cold              coldstart.Span
+	factor            float64 // learned slowdown factor: run time of a task here as a multiple of its base time
 	runs              map[runKey]*run
 	addedAt           time.Time
 	renewedAt         time.Time // when the last renewal that may have reached it was sent
@@ -99,7 +102,7 @@
 		p.noteFormerRoom(w)
 	}
 	changed := w.Worker.Draining != registration.Draining || w.Worker.Unregistered != registration.Unregistered || w.Worker.Capacity != registration.Capacity || !known
-	w.Worker = registration
+	w.Worker, w.cold = registration, w.cold.Renew(registration.ColdUntil, now)
 	if !known {
 		p.updateEjectionLimit()
 		p.rebuildWorkerList()
@@ -345,7 +348,9 @@
 		}
 	}
 	t.stalls++
-	p.outliers.Observe(r.worker.ID, false)
+	if !r.wasCold() {
+		p.outliers.Observe(r.worker.ID, false)
+	}
 	p.stopRun(r, "no progress")
 }
 
--- a/internal/worker/registry/registry.go
+++ b/internal/worker/registry/registry.go
@@ -157,6 +157,7 @@
 		return r.reportMalformed(record.Key, err)
 	}
 	delete(r.malformed, record.Key)
+	registration.ColdUntil = coldUntil(registration, w, now)
 	if !known {
 		r.workers[record.Key] = &registeredWorker{Registration: registration, offset: record.Offset}
 		r.fingerprint += xxhash.Sum64String(record.Key)
@@ -192,6 +193,19 @@
 	return Change{}
 }
 
+// coldUntil returns when a worker is warm by its registration, or the zero time if it is warm. old is what is known of
+// the worker, or nil. A record that states the same time left as before is the same one or a copy, so it begins
+// no new time.
+func coldUntil(registration platform.Registration, old *registeredWorker, now time.Time) time.Time {
+	switch {
+	case registration.ColdLeftMilli == 0:
+		return time.Time{}
+	case old != nil && old.StartUnixMilli == registration.StartUnixMilli && old.ColdLeftMilli == registration.ColdLeftMilli:
+		return old.ColdUntil
+	}
+	return now.Add(time.Duration(registration.ColdLeftMilli) * time.Millisecond)
+}
+
 // Clear removes all workers, once registrations are no longer read.
 func (r *Registry) Clear() {
 	r.mu.Lock()
