cancellation: Keep cancels and pass them to all entries

Cause: a cancel ended only what one process knew at that moment. The request of a cancelled job came again and its tasks started; a new holder stopped the runs of a cancelled job, kept no record and took the job as new when its entry handed it over; a frozen entry handed a cancelled job over again.

Change: a cancel is a record, kept for [cancels] keep (30 s) or as long as the client waits, in one bounded table of each entry (package work/cancels). The tracker and the plan ask it: such a job starts nothing, its runs are stopped, and it ends as cancelled. Holders keep the record whether or not they know the job. Heartbeats and their answers bring the records that a receiver has not confirmed, at most 128 (package gateway/cancellation). A cancel is answered with 200 or 410 only if another process keeps it or no other one runs, with 410 only if all groups have answered and all entries are heard, and with 503 otherwise, after 2 s at most. A holder that cannot exclude that the job exists answers "known": the record makes the cancel hold, and the wire has no further field for it. An entry that holds no group is asked with an empty group, if no other entry holds one. Beside earlier builds only, a cancel is answered as before.

Ruled out: records in the store (1,200 writing calls a second for all), a broadcast to all entries (a frozen one would have to be asked by a process that may be lost), and heartbeats without calls to the holders (only the answering process would keep the record when it answers).

--- a/internal/gateway/node/cancel.go
+++ b/internal/gateway/node/cancel.go
@@ -5,14 +5,12 @@
 	"sync"
 	"time"
 
-	"github.com/radishgate/radishgate/common/wait"
+	"github.com/radishgate/radishgate/internal/gateway/cancellation"
 	"github.com/radishgate/radishgate/internal/work/batch"
-)
-
-// Times of a cancel. A group that is being taken over answers within about a second.
-const (
-	cancelTimeout    = 2 * time.Second
-	cancelRetryDelay = 100 * time.Millisecond // between two attempts to reach the holder of a group
+	"github.com/radishgate/radishgate/internal/work/cancels"
+	"github.com/radishgate/radishgate/member"
+	"github.com/radishgate/radishgate/peer"
+	"github.com/radishgate/radishgate/peer/wire"
 )
 
 // NoHolderError reports a group without a holder that knows which jobs it has.
@@ -32,87 +30,151 @@
 // Unwrap returns the cause.
 func (e *NoHolderError) Unwrap() error { return e.Cause }
 
-// cancelJob cancels a job and reports whether it is known. A client may cancel it through any entry, while
-// another one waits for it, so the holders of all groups are asked. An error says that one of them did not
-// answer, and that none of the others knows the job.
-func (n *Node) cancelJob(ctx context.Context, _ batch.QueueSettings, id string) (bool, error) {
-	if n.tracker.Cancel(id) {
-		n.log.Info("job cancelled by a client", "job", id)
-		return true, nil
-	}
-	ctx, cancel := context.WithTimeout(ctx, cancelTimeout)
-	defer cancel()
-	var calls sync.WaitGroup
-	var mu sync.Mutex
-	var failure error
-	known := false
+// unheardTime is how long an entry that is not heard counts as one that may still have clients. Entries freeze for
+// seconds; those that are cut off for longer hold up a cancel by their groups as well.
+const unheardTime = 30 * time.Second
+
+// maxAsked is how many entries that hold no group are asked to keep a cancel.
+const maxAsked = 2
+
+// newCancels returns the exchange of cancels of this entry.
+func (n *Node) newCancels() *cancellation.Exchange {
+	var groups []string
 	for _, zone := range n.settings.Zones {
 		for i := range n.settings.Groups {
-			group := groupName(zone, i)
-			calls.Go(func() {
-				knows, err := n.cancelInGroup(ctx, group, id)
-				mu.Lock()
-				defer mu.Unlock()
-				if known = known || knows; known {
-					cancel() // the others need not be waited for
-				}
-				if err != nil {
-					failure = err
-				}
-			})
+			groups = append(groups, groupName(zone, i))
 		}
 	}
-	calls.Wait()
-	if known {
+	return cancellation.New(cancellation.Options{
+		Table:  cancels.New(cancels.Options{Keep: n.settings.CancelKeep, Most: n.settings.CancelLimit}),
+		Groups: groups, End: n.endCancelled, AskHolder: n.askHolder, AskOthers: n.askOthers,
+		WaitingJob: func(id string) (string, time.Time, bool) { return n.tracker.WaitingJob(id) },
+		Alone:      func() bool { return !n.hasPeers() && !n.othersMayRun() },
+		Unheard:    func() bool { return n.members.UnheardInAnyZone(time.Now().Add(-unheardTime)) },
+	})
+}
+
+// cancelJob cancels a job and reports whether it is known. A client may cancel it through any entry. An error says that
+// the cancel may not hold.
+func (n *Node) cancelJob(ctx context.Context, _ batch.QueueSettings, id string) (bool, error) {
+	known, err := n.cancels.Cancel(ctx, id)
+	switch {
+	case err != nil:
+		n.instruments.cancels.WithLabelValues("unavailable").Inc()
+		n.log.Warn("job not cancelled", "job", id, "error", err)
+	case known:
+		n.instruments.cancels.WithLabelValues("cancelled").Inc()
 		n.log.Info("job cancelled by a client", "job", id)
-		return true, nil
+	default:
+		n.instruments.cancels.WithLabelValues("gone").Inc()
 	}
-	if failure != nil {
-		n.log.Warn("job not cancelled", "job", id, "error", failure)
-	}
-	return false, failure
+	return known, err
 }
 
-// cancelInGroup asks the holder of a group to cancel a job, until one answers or the context ends.
-func (n *Node) cancelInGroup(ctx context.Context, group, id string) (known bool, err error) {
-	for {
-		known, err = n.cancelAt(ctx, group, id)
-		if err == nil || ctx.Err() != nil {
-			return known, err
-		}
-		wait.For(ctx, cancelRetryDelay)
+// endCancelled ends a job that a client has cancelled in this entry. The holders come first: the tracker withdraws the
+// job from them, and they do not know it afterwards.
+func (n *Node) endCancelled(id string) {
+	for _, h := range n.currentHolders() {
+		h.Cancel(id)
 	}
+	n.tracker.Cancel(id)
 }
 
-// cancelAt asks the present holder of a group to cancel a job.
-func (n *Node) cancelAt(ctx context.Context, group, id string) (bool, error) {
+// askHolder asks the present holder of a group to cancel a job and to keep the cancel for a time.
+func (n *Node) askHolder(ctx context.Context, group, id string, left time.Duration) (cancellation.Reply, error) {
 	holder, live := n.currentHolder(group)
 	if !live {
-		return false, &NoHolderError{Group: group}
+		return cancellation.Reply{}, &NoHolderError{Group: group}
 	}
 	if holder.Local {
-		known, certain := n.onCancel(group, id)
-		if !certain {
-			return false, &NoHolderError{Group: group}
+		known, held := n.cancelInHolder(group, id)
+		if !held {
+			return cancellation.Reply{}, &NoHolderError{Group: group}
 		}
-		return known, nil
+		return cancellation.Reply{Known: known}, nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, holderCallTimeout)
 	defer cancel()
 	n.instruments.countMessage("cancel")
-	known, err := n.client.Cancel(ctx, holder.Address, group, id)
+	reply, err := n.client.Cancel(ctx, holder.Address, group, id, left)
 	if err != nil {
-		return false, &NoHolderError{Group: group, Cause: err}
+		return cancellation.Reply{}, &NoHolderError{Group: group, Cause: err}
 	}
-	return known, nil
+	return cancellation.Reply{Known: reply.Known, Kept: reply.Kept, Earlier: !reply.Kept}, nil
 }
 
-// onCancel cancels a job if this entry holds the group. It reports whether the job is known, and whether that
-// is certain: it is not in an entry that does not hold the group or has just taken it.
-func (n *Node) onCancel(group, id string) (known, certain bool) {
+// cancelInHolder cancels a job in a group that this entry holds. It reports whether the job may be known, which a
+// holder that has just taken the group cannot exclude, and whether the entry holds the group.
+func (n *Node) cancelInHolder(group, id string) (known, held bool) {
 	h, held := n.holder(group)
 	if !held {
 		return false, false
 	}
-	return h.Cancel(id)
+	known, certain := h.Cancel(id)
+	return known || !certain, true
+}
+
+// askOthers asks some other entries to keep a cancel, unless another entry holds a group and is asked for that reason.
+func (n *Node) askOthers(ctx context.Context, id string, left time.Duration) []cancellation.Reply {
+	for _, group := range n.cancels.Groups {
+		if holder, live := n.currentHolder(group); live && !holder.Local {
+			return nil
+		}
+	}
+	var asked []member.Record
+	for _, r := range n.members.Live("") {
+		if r.ID != n.settings.VM && len(asked) < maxAsked {
+			asked = append(asked, r)
+		}
+	}
+	ctx, cancel := context.WithTimeout(ctx, holderCallTimeout)
+	defer cancel()
+	var calls sync.WaitGroup
+	var mu sync.Mutex
+	var replies []cancellation.Reply
+	for _, r := range asked {
+		calls.Go(func() {
+			n.instruments.countMessage("cancel")
+			reply, err := n.client.Cancel(ctx, r.PeerAddress, "", id, left)
+			if err == nil {
+				mu.Lock()
+				defer mu.Unlock()
+				replies = append(replies, cancellation.Reply{Known: reply.Known, Kept: reply.Kept, Earlier: !reply.Kept})
+			}
+		})
+	}
+	calls.Wait()
+	return replies
+}
+
+// onCancel records a cancel that another entry has received, and ends the job here. group is empty if that entry asks
+// this one not as a holder.
+func (n *Node) onCancel(group, id string, left time.Duration) peer.CancelReply {
+	waiting, kept := n.cancels.Receive(id, left, time.Now())
+	known, held := false, group == ""
+	if !held {
+		known, held = n.cancelInHolder(group, id)
+	}
+	return peer.CancelReply{Held: held, Known: known || waiting, Kept: kept}
+}
+
+// addCancels returns a heartbeat for a member: the given one, with the cancels that the member has not confirmed. The
+// caller calls confirm once the heartbeat has been answered.
+func (n *Node) addCancels(heartbeat *wire.Beat, to member.Record) (extended *wire.Beat, confirm func()) {
+	now := time.Now()
+	records, confirm := n.cancels.ForHeartbeat(cancellation.Receiver{ID: to.ID, Incarnation: to.Incarnation}, now)
+	if len(records) == 0 {
+		return heartbeat, confirm
+	}
+	return &wire.Beat{
+		Members: heartbeat.Members, Demands: heartbeat.Demands, Zones: heartbeat.Zones, Claims: heartbeat.Claims, Vacancies: heartbeat.Vacancies,
+		Started: heartbeat.Started, Evacuations: heartbeat.Evacuations, Cancels: peer.PackCancels(records, now),
+	}, confirm
+}
+
+// replyCancels adds cancels to the answer to a heartbeat of a member.
+func (n *Node) replyCancels(reply *wire.Beat, to *wire.Member) *wire.Beat {
+	now := time.Now()
+	reply.Cancels = peer.PackCancels(n.cancels.ForAnswer(cancellation.Receiver{ID: to.Id, Incarnation: to.Incarnation}, now), now)
+	return reply
 }
--- a/internal/gateway/node/heartbeats.go
+++ b/internal/gateway/node/heartbeats.go
@@ -163,9 +163,11 @@
 	heartbeat := n.newHeartbeat(records)
 	for _, target := range targets {
 		extended, confirm := n.addStarted(heartbeat, target)
+		extended, confirmCancels := n.addCancels(extended, target)
 		sends.Go(func() {
 			if n.sendHeartbeat(ctx, target.ID, target.PeerAddress, extended) {
 				confirm()
+				confirmCancels()
 			}
 		})
 	}
@@ -235,7 +237,7 @@
 	}
 	n.isolation.NoteHeard()
 	n.mergeHeartbeat(heartbeat)
-	return n.replyStarted(n.newHeartbeat(n.members.ReplyRecords()), heartbeat.Members[0])
+	return n.replyCancels(n.replyStarted(n.newHeartbeat(n.members.ReplyRecords()), heartbeat.Members[0]), heartbeat.Members[0])
 }
 
 // isFromOther reports whether a heartbeat, or the answer to one, is of another entry. Another
@@ -252,6 +254,7 @@
 		records = append(records, peer.UnpackMember(m))
 	}
 	n.freeSlots.merge(heartbeat.Vacancies)
+	n.cancels.Learn(peer.UnpackCancels(heartbeat.Cancels, time.Now()), time.Now())
 	for _, s := range heartbeat.Started {
 		n.remoteJobs.Note(s.Group, s.Jobs, time.Now())
 	}
--- a/internal/gateway/node/metrics.go
+++ b/internal/gateway/node/metrics.go
@@ -20,6 +20,7 @@
 	messages     *prometheus.CounterVec
 	orders       *prometheus.CounterVec
 	jobs         *prometheus.CounterVec
+	cancels      *prometheus.CounterVec
 	response     *prometheus.HistogramVec
 	dependencies *prometheus.GaugeVec
 
@@ -39,6 +40,7 @@
 		messages: counter("messages_total", "Messages to other entries, by kind.", "kind"),
 		orders:   counter("orders_total", "Orders to workers and ends that they list, by kind and answer.", "what"),
 		jobs:     counter("jobs_total", "Jobs of clients of this entry, by result.", "result"),
+		cancels:  counter("cancels_total", "Cancels of clients of this entry, by answer.", "answer"),
 		response: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name: name("response_seconds"), Help: "Arrival to result, by queue.", Buckets: responseBuckets,
 		}, []string{"queue"}),
@@ -50,12 +52,13 @@
 		return prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name(what), Help: help}, read)
 	}
 	m.registry.MustRegister(
-		m.messages, m.orders, m.jobs, m.response, m.dependencies,
+		m.messages, m.orders, m.jobs, m.cancels, m.response, m.dependencies,
 		gauge("log_lines_dropped", "Log lines beyond the bounds.", func() float64 { return float64(droppedLogLines()) }),
 		gauge("configuration_version", "Version in force.", func() float64 { return float64(n.routes.Version()) }),
 		gauge("tasks_waiting", "Tasks without a worker in the groups of this entry.", func() float64 { return float64(n.load().Waiting) }),
 		gauge("tasks_running", "Tasks on the workers of the groups of this entry.", func() float64 { return float64(n.load().Running) }),
 		gauge("workers_aside", "Workers of these groups that get no ordinary work.", func() float64 { return float64(n.load().Ejected) }),
+		gauge("cancels_kept", "Cancels of clients that this entry keeps, some of which may have expired.", func() float64 { return float64(n.cancels.Table.Len()) }),
 		gauge("jobs_waiting", "Jobs that clients wait for.", func() float64 { return float64(n.tracker.Len()) }),
 	)
 	return m
--- a/internal/gateway/node/node.go
+++ b/internal/gateway/node/node.go
@@ -14,6 +14,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/radishgate/radishgate/common/counted"
+	"github.com/radishgate/radishgate/internal/gateway/cancellation"
 	"github.com/radishgate/radishgate/internal/gateway/feed"
 	"github.com/radishgate/radishgate/internal/gateway/isolation"
 	"github.com/radishgate/radishgate/internal/gateway/routes"
@@ -60,6 +61,7 @@
 	tracker     *submission.Tracker
 	instruments *instruments
 	outbox      *outbox
+	cancels     *cancellation.Exchange
 
 	draining       atomic.Bool
 	isolation      isolation.Detector
@@ -132,8 +134,10 @@
 	})
 	n.instruments = newInstruments(n, options.DroppedLogLines)
 	n.outbox = newOutbox(n)
+	n.cancels = n.newCancels()
 	n.tracker = submission.New(submission.Options{
-		Self: s.VM, GroupOf: n.groupOfJob, FindHolder: n.currentHolder, Detour: n.detour, Place: n.placeAt, Await: n.awaitAt, Withdraw: n.withdrawAt,
+		Cancelled: n.cancels.Cancelled,
+		Self:      s.VM, GroupOf: n.groupOfJob, FindHolder: n.currentHolder, Detour: n.detour, Place: n.placeAt, Await: n.awaitAt, Withdraw: n.withdrawAt,
 		OnEnd: n.jobEnded, Log: n.log, Isolated: func() bool { return n.isolation.Isolated(time.Now()) }, ResultsLost: n.isolation.ResultsLost,
 	})
 	n.contacts.add(s.Seeds...)
--- a/internal/gateway/settings/settings.go
+++ b/internal/gateway/settings/settings.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/radishgate/radishgate/common/inifile"
+	"github.com/radishgate/radishgate/internal/work/cancels"
 	"github.com/radishgate/radishgate/settings"
 )
 
@@ -34,6 +35,9 @@
 	Groups            int // number of worker groups in each zone; one entry schedules the tasks of a group
 	HeartbeatInterval time.Duration
 	LogLevel          string
+
+	CancelKeep  time.Duration // how long a cancel is kept at least
+	CancelLimit int           // cancels kept at once
 }
 
 // Load reads and validates a settings file. Errors are *settings.Error or *inifile.Error.
@@ -64,6 +68,8 @@
 		Groups:            int(f.Int("workers", "groups", 1, 1, 64)),
 		HeartbeatInterval: f.Duration("entry", "beat", 150*time.Millisecond, 10*time.Millisecond, 10*time.Second),
 		LogLevel:          f.String("logs", "level", "info"),
+		CancelKeep:        f.Duration("cancels", "keep", cancels.DefaultKeep, 5*time.Second, 10*time.Minute),
+		CancelLimit:       int(f.Int("cancels", "most", cancels.DefaultMost, 100, 1_000_000)),
 	}
 	s.AdvertisedAddress = f.String("entry", "reach", s.Peers)
 	for key, text := range map[string]string{"listen": s.Listen, "ready": s.Ready, "peers": s.Peers, "metrics": s.Metrics, "reach": s.AdvertisedAddress} {
--- a/internal/gateway/settings/settings_test.go
+++ b/internal/gateway/settings/settings_test.go
@@ -48,6 +48,8 @@
 		{"seed without a port", "127.0.0.2:8166", "127.0.0.2", "seeds"},
 		{"resend without a unit", "1300ms", "1300", "resend"},
 		{"lease without a unit", "1000ms", "1000", "lease"},
+		{"cancels kept too briefly", "[logs]", "[cancels]\nkeep = 4s\n[logs]", "keep"},
+		{"room for too few cancels", "[logs]", "[cancels]\nmost = 1\n[logs]", "most"},
 		{"unknown key", "[logs]", "[logs]\nshape = x", "shape"},
 		{"share above one", "share = 0.4", "share = 4", "share"},
 		{"missing VM", "vm = front-1\n", "", "vm"},
--- a/internal/gateway/submission/options.go
+++ b/internal/gateway/submission/options.go
@@ -50,5 +50,7 @@
 	// ResultsLost reports whether results no longer arrive from other entries, so that the
 	// outcome of jobs that they have accepted is unknown. Nil means never.
 	ResultsLost func() bool
-	Log         *slog.Logger
+	// Cancelled reports whether a client has cancelled a job, so that it is not sent to a holder again. Nil means never.
+	Cancelled func(id string) bool
+	Log       *slog.Logger
 }
--- a/internal/gateway/submission/submission.go
+++ b/internal/gateway/submission/submission.go
@@ -76,16 +76,23 @@
 	if options.ResultsLost == nil {
 		options.ResultsLost = func() bool { return false }
 	}
+	if options.Cancelled == nil {
+		options.Cancelled = func(string) bool { return false }
+	}
 	return &Tracker{options: options, jobs: map[string]*pendingJob{}}
 }
 
 // Submit places a job and returns once it has ended or was refused, its client
 // has left, or its deadline has passed. If another client is already waiting for a
 // job with the same ID, Submit waits for that one instead. Otherwise it sets
-// WaitingEntry and Attempt of b and keeps b.
+// WaitingEntry and Attempt of b and keeps b. A job that a client has cancelled ends at once.
 func (t *Tracker) Submit(ctx context.Context, b *batch.Batch) batch.Result {
 	job, joined := t.join(b)
 	switch {
+	case job == nil:
+		r := batch.Result{ID: b.ID, State: batch.Cancelled, Reason: reasonCancelled}
+		t.options.OnEnd(b, r, 0)
+		return r
 	case joined:
 	case t.options.Isolated():
 		t.refuseUnlessSent(job, reasonIsolated, isolatedRetryDelay)
@@ -107,10 +114,14 @@
 }
 
 // join adds a client to the pending job with the ID of b, or adds b as a new job.
-// It reports whether the job was already pending.
+// It reports whether the job was already pending. The job is nil if a client has cancelled it. That is checked
+// under the lock: Cancel, which follows the record, finds a job that was added before it.
 func (t *Tracker) join(b *batch.Batch) (*pendingJob, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if t.options.Cancelled(b.ID) {
+		return nil, false
+	}
 	if job, known := t.jobs[b.ID]; known {
 		job.clients++
 		return job, true
--- a/internal/gateway/submission/withdrawal.go
+++ b/internal/gateway/submission/withdrawal.go
@@ -23,6 +23,17 @@
 	return true
 }
 
+// WaitingJob returns the group of a job that a client of this entry waits for, and when that client leaves.
+func (t *Tracker) WaitingJob(id string) (group string, expiresAt time.Time, waiting bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	job, known := t.jobs[id]
+	if !known {
+		return "", time.Time{}, false
+	}
+	return job.group, job.batch.ExpiresAt, true
+}
+
 // withdrawal returns a function that withdraws the job from the holder that may have it. The caller of
 // withdrawal holds t.mu, that of the function must not.
 func (j *pendingJob) withdrawal(t *Tracker) func() {
--- a/internal/placement/plan/cancel.go
+++ b/internal/placement/plan/cancel.go
@@ -42,6 +42,20 @@
 	return true, true
 }
 
+// admitCancelled ends a job that was cancelled before its entry sent this message about it: the result is
+// delivered, and nothing starts, whatever became of the job here.
+func (p *Plan) admitCancelled(b *batch.Batch) {
+	p.stopUnaccounted(b.ID, reasonCancelled)
+	result := batch.Result{ID: b.ID, Attempt: b.Attempt, State: batch.Cancelled, Reason: reasonCancelled}
+	if j, known := p.jobs[b.ID]; known && !j.result.State.Ended() {
+		j.Batch = j.withOwnWork(b)
+		p.deliver(j, result)
+		p.placeAll()
+		return
+	}
+	p.emit(Order{Kind: DeliverResult, Batch: b, Result: result})
+}
+
 // reasonCancelled is the reason for ending a job that a client has cancelled.
 const reasonCancelled = "a client has cancelled it"
 
--- a/internal/placement/plan/job.go
+++ b/internal/placement/plan/job.go
@@ -55,9 +55,14 @@
 // Admit adds a job; completed names its tasks that have succeeded under an earlier holder.
 // A job that is already known continues, or has its result delivered again. A delayed
 // message of an attempt that was refused or withdrawn must start nothing, but a new attempt
-// of the client may. Nor may one start anything that is so old that the job would be abandoned.
+// of the client may. Nor may one start anything that is so old that the job would be abandoned, or that a
+// client has cancelled.
 func (p *Plan) Admit(b *batch.Batch, completed []string, now time.Time) {
 	p.now = now
+	if p.options.Cancelled(b.ID) {
+		p.admitCancelled(b)
+		return
+	}
 	if !p.abandonTime(b, p.askedAt(b)).After(now) {
 		return // its client may have sent it again by now; an entry that still waits will ask again
 	}
--- a/internal/placement/plan/plan.go
+++ b/internal/placement/plan/plan.go
@@ -81,6 +81,8 @@
 	WorkersIncompleteUntil time.Time
 	// StartedElsewhere returns another group whose holder has started a job, or "". Nil means never.
 	StartedElsewhere func(id string) string
+	// Cancelled reports whether a client has cancelled a job. Nil means never.
+	Cancelled func(id string) bool
 }
 
 // Defaults of options that are zero.
@@ -164,6 +166,9 @@
 	if options.StartedElsewhere == nil {
 		options.StartedElsewhere = func(string) string { return "" }
 	}
+	if options.Cancelled == nil {
+		options.Cancelled = func(string) bool { return false }
+	}
 	p := &Plan{
 		options: options, estimator: runtimes.New(), now: tookOverAt, tickedAt: tookOverAt, restarts: firstRestarts,
 		arrivals: map[string]*arrivalRate{}, formerRoom: map[string]formerRoom{}, nextReturn: map[string]time.Time{}, nextTrial: map[string]time.Time{}, workers: map[string]*worker{}, jobs: map[string]*job{}, earlyCompletions: map[string]earlyCompletion{}, unaccountedRuns: map[string][]*run{}, minFactor: map[string]float64{}, meanFactor: map[string]float64{},
--- a/internal/placement/plan/report.go
+++ b/internal/placement/plan/report.go
@@ -125,12 +125,19 @@
 	p.matchRun(r)
 }
 
-// matchRun attaches an unaccounted run to its task, or stops it if the task needs no run. A
-// run of an unknown job is left alone, since the job's entry may still ask for it.
+// matchRun attaches an unaccounted run to its task, or stops it if the task needs no run or a client has
+// cancelled its job. Another run of an unknown job is left alone, since the job's entry may still ask for it.
 func (p *Plan) matchRun(r *run) {
 	id, _, _, ok := batch.ParseTaskName(r.runKey.task)
 	j, known := p.jobs[id]
-	if !ok || !known || !r.stopSentAt.IsZero() {
+	if !ok || !r.stopSentAt.IsZero() {
+		return
+	}
+	if p.options.Cancelled(id) && (!known || j.result.State.Ended()) {
+		p.stopRun(r, reasonCancelled)
+		return
+	}
+	if !known {
 		return
 	}
 	for _, t := range j.tasks {
--- a/peer/jobs.go
+++ b/peer/jobs.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math"
 	"strconv"
 	"time"
@@ -11,6 +12,7 @@
 	"github.com/radishgate/radishgate/internal/gateway/peerclock"
 	"github.com/radishgate/radishgate/internal/placement/election"
 	"github.com/radishgate/radishgate/internal/work/batch"
+	"github.com/radishgate/radishgate/internal/work/cancels"
 	"github.com/radishgate/radishgate/internal/work/resources"
 	"github.com/radishgate/radishgate/peer/wire"
 )
@@ -25,7 +27,14 @@
 	OnAwait    func(group string, epoch uint64, ids []string, askedAt time.Time) (results []batch.Result, unknown []string, held bool)
 	OnResults  func(results []batch.Result)
 	OnWithdraw func(group, id string, attempt uint64)
-	OnCancel   func(group, id string) (known, certain bool)
+	OnCancel   func(group, id string, left time.Duration) CancelReply
+}
+
+// CancelReply is how an entry has received a cancel.
+type CancelReply struct {
+	Held  bool // it holds the group, or none was named
+	Known bool // the job may exist
+	Kept  bool // it keeps the cancel; false from earlier builds
 }
 
 // Place accepts a job for a group of workers.
@@ -57,11 +66,14 @@
 // Withdraw cancels a job whose client has left, or that a client has cancelled.
 func (h JobHandlers) Withdraw(_ context.Context, r *wire.WithdrawRequest) (*wire.WithdrawReply, error) {
 	if r.Cancel {
-		known, certain := h.OnCancel(r.Group, r.Id)
-		if !certain {
-			return nil, twirp.NewError(twirp.FailedPrecondition, "group "+r.Group+" is not held here, or not for long enough")
+		reply := h.OnCancel(r.Group, r.Id, millisToDuration(r.LeftMs))
+		switch {
+		case !reply.Held:
+			return nil, twirp.NewError(twirp.FailedPrecondition, "group "+r.Group+" is not held here")
+		case !reply.Kept:
+			return nil, twirp.NewError(twirp.ResourceExhausted, "no room for a cancel")
 		}
-		return &wire.WithdrawReply{Known: known}, nil
+		return &wire.WithdrawReply{Known: reply.Known, Kept: true}, nil
 	}
 	h.OnWithdraw(r.Group, r.Id, r.Attempt)
 	return &wire.WithdrawReply{}, nil
@@ -162,13 +174,41 @@
 	return err
 }
 
-// Cancel asks the holder of a group to cancel a job, and reports whether the holder knows it.
-func (c *Client) Cancel(ctx context.Context, address, group, id string) (bool, error) {
-	reply, err := c.peer(address).Withdraw(ctx, &wire.WithdrawRequest{Group: group, Id: id, Cancel: true})
+// Cancel asks the holder of a group to cancel a job and to keep the cancel for a time. Any entry can be asked if the
+// group is empty; one of an earlier build does nothing then.
+func (c *Client) Cancel(ctx context.Context, address, group, id string, left time.Duration) (CancelReply, error) {
+	reply, err := c.peer(address).Withdraw(ctx, &wire.WithdrawRequest{Group: group, Id: id, Cancel: true, LeftMs: durationToMillis(left)})
+	var failure twirp.Error
+	if group == "" && errors.As(err, &failure) && failure.Code() == twirp.FailedPrecondition {
+		return CancelReply{}, nil
+	}
 	if err != nil {
-		return false, err
+		return CancelReply{}, err
+	}
+	return CancelReply{Held: true, Known: reply.Known, Kept: reply.Kept}, nil
+}
+
+// durationToMillis returns a time left for a message, at least 1 ms.
+func durationToMillis(left time.Duration) uint32 {
+	return uint32(min(max(1, left.Milliseconds()), math.MaxUint32))
+}
+
+// PackCancels converts records of cancels to wire messages. The times left count from now.
+func PackCancels(records []cancels.Record, now time.Time) []*wire.Cancel {
+	var packed []*wire.Cancel
+	for _, r := range records {
+		packed = append(packed, &wire.Cancel{Job: r.Job, LeftMs: durationToMillis(r.Until.Sub(now))})
+	}
+	return packed
+}
+
+// UnpackCancels converts wire messages to records of cancels.
+func UnpackCancels(packed []*wire.Cancel, now time.Time) []cancels.Record {
+	var records []cancels.Record
+	for _, c := range packed {
+		records = append(records, cancels.Record{Job: c.Job, Until: now.Add(millisToDuration(c.LeftMs))})
 	}
-	return reply.Known, nil
+	return records
 }
 
 // packBatch returns the message that brings a job. Its ages and times left are those at askedAt.
