history: Cancel jobs at random moments among faults

Cause: a cancel has to hold through kills, freezes, takeovers and requests that come again, in combinations that no table test has.

Change: TestCancelsHold cancels each job through a random entry, sends it again up to seven seconds later, and checks starts more than 3 s after the acknowledgement and runs 50 ms after that. The entries of the histories use cancellation.Exchange, and heartbeats bring its records.

A start by a holder that has been in touch with no entry that keeps the record is counted and not held against the rule: the holder is cut off, or all entries with the record were lost (docs/design/cancels.md).

--- a/internal/trial/history/entry_test.go
+++ b/internal/trial/history/entry_test.go
@@ -7,11 +7,13 @@
 	"time"
 
 	"github.com/radishgate/radishgate/common/wait"
+	"github.com/radishgate/radishgate/internal/gateway/cancellation"
 	"github.com/radishgate/radishgate/internal/gateway/isolation"
 	"github.com/radishgate/radishgate/internal/gateway/submission"
 	"github.com/radishgate/radishgate/internal/placement/election"
 	"github.com/radishgate/radishgate/internal/placement/holder"
 	"github.com/radishgate/radishgate/internal/work/batch"
+	"github.com/radishgate/radishgate/internal/work/cancels"
 	"github.com/radishgate/radishgate/internal/worker/fence"
 	"github.com/radishgate/radishgate/internal/worker/registry"
 	"github.com/radishgate/radishgate/platform"
@@ -38,6 +40,7 @@
 	ctx          context.Context
 	cancel       context.CancelFunc
 	tracker      *submission.Tracker
+	cancels      *cancellation.Exchange
 	claims       *election.ClaimTable
 	registry     *registry.Registry
 	isolation    isolation.Detector
@@ -48,6 +51,7 @@
 
 	lock             sync.Mutex // guards the fields below; mu belongs to the embedded world
 	holder           *holder.Holder
+	touchedAt        map[string]time.Time // by job that was cancelled, see cancels_test.go
 	leaving          bool
 	heartbeats       map[string]heartbeat
 	clockOffset      time.Duration // error of the time of day
@@ -81,8 +85,10 @@
 		_, known := e.heartbeats[id]
 		return known || id == e.id
 	}, MayHavePeers: e.othersRun})
+	e.cancels = e.newCancels()
 	e.tracker = submission.New(submission.Options{
-		Self: e.id, RequestNumber: func() uint64 { return uint64(w.randomInt(1 << 30)) }, GroupOf: func(*batch.Batch) string { return group },
+		Cancelled: e.cancels.Cancelled,
+		Self:      e.id, RequestNumber: func() uint64 { return uint64(w.randomInt(1 << 30)) }, GroupOf: func(*batch.Batch) string { return group },
 		FindHolder: e.findHolder, Place: e.placeAt, Await: e.keepAliveAt, Withdraw: e.withdrawAt,
 		Isolated: func() bool { return e.isolation.Isolated(time.Now()) }, ResultsLost: e.isolation.ResultsLost,
 		OnEnd: func(*batch.Batch, batch.Result, int) {}, Log: w.log(e.id),
@@ -223,15 +229,18 @@
 			ctx, cancel := context.WithTimeout(e.ctx, heartbeatTimeout)
 			defer cancel()
 			sentAt := time.Now()
-			if e.sendHeartbeat(ctx, o) && o.sendHeartbeat(ctx, e) { // the latter is the answer
+			records, confirm := e.cancels.ForHeartbeat(o.receiver(), time.Now())
+			// The second heartbeat is the answer.
+			if e.sendHeartbeat(ctx, o, records) && o.sendHeartbeat(ctx, e, o.cancels.ForAnswer(e.receiver(), time.Now())) {
+				confirm()
 				e.pause.recordAnswer(sentAt)
 			}
 		})
 	}
 }
 
-// sendHeartbeat sends a heartbeat and reports whether it arrived.
-func (e *entry) sendHeartbeat(ctx context.Context, o *entry) bool {
+// sendHeartbeat sends a heartbeat with records of cancels and reports whether it arrived.
+func (e *entry) sendHeartbeat(ctx context.Context, o *entry, records []cancels.Record) bool {
 	self, claims, workers := e.candidate(e.ready()), e.claims.Claims(), e.completeWorkers()
 	e.lock.Lock()
 	leaving := e.leaving
@@ -243,6 +252,8 @@
 		return false
 	}
 	o.isolation.NoteHeard()
+	o.cancels.Learn(records, time.Now())
+	o.noteTouch(e)
 	o.lock.Lock()
 	o.heartbeats[e.id] = heartbeat{self, leaving, workers, time.Now()}
 	o.lock.Unlock()
@@ -388,7 +399,7 @@
 			Lease: leaseDuration, ClientRetryAfter: resendAfter, WorkersIncompleteUntil: incompleteUntil,
 			Calls: holder.WorkerCalls{Start: e.workerClient.Start, Stop: e.workerClient.Stop, Hold: e.workerClient.Hold},
 			Log:   e.log(e.id), OnResult: e.deliverResult, CountCall: func(string) {},
-			MayBeReplaced: e.mayBeReplaced, LastContact: e.lastContact, TakeoverSuspected: e.takeoverSuspected,
+			Cancelled: e.cancels.Cancelled, MayBeReplaced: e.mayBeReplaced, LastContact: e.lastContact, TakeoverSuspected: e.takeoverSuspected,
 			OnConflict: func() bool {
 				e.claims.NoteConflict(e.hearsPeers(), e.hasMajority(), time.Now())
 				return e.claims.MaySchedule(group, time.Now())
--- a/standin/worker/monitor.go
+++ b/standin/worker/monitor.go
@@ -94,6 +94,13 @@
 	return m.Starts[task], m.Succeeded[task]
 }
 
+// Running returns the number of runs of a task that go on.
+func (m *RunMonitor) Running(task string) int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return len(m.running[task])
+}
+
 // TaskFaults returns the number of runs of a task that failed, and of those that were lost with
 // their worker.
 func (m *RunMonitor) TaskFaults(task string) (failed, lost int) {
