--- a/internal/placement/holder/holder.go
+++ b/internal/placement/holder/holder.go
@@ -62,6 +62,8 @@
 	Zone             string
 	Evacuations      func() plan.Evacuations
 	EvacuationTarget func(id string) string
+	// Cancelled reports whether a client has cancelled a job. Nil means never.
+	Cancelled func(id string) bool
 	// CountCall counts a call to a worker, named after its kind and answer, for metrics.
 	CountCall func(kind string)
 }
@@ -98,7 +100,7 @@
 		options: options, sessions: map[string]*session{}, ended: map[string]endedWorker{},
 		plan: plan.New(plan.Options{
 			Lease: options.Lease, ClientRetryAfter: options.ClientRetryAfter, WorkersIncompleteUntil: options.WorkersIncompleteUntil,
-			StartedElsewhere: options.StartedElsewhere, Zone: options.Zone, EvacuationTarget: options.EvacuationTarget,
+			StartedElsewhere: options.StartedElsewhere, Zone: options.Zone, EvacuationTarget: options.EvacuationTarget, Cancelled: options.Cancelled,
 		}, now),
 	}
 	h.ctx, h.cancel = context.WithCancel(ctx)
--- a/internal/placement/plan/plan.go
+++ b/internal/placement/plan/plan.go
@@ -90,6 +90,8 @@
 	// EvacuationTarget returns the group of another availability zone that takes a job while the own
 	// zone is evacuated, or "" if there is none. Nil means that there never is.
 	EvacuationTarget func(id string) string
+	// Cancelled reports whether a client has cancelled a job. Nil means never.
+	Cancelled func(id string) bool
 }
 
 // Defaults of options that are zero.
@@ -179,6 +181,9 @@
 	if options.EvacuationTarget == nil {
 		options.EvacuationTarget = func(string) string { return "" }
 	}
+	if options.Cancelled == nil {
+		options.Cancelled = func(string) bool { return false }
+	}
 	p := &Plan{
 		options: options, estimator: runtimes.New(), now: tookOverAt, tickedAt: tookOverAt, restarts: firstRestarts,
 		arrivals: map[string]*arrivalRate{}, formerRoom: map[string]formerRoom{}, nextReturn: map[string]time.Time{}, nextTrial: map[string]time.Time{}, workers: map[string]*worker{}, jobs: map[string]*job{}, earlyCompletions: map[string]earlyCompletion{}, unaccountedRuns: map[string][]*run{}, minFactor: map[string]float64{}, meanFactor: map[string]float64{},
