history: Play evacuations, takeovers and outages in any order

The evacuation was tested by its parts and by one fleet without faults. Whether a start slips through while the holder changes and the store is away was not shown.

TestEvacuationInAnyOrder plays the three events in each of the six orders, with times between them at random, in a zone whose jobs a second zone takes. The real follower, set, tracker and holder take part; lists of newest records are partial and histories truncated at times. It checks that no worker of the zone starts a task later than 1 s after the record was stored (or after an outage that hid it), that no first copy of a start is ordered by an entry that knows of the evacuation or knows none, and that no task runs twice, no job is refused that has started, and jobs are served once all is settled. In half of the plays the zone is taken back at the end.

--- a/internal/trial/history/calls_test.go
+++ b/internal/trial/history/calls_test.go
@@ -13,7 +13,10 @@
 const entryCallTimeout = 400 * time.Millisecond
 
 // findHolder returns the current holder of the group, and false if it is not known or not live.
-func (e *entry) findHolder(string) (submission.GroupHolder, bool) {
+func (e *entry) findHolder(of string) (submission.GroupHolder, bool) {
+	if of == neighbourGroup {
+		return e.neighbour.presentHolder()
+	}
 	c, claimed := e.claims.Holder(group)
 	if !claimed {
 		return submission.GroupHolder{}, false
@@ -34,6 +37,9 @@
 // holds the group at this epoch; without an answer the call may have been executed. One that places a
 // job may be executed later, and is rejected by an entry that may have lost the group.
 func (e *entry) callHolder(ctx context.Context, to submission.GroupHolder, places bool, call func(h *holder.Holder)) (bool, error) {
+	if to.Group == neighbourGroup {
+		return e.callNeighbour(ctx, to, places, call)
+	}
 	for _, o := range e.liveEntries() {
 		if o.id != to.ID {
 			continue
@@ -95,7 +101,11 @@
 
 // deliverResult sends a result to the entry that waits for it.
 func (e *entry) deliverResult(b *batch.Batch, r batch.Result) {
-	for _, o := range e.liveEntries() {
+	receivers := e.world
+	if b.SpilledOver {
+		receivers = e.neighbour
+	}
+	for _, o := range receivers.liveEntries() {
 		if o.id != b.WaitingEntry {
 			continue
 		}
--- a/internal/trial/history/entry_test.go
+++ b/internal/trial/history/entry_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/radishgate/radishgate/common/wait"
+	"github.com/radishgate/radishgate/internal/gateway/evacuation"
 	"github.com/radishgate/radishgate/internal/gateway/isolation"
 	"github.com/radishgate/radishgate/internal/gateway/submission"
 	"github.com/radishgate/radishgate/internal/placement/election"
@@ -43,6 +44,7 @@
 	isolation    isolation.Detector
 	pause        pauseDetector
 	workerClient *platform.WorkerClient
+	evacuations  *evacuation.Set // nil in a world without them
 
 	passing sync.Mutex // held while registrations are passed to the holder, which keeps the order in which they were read
 
@@ -81,8 +83,11 @@
 		_, known := e.heartbeats[id]
 		return known || id == e.id
 	}, MayHavePeers: e.othersRun})
+	if w.operators != nil {
+		e.evacuations = evacuation.New([]string{"a", "b"})
+	}
 	e.tracker = submission.New(submission.Options{
-		Self: e.id, RequestNumber: func() uint64 { return uint64(w.randomInt(1 << 30)) }, GroupOf: func(*batch.Batch) string { return group },
+		Redirect: e.redirect, Self: e.id, RequestNumber: func() uint64 { return uint64(w.randomInt(1 << 30)) }, GroupOf: func(*batch.Batch) string { return group },
 		FindHolder: e.findHolder, Place: e.placeAt, Await: e.keepAliveAt, Withdraw: e.withdrawAt,
 		Isolated: func() bool { return e.isolation.Isolated(time.Now()) }, ResultsLost: e.isolation.ResultsLost,
 		OnEnd: func(*batch.Batch, batch.Result, int) {}, Log: w.log(e.id),
@@ -94,6 +99,9 @@
 	w.goroutines.Go(e.sweepJobs)
 	w.goroutines.Go(e.runHeartbeats)
 	w.goroutines.Go(e.readRegistrations)
+	if w.operators != nil {
+		w.goroutines.Go(func() { w.operators.follower(e).Run(e.ctx) })
+	}
 }
 
 // sweepJobs lets the tracker check its jobs periodically.
@@ -232,6 +240,7 @@
 
 // sendHeartbeat sends a heartbeat and reports whether it arrived.
 func (e *entry) sendHeartbeat(ctx context.Context, o *entry) bool {
+	news := e.evacuationNews()
 	self, claims, workers := e.candidate(e.ready()), e.claims.Claims(), e.completeWorkers()
 	e.lock.Lock()
 	leaving := e.leaving
@@ -243,6 +252,7 @@
 		return false
 	}
 	o.isolation.NoteHeard()
+	o.mergeEvacuations(news)
 	o.lock.Lock()
 	o.heartbeats[e.id] = heartbeat{self, leaving, workers, time.Now()}
 	o.lock.Unlock()
@@ -386,8 +396,9 @@
 		e.holder = holder.New(e.ctx, holder.Options{
 			Group: group, Epoch: c.Epoch, Tokens: fence.New(fence.HolderNumber(c.Holder, c.Incarnation), c.Epoch),
 			Lease: leaseDuration, ClientRetryAfter: resendAfter, WorkersIncompleteUntil: incompleteUntil,
-			Calls: holder.WorkerCalls{Start: e.workerClient.Start, Stop: e.workerClient.Stop, Hold: e.workerClient.Hold},
+			Calls: holder.WorkerCalls{Start: e.checkedStart, Stop: e.workerClient.Stop, Hold: e.workerClient.Hold},
 			Log:   e.log(e.id), OnResult: e.deliverResult, CountCall: func(string) {},
+			Zone: "a", Evacuations: e.planEvacuations, EvacuationTarget: e.evacuationTarget,
 			MayBeReplaced: e.mayBeReplaced, LastContact: e.lastContact, TakeoverSuspected: e.takeoverSuspected,
 			OnConflict: func() bool {
 				e.claims.NoteConflict(e.hearsPeers(), e.hasMajority(), time.Now())
--- a/internal/trial/history/world_test.go
+++ b/internal/trial/history/world_test.go
@@ -60,6 +60,8 @@
 	monitor      *worker.RunMonitor
 	idPrefix     string                          // of the workers' IDs, which differ between worlds that share a monitor
 	startRun     func(task string) time.Duration // called at each start of a task; returns its run time, or 0 for a random one; may be nil
+	operators    *operatorTopic                  // nil in a world without evacuations
+	neighbour    *world                          // the zone that takes the jobs of an evacuated one; nil if there is none
 	goroutines   sync.WaitGroup
 	starting     sync.Mutex   // held while an entry starts again, so that it does so once
 	calm         atomic.Bool  // no fault begins any more, and no client sends a long job
