reload, settings: Apply changed settings while the process runs

Cause: the settings file was read at the start only. SIGHUP checked it and logged the result, and a change without a signal was not seen.

Change: package reload checks the file each second, by time of modification and size, then by content, and at each SIGHUP. The settings that may change are a table of keys (node.ReloadKeys, commands.levelKey), to which other parts add theirs; reload.RestartKeys are those whose change is logged as needing a restart. An invalid or unreadable file changes nothing and is logged once for each content. settings checks the log level, and keeps cores and share apart.

--- a/commands/dispatch.go
+++ b/commands/dispatch.go
@@ -11,6 +11,7 @@
 
 	"github.com/radishgate/radishgate/internal/gateway/logging"
 	"github.com/radishgate/radishgate/internal/gateway/node"
+	"github.com/radishgate/radishgate/internal/gateway/reload"
 	"github.com/radishgate/radishgate/internal/gateway/settings"
 	"github.com/radishgate/radishgate/platform"
 )
@@ -45,12 +46,10 @@
 		return err
 	}
 	debug.SetMemoryLimit(int64(memoryLimitShare * float64(s.Memory<<20)))
-	var level slog.Level
-	if err := level.UnmarshalText([]byte(s.LogLevel)); err != nil {
-		return &UsageError{Reason: c.Settings + ": [logs] level: " + err.Error()}
-	}
+	var level slog.LevelVar
+	level.Set(s.LogLevel)
 	logWriter := logging.New(stdout)
-	log := logWriter.Logger(level)
+	log := logWriter.Logger(&level)
 	writerCtx, stopWriter := context.WithCancel(context.Background())
 	writerDone := make(chan struct{})
 	go func() {
@@ -61,25 +60,18 @@
 		stopWriter()
 		<-writerDone
 	}()
-	go checkOnHangup(ctx, hangups, c.Settings, log)
 	n, err := node.New(node.Options{Settings: s, Log: log, DroppedLogLines: logWriter.Dropped})
 	if err != nil {
 		return err
 	}
+	go (&reload.Watcher{File: c.Settings, InForce: s, Keys: append(n.ReloadKeys(), levelKey(&level)), Log: log}).Run(ctx, hangups)
 	return n.Run(ctx)
 }
 
-// checkOnHangup reads and checks the settings file on each SIGHUP, by which the platform
-// signals that it has changed, and logs the result. New settings are applied at the next
-// start of the process only.
-func checkOnHangup(ctx context.Context, hangups <-chan os.Signal, file string, log *slog.Logger) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-hangups:
-			_, err := settings.Load(file)
-			log.Info("settings read again", "file", file, "error", err)
-		}
+// levelKey returns the setting of the log level, which may change while the process runs.
+func levelKey(level *slog.LevelVar) reload.Key {
+	return reload.Key{
+		Name: "[logs] level", Value: func(s *settings.Settings) any { return s.LogLevel },
+		Apply: func(s *settings.Settings) { level.Set(s.LogLevel) },
 	}
 }
--- a/internal/gateway/logging/logging.go
+++ b/internal/gateway/logging/logging.go
@@ -34,8 +34,8 @@
 // New returns a LogWriter for out. Nothing is written until Run is called.
 func New(out io.Writer) *LogWriter { return &LogWriter{out: out} }
 
-// Logger returns a logger that writes JSON lines.
-func (w *LogWriter) Logger(level slog.Level) *slog.Logger {
+// Logger returns a logger that writes JSON lines. The level may change.
+func (w *LogWriter) Logger(level slog.Leveler) *slog.Logger {
 	return slog.New(slog.NewJSONHandler(w, &slog.HandlerOptions{Level: level}))
 }
 
--- a/internal/gateway/node/drain.go
+++ b/internal/gateway/node/drain.go
@@ -33,7 +33,7 @@
 // lets the requests in flight end. Those that have not ended shortly before the end get an answer then.
 func (n *Node) drain(clients *http.Server) {
 	now := time.Now()
-	grace := n.settings.Grace
+	grace := time.Duration(n.grace.Load())
 	deadline := drainEnd(now, grace)
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
--- a/internal/gateway/node/node.go
+++ b/internal/gateway/node/node.go
@@ -65,6 +65,7 @@
 	cancels     *cancellation.Exchange
 
 	draining       atomic.Bool
+	grace          atomic.Int64    // grace period of a stop, in nanoseconds
 	answering      context.Context // ends shortly before the end of a drain, when all clients must get their answers
 	endAnswers     context.CancelFunc
 	isolation      isolation.Detector
@@ -124,6 +125,7 @@
 	}
 	n.freeSlots.excluded = n.inEvacuatedZone
 	n.ctx, n.cancel = context.WithCancel(context.Background())
+	n.grace.Store(int64(s.Grace))
 	n.answering, n.endAnswers = context.WithCancel(n.ctx)
 	if err := n.listen(options); err != nil {
 		return nil, err
--- a/internal/gateway/node/node_test.go
+++ b/internal/gateway/node/node_test.go
@@ -171,12 +171,7 @@
 
 // submit sends a job to a node and returns status and body of the response, or 0 for none.
 func (f *fleet) submit(n *Node, id string, tasks int) (int, string) {
-	return f.submitLong(n, id, tasks, 20*time.Millisecond)
-}
-
-// submitLong sends a job as submit does; its tasks are said to run for the given time.
-func (f *fleet) submitLong(n *Node, id string, tasks int, estimate time.Duration) (int, string) {
-	body := fmt.Sprintf(`{"spec":"x","steps":[{"count":%d,"cpu":1000,"mem-mb":10,"est-runtime-ms":%d}],"best-effort":true}`, tasks, estimate.Milliseconds())
+	body := fmt.Sprintf(`{"spec":"x","steps":[{"count":%d,"cpu":1000,"mem-mb":10,"est-runtime-ms":20}],"best-effort":true}`, tasks)
 	request, err := http.NewRequest(http.MethodPost, "http://"+n.listeners.clients.Addr().String()+"/hold/"+id, strings.NewReader(body))
 	if err != nil {
 		f.t.Fatal(err)
--- a/internal/gateway/settings/settings.go
+++ b/internal/gateway/settings/settings.go
@@ -3,6 +3,7 @@
 
 import (
 	"fmt"
+	"log/slog"
 	"net/netip"
 	"os"
 	"time"
@@ -18,7 +19,9 @@
 	VM                string // ID of the VM, and of the entry
 	Zone              string
 	Zones             []string // all availability zones of the platform
-	Processors        float64  // cores times the share of them available to the process
+	Cores             float64
+	Share             float64  // of the cores, that is available to the process
+	Processors        float64  // Cores times Share
 	Memory            int64    // MB
 	Listen            string   // address for clients
 	Ready             string   // address for the platform's readiness check
@@ -35,7 +38,7 @@
 
 	Groups            int // number of worker groups in each zone; one entry schedules the tasks of a group
 	HeartbeatInterval time.Duration
-	LogLevel          string
+	LogLevel          slog.Level
 
 	CancelKeep  time.Duration // how long a cancel is kept at least
 	CancelLimit int           // cancels kept at once
@@ -58,9 +61,9 @@
 	}
 	s := &Settings{
 		VM: f.RequiredString("entry", "vm"), Zone: f.RequiredString("entry", "zone"), Zones: f.List("entry", "zones"),
-		Processors: f.Float("entry", "cores", 1, 0.01, 4096) * f.Float("entry", "share", 1, 0.001, 1),
-		Memory:     f.Int("entry", "memory", 256, 32, 1<<20),
-		Listen:     f.RequiredString("entry", "listen"), Ready: f.RequiredString("entry", "ready"), Peers: f.RequiredString("entry", "peers"),
+		Cores: f.Float("entry", "cores", 1, 0.01, 4096), Share: f.Float("entry", "share", 1, 0.001, 1),
+		Memory: f.Int("entry", "memory", 256, 32, 1<<20),
+		Listen: f.RequiredString("entry", "listen"), Ready: f.RequiredString("entry", "ready"), Peers: f.RequiredString("entry", "peers"),
 		Metrics: f.String("entry", "metrics", ""), Seeds: f.List("entry", "seeds"),
 		Store:             f.RequiredString("platform", "store"),
 		Lease:             f.Duration("platform", "lease", time.Second, 100*time.Millisecond, time.Minute),
@@ -69,10 +72,13 @@
 		EvacuationBound:   f.Duration("platform", "evacuate", 5*time.Second, 100*time.Millisecond, time.Minute),
 		Groups:            int(f.Int("workers", "groups", 1, 1, 64)),
 		HeartbeatInterval: f.Duration("entry", "beat", 150*time.Millisecond, 10*time.Millisecond, 10*time.Second),
-		LogLevel:          f.String("logs", "level", "info"),
 		CancelKeep:        f.Duration("cancels", "keep", cancels.DefaultKeep, 5*time.Second, 10*time.Minute),
 		CancelLimit:       int(f.Int("cancels", "most", cancels.DefaultMost, 100, 1_000_000)),
 	}
+	s.Processors = s.Cores * s.Share
+	if err := s.LogLevel.UnmarshalText([]byte(f.String("logs", "level", "info"))); err != nil {
+		f.Fail("logs", "level", err.Error())
+	}
 	s.AdvertisedAddress = f.String("entry", "reach", s.Peers)
 	for key, text := range map[string]string{"listen": s.Listen, "ready": s.Ready, "peers": s.Peers, "metrics": s.Metrics, "reach": s.AdvertisedAddress} {
 		checkAddress(f, "entry", key, text)
--- a/internal/gateway/settings/settings_test.go
+++ b/internal/gateway/settings/settings_test.go
@@ -52,6 +52,7 @@
 		{"lease without a unit", "1000ms", "1000", "lease"},
 		{"cancels kept too briefly", "[logs]", "[cancels]\nkeep = 4s\n[logs]", "keep"},
 		{"room for too few cancels", "[logs]", "[cancels]\nmost = 1\n[logs]", "most"},
+		{"unknown level", "level = info", "level = loud", "level"},
 		{"unknown key", "[logs]", "[logs]\nshape = x", "shape"},
 		{"share above one", "share = 0.4", "share = 4", "share"},
 		{"missing VM", "vm = front-1\n", "", "vm"},
