history: End the jobs of an entry that stops

Cause: in the histories an entry that stops ended without answers, so that they had no refusal by WithdrawRequest.refuse, whose truth depends on takeovers and lost calls.

Change: a simulated entry that stops calls submission.Stop as node.drain does.

--- a/internal/trial/history/calls_test.go
+++ b/internal/trial/history/calls_test.go
@@ -99,6 +99,11 @@
 	return err
 }
 
+func (e *entry) refuseAt(ctx context.Context, to submission.GroupHolder, b *batch.Batch) (refused bool, err error) {
+	_, err = e.callHolder(ctx, to, false, func(h *holder.Holder) { refused = h.Refuse(b.ID, b.Attempt) })
+	return refused, err
+}
+
 // deliverResult sends a result to the entry that waits for it.
 func (e *entry) deliverResult(b *batch.Batch, r batch.Result) {
 	receivers := e.world
--- a/internal/trial/history/entry_test.go
+++ b/internal/trial/history/entry_test.go
@@ -94,7 +94,7 @@
 	e.tracker = submission.New(submission.Options{
 		Redirect: e.redirect, Cancelled: e.cancels.Cancelled,
 		Self: e.id, RequestNumber: func() uint64 { return uint64(w.randomInt(1 << 30)) }, GroupOf: func(*batch.Batch) string { return group },
-		FindHolder: e.findHolder, Place: e.placeAt, Await: e.keepAliveAt, Withdraw: e.withdrawAt,
+		FindHolder: e.findHolder, Place: e.placeAt, Await: e.keepAliveAt, Withdraw: e.withdrawAt, Refuse: e.refuseAt,
 		Isolated: func() bool { return e.isolation.Isolated(time.Now()) }, ResultsLost: e.isolation.ResultsLost,
 		OnEnd: func(*batch.Batch, batch.Result, int) {}, Log: w.log(e.id),
 	})
@@ -461,6 +461,10 @@
 	e.lock.Unlock()
 	e.sendHeartbeats()
 	time.Sleep(time.Second)
+	ctx, cancel := context.WithTimeout(e.ctx, 900*time.Millisecond)
+	defer cancel()
+	e.tracker.Stop(ctx)
+	time.Sleep(100 * time.Millisecond)
 	e.cancel()
 }
 
