ingress: Bound what clients outside the limits can take

Change: package internal/gateway/ingress. Its guard wraps the listeners and handlers of `dispatch` and `serve`. It charges headers and bodies as they arrive, reserves memory for parsing and for jobs, ends the request with the least progress when the budget is full, closes idle, slow or unread connections, and bounds connections in all and by address. Steps beyond the limit are counted before they are parsed. Ruled out: netutil.LimitListener (callers wait behind silent connections), deadlines for each read (a timer a request), reserving by Content-Length. Left: jobs that other entries hand to a holder and answered jobs are not in the budget of jobs (docs/design/ingress.md).

--- a/caller/server.go
+++ b/caller/server.go
@@ -3,6 +3,7 @@
 package caller
 
 import (
+	"bytes"
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
@@ -16,6 +17,7 @@
 	"github.com/labstack/echo/v4"
 
 	"github.com/radishgate/radishgate/idempotency"
+	"github.com/radishgate/radishgate/internal/gateway/ingress"
 	"github.com/radishgate/radishgate/job"
 	"github.com/radishgate/radishgate/origin"
 	"github.com/radishgate/radishgate/refusal"
@@ -45,6 +47,10 @@
 	MaxBodyBytes    int64                  // largest body of a request or job
 	TransferTimeout time.Duration          // time for a caller to send its body, or to receive its answer
 	Now             func() time.Time
+	// Reserve reserves memory for the parsing of a job's body, and ReserveJob for a job while a caller waits. Both
+	// return a function that releases it. Nil means that there is always memory.
+	Reserve    func(r *http.Request, bytes int64) (func(), error)
+	ReserveJob func(bytes int64) (func(), bool)
 }
 
 // Server is an http.Handler that serves the interface of callers.
@@ -64,6 +70,12 @@
 	if options.MaxBodyBytes == 0 {
 		options.MaxBodyBytes = 16 << 20
 	}
+	if options.Reserve == nil {
+		options.Reserve = func(*http.Request, int64) (func(), error) { return func() {}, nil }
+	}
+	if options.ReserveJob == nil {
+		options.ReserveJob = func(int64) (func(), bool) { return func() {}, true }
+	}
 	s := &Server{Echo: echo.New(), options: options}
 	s.HTTPErrorHandler = s.handleError
 	s.Use(s.middleware)
@@ -155,7 +167,10 @@
 	body := http.MaxBytesReader(c.Response().Writer, c.Request().Body, s.options.MaxBodyBytes)
 	data, err := io.ReadAll(body)
 	var tooLarge *http.MaxBytesError
+	var refused *ingress.RefusedError
 	switch {
+	case errors.As(err, &refused):
+		return nil, s.busy(c)
 	case errors.As(err, &tooLarge):
 		return nil, refusal.New(refusal.BodyTooLarge, refusal.NotRun, "body is over %d bytes", s.options.MaxBodyBytes)
 	case isTimeout(err):
@@ -167,6 +182,20 @@
 	return data, nil
 }
 
+// busy returns the refusal of a call that exceeds the limits of clients, and closes its connection after the answer.
+func (s *Server) busy(c echo.Context) error {
+	c.Response().Header().Set("Connection", "close")
+	r := refusal.New(refusal.Overloaded, refusal.NotRun, "the entry has no memory for the call")
+	r.RetryAt = s.options.Now().Add(ingress.RetryDelay)
+	return r
+}
+
+// Estimates of the memory of a job's body, in bytes.
+const (
+	parsedTaskBytes = 300 // for each object, of which each may be a task; slices grow by copying
+	jobTaskBytes    = 400 // besides the body of a task
+)
+
 func isTimeout(err error) bool {
 	var timeout interface{ Timeout() bool }
 	return errors.As(err, &timeout) && timeout.Timeout()
@@ -292,9 +321,21 @@
 	if err != nil {
 		return err
 	}
-	if err := s.parseJob(data, &submission); err != nil {
+	release, err := s.options.Reserve(c.Request(), int64(len(data)+bytes.Count(data, []byte{'{'})*parsedTaskBytes))
+	if err != nil {
+		return s.busy(c)
+	}
+	err = s.parseJob(data, &submission)
+	release()
+	_ = c.Request().Body.Close() // it releases the memory of the body
+	if err != nil {
 		return err
 	}
+	releaseJob, ok := s.options.ReserveJob(int64(len(data) + len(submission.Tasks)*jobTaskBytes))
+	if !ok {
+		return s.busy(c)
+	}
+	defer releaseJob()
 	return s.respond(c, key, func(until time.Time) idempotency.Result {
 		submission.WaitUntil = until
 		return s.options.Router.Submit(c.Request().Context(), submission)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -22,6 +22,7 @@
 	"github.com/radishgate/radishgate/estimate"
 	"github.com/radishgate/radishgate/exchange"
 	"github.com/radishgate/radishgate/idempotency"
+	"github.com/radishgate/radishgate/internal/gateway/ingress"
 	"github.com/radishgate/radishgate/job"
 	"github.com/radishgate/radishgate/loan"
 	"github.com/radishgate/radishgate/measure"
@@ -69,6 +70,7 @@
 	startedAt   time.Time
 
 	callerListener, peerListener, operatorListener net.Listener
+	guard                                          *ingress.Guard
 
 	metrics       *measure.Metrics
 	rollout       *rollout.Rollout
@@ -170,6 +172,7 @@
 // build creates the components in the order of their dependencies.
 func (e *Entry) build(wrapTransport func(http.RoundTripper) http.RoundTripper) {
 	s := e.settings
+	e.guard = newGuard(e)
 	e.peerClient = peer.NewClient(e.tlsConfig, e.peerBytes, wrapTransport)
 	e.members = member.New(member.Options{
 		SuspectAfter: suspectHeartbeats * s.HeartbeatInterval, DeadAfter: deadHeartbeats * s.HeartbeatInterval,
@@ -191,7 +194,7 @@
 	e.buildRouter()
 	e.callerHandler = caller.New(caller.Options{
 		Router: e.router, OnRefusal: e.countRefusal, IsStopping: e.closing.Load, IsReady: e.Ready,
-		MaxBodyBytes: s.MaxBodyBytes, TransferTimeout: s.TransferTimeout,
+		MaxBodyBytes: s.MaxBodyBytes, TransferTimeout: s.TransferTimeout, Reserve: e.guard.Reserve, ReserveJob: e.guard.ReserveJob,
 	})
 	e.registerGauges()
 }
--- a/entry/run.go
+++ b/entry/run.go
@@ -14,6 +14,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"github.com/radishgate/radishgate/common/wait"
+	"github.com/radishgate/radishgate/internal/gateway/ingress"
 	"github.com/radishgate/radishgate/measure"
 	"github.com/radishgate/radishgate/member"
 	"github.com/radishgate/radishgate/peer"
@@ -35,16 +36,23 @@
 	callerServer := e.newCallerServer()
 	peerServer := e.newPeerServer()
 	operatorServer := &http.Server{Handler: e.operatorHandler(), ReadHeaderTimeout: headerTimeout}
+	for _, s := range []*http.Server{callerServer, peerServer, operatorServer} {
+		e.guard.Attach(s)
+	}
 	serveErrors := make(chan error, 3)
 	for _, s := range []struct {
 		server   *http.Server
 		listener net.Listener
-	}{{callerServer, e.callerListener}, {peerServer, e.peerBytes.WrapListener(e.peerListener)}, {operatorServer, e.operatorListener}} {
+	}{
+		{callerServer, e.guard.Clients(e.callerListener)},
+		{peerServer, e.guard.Entries(e.peerBytes.WrapListener(e.peerListener))},
+		{operatorServer, e.guard.Operators(e.operatorListener)},
+	} {
 		servers.Go(func() { e.serve(s.server, s.listener, serveErrors) })
 	}
 	borrowerCtx, stopBorrower := context.WithCancel(e.baseCtx)
 	defer stopBorrower()
-	for _, loop := range []func(context.Context){e.rollout.Run, e.heartbeatLoop, e.partitionLoop, e.vmListLoop} {
+	for _, loop := range []func(context.Context){e.rollout.Run, e.heartbeatLoop, e.partitionLoop, e.vmListLoop, e.guard.Run} {
 		loops.Go(func() { loop(e.baseCtx) })
 	}
 	loops.Go(func() { e.borrower.Run(borrowerCtx) })
@@ -71,6 +79,18 @@
 	return serveErr
 }
 
+// newGuard returns the guard of the servers. Limits that are 0, as in tests, follow from the process.
+func newGuard(e *Entry) *ingress.Guard {
+	limits := e.settings.Ingress
+	if limits == (ingress.Limits{}) {
+		limits = ingress.DefaultLimits(ingress.ProcessMemory(), ingress.DescriptorLimit())
+	}
+	return ingress.New(ingress.Options{
+		Limits: limits, Log: e.log, OnRefuse: func(cause string) { e.metrics.LimitRefusals.WithLabelValues(cause).Inc() },
+		HeaderTimeout: func() time.Duration { return headerTimeout },
+	})
+}
+
 // shutdownTimeout bounds the writing of responses to forwarded keys that are still
 // in flight when the last job ends.
 const shutdownTimeout = time.Second
--- /dev/null
+++ b/internal/gateway/ingress/guard_test.go
@@ -0,0 +1,353 @@
+package ingress
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// pipes is a listener for connections in memory. While shortage is above 0, Accept fails for lack of descriptors.
+type pipes struct {
+	accepted chan net.Conn
+	shortage atomic.Int32
+	accepts  atomic.Int32
+	closed   sync.Once
+}
+
+// pipe is one end of a connection with the address of a client.
+type pipe struct {
+	net.Conn
+	address net.TCPAddr
+}
+
+func (p *pipe) RemoteAddr() net.Addr { return &p.address }
+
+func (p *pipes) Accept() (net.Conn, error) {
+	p.accepts.Add(1)
+	if p.shortage.Add(-1) >= 0 {
+		return nil, &net.OpError{Op: "accept", Err: syscall.EMFILE}
+	}
+	c, open := <-p.accepted
+	if !open {
+		return nil, net.ErrClosed
+	}
+	return c, nil
+}
+
+func (p *pipes) Close() error {
+	p.closed.Do(func() { close(p.accepted) })
+	return nil
+}
+
+func (p *pipes) Addr() net.Addr { return &net.TCPAddr{} }
+
+// dial connects a client from the address 10.0.0.host.
+func (p *pipes) dial(host byte) net.Conn {
+	client, server := net.Pipe()
+	p.accepted <- &pipe{Conn: server, address: net.TCPAddr{IP: net.IPv4(10, 0, 0, host), Port: 1}}
+	synctest.Wait()
+	return client
+}
+
+// bench is a server with a guard. Its handler reads the body and answers with its length. The path /wait
+// waits for 20 s after that, and /long has a long answer.
+type bench struct {
+	*Guard
+	pipes  *pipes
+	causes []string
+}
+
+var testLimits = Limits{Memory: 128 << 10, Jobs: 1000, Connections: 16, Address: 8, Stall: 3 * time.Second, Rate: 2048}
+
+// newBench starts a server. Without sweeps, the test calls Guard.sweep.
+func newBench(t *testing.T, sweeps bool) *bench {
+	b := &bench{pipes: &pipes{accepted: make(chan net.Conn)}}
+	b.Guard = New(Options{
+		Limits: testLimits, OnRefuse: func(cause string) { b.causes = append(b.causes, cause) },
+		IdleTimeout: func() time.Duration { return 15 * time.Second },
+	})
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		data, err := io.ReadAll(r.Body)
+		if err != nil {
+			w.Header().Set("Connection", "close")
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		switch r.URL.Path {
+		case "/wait":
+			time.Sleep(20 * time.Second)
+		case "/long":
+			_, _ = w.Write(make([]byte, 100_000))
+		}
+		fmt.Fprint(w, len(data))
+	})}
+	b.Attach(server)
+	if sweeps {
+		go b.Run(t.Context())
+	}
+	go func() { _ = server.Serve(b.Clients(b.pipes)) }()
+	t.Cleanup(func() { _ = server.Close() })
+	return b
+}
+
+// seen returns the causes of refusals, separated by spaces.
+func (b *bench) seen() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return strings.Join(b.causes, " ")
+}
+
+// head returns the header of a request with a body.
+func head(path string, length int) string {
+	return fmt.Sprintf("POST %s HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n", path, length)
+}
+
+// status reads an answer and returns its status, or "" if the connection is closed.
+func status(c net.Conn) string {
+	buffer := make([]byte, 4096)
+	_ = c.SetReadDeadline(time.Now().Add(time.Minute))
+	n, _ := c.Read(buffer)
+	if n == 0 {
+		return ""
+	}
+	return string(bytes.Fields(buffer[:n])[1])
+}
+
+// TestSlowClients guards against connections that clients keep without sending or reading, and against the end of
+// those that are slow within the limits.
+func TestSlowClients(t *testing.T) {
+	drip := func(c net.Conn, size int, interval time.Duration, times int) {
+		for range times {
+			if _, err := c.Write(make([]byte, size)); err != nil {
+				return
+			}
+			time.Sleep(interval)
+		}
+	}
+	tests := []struct {
+		name   string
+		send   func(c net.Conn)
+		wait   time.Duration // until the client reads its answer
+		status string
+		cause  string
+	}{
+		{"header stands still", func(c net.Conn) { _, _ = io.WriteString(c, "POST / HT") }, 0, "", CauseStall},
+		{"header too slow", func(c net.Conn) {
+			_, _ = io.WriteString(c, "POST / HTTP/1.1\r\nX: ")
+			drip(c, 1000, time.Second, 10)
+		}, 0, "", CauseStall},
+		{"header too late", func(c net.Conn) {
+			_, _ = io.WriteString(c, "POST / HTTP/1.1\r\nX: "+strings.Repeat("x", 1000))
+			for range 40 {
+				if _, err := io.WriteString(c, strings.Repeat("x", 500)); err != nil {
+					return
+				}
+				time.Sleep(200 * time.Millisecond)
+			}
+		}, 0, "", CauseHeader},
+		{"header too long", func(c net.Conn) { _, _ = io.WriteString(c, "POST / HTTP/1.1\r\nX: "+strings.Repeat("x", 30_000)) }, 0, "", CauseHeader},
+		{"body stands still", func(c net.Conn) { _, _ = io.WriteString(c, head("/", 9)+"abcdef") }, 0, "503", CauseStall},
+		{"body too slow", func(c net.Conn) {
+			_, _ = io.WriteString(c, head("/", 100_000))
+			drip(c, 100, 100*time.Millisecond, 40)
+		}, 0, "503", CauseStall},
+		{"slow body", func(c net.Conn) {
+			_, _ = io.WriteString(c, head("/", 10_000))
+			drip(c, 500, 200*time.Millisecond, 20)
+		}, 0, "200", ""},
+		{"whole body", func(c net.Conn) { _, _ = io.WriteString(c, head("/wait", 9)+"abcdefghi") }, 0, "200", ""},
+		{"idle", func(c net.Conn) {
+			_, _ = io.WriteString(c, head("/", 1)+"a")
+			_ = status(c)
+		}, 20 * time.Second, "", CauseIdle},
+		{"unread answer", func(c net.Conn) {
+			_, _ = io.WriteString(c, head("/long", 1)+"a")
+		}, 10 * time.Second, "", CauseUnread},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newBench(t, true)
+				c := b.pipes.dial(1)
+				defer c.Close()
+				go test.send(c)
+				time.Sleep(test.wait)
+				if got := status(c); got != test.status {
+					t.Errorf("status %q, want %q", got, test.status)
+				}
+				time.Sleep(time.Second)
+				if got := b.seen(); got != test.cause {
+					t.Errorf("causes %q, want %q", got, test.cause)
+				}
+				_ = c.Close()
+				time.Sleep(25 * time.Second)
+				b.mu.Lock()
+				defer b.mu.Unlock()
+				if b.used != 0 || b.leaving != 0 || len(b.pools[0].conns) != 0 || len(b.pools[0].addresses) != 0 {
+					t.Errorf("%d bytes, %d leaving, %d connections and %d addresses are left", b.used, b.leaving, len(b.pools[0].conns), len(b.pools[0].addresses))
+				}
+			})
+		})
+	}
+}
+
+// TestPauseEndsNobody guards against the end of requests whose bytes have arrived while the process was paused.
+func TestPauseEndsNobody(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, false)
+		c := b.pipes.dial(1)
+		defer c.Close()
+		_, _ = io.WriteString(c, head("/", 9)+"abcdef")
+		b.sweep()
+		time.Sleep(10 * time.Second)
+		b.sweep()
+		time.Sleep(sweepInterval)
+		b.sweep()
+		_, _ = io.WriteString(c, "ghi")
+		if got := status(c); got != "200" || b.seen() != "" {
+			t.Errorf("status %q and causes %q, want 200 and none", got, b.seen())
+		}
+	})
+}
+
+// TestFullBudget guards against ordinary requests that wait or are refused because of large ones: the large request
+// with the least progress is ended, and the part for ordinary ones stays free.
+func TestFullBudget(t *testing.T) {
+	const large = 40_000 // charged twice, above freeBytes
+	tests := []struct {
+		name    string
+		body    int // of the last request
+		stalled bool
+		want    []string // of the first large request, which stands still or progresses, and of the last one
+	}{
+		{"ordinary beside large", 12_000, true, []string{"200", "200"}},
+		{"large beside a stalled one", large, true, []string{"503", "200"}},
+		{"large beside one that progresses", large, false, []string{"200", "503"}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newBench(t, true)
+				first, last := b.pipes.dial(1), b.pipes.dial(1)
+				defer first.Close()
+				defer last.Close()
+				_, _ = io.WriteString(first, head("/", large)+strings.Repeat("a", large-35_000))
+				time.Sleep(time.Second)
+				if _, err := io.WriteString(first, strings.Repeat("a", 34_999)); err != nil {
+					t.Fatal(err)
+				}
+				if test.stalled {
+					time.Sleep(time.Second)
+				}
+				go func() { _, _ = io.WriteString(last, head("/", test.body)+strings.Repeat("b", test.body)) }()
+				got := []string{"", status(last)}
+				go func() { _, _ = io.WriteString(first, "a") }()
+				got[0] = status(first)
+				if !slices.Equal(got, test.want) {
+					t.Errorf("statuses %q, want %q", got, test.want)
+				}
+			})
+		})
+	}
+}
+
+// TestConnections guards against connections beyond the limit, against one address that shuts out others, and against
+// the end of connections that are served.
+func TestConnections(t *testing.T) {
+	tests := []struct {
+		name  string
+		hosts []byte // of 16 connections
+		path  string // that these request; "" for connections that send nothing
+		host  byte   // of one more
+		want  string // its status, or that of its request
+		first string // status of the first connection
+	}{
+		{"silent ones are closed", make([]byte, 16), "", 0, "200", ""},
+		{"idle ones are closed", make([]byte, 16), "/", 0, "200", ""},
+		{"served ones are not", make([]byte, 16), "/wait", 0, "503", "200"},
+		{"one address beside another", []byte{9, 1, 1, 1, 1, 1, 1, 1, 1}, "/wait", 1, "503", "200"},
+		{"another address beside it", []byte{1, 1, 1, 1, 1, 1, 1, 1}, "/wait", 2, "200", "200"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newBench(t, true)
+				var clients []net.Conn
+				for _, host := range test.hosts {
+					c := b.pipes.dial(host)
+					defer c.Close()
+					if test.path != "" {
+						_, _ = io.WriteString(c, head(test.path, 1)+"a")
+					}
+					if test.path == "/" {
+						_ = status(c)
+					}
+					clients = append(clients, c)
+				}
+				time.Sleep(time.Second)
+				client, server := net.Pipe()
+				defer client.Close()
+				b.pipes.accepted <- &pipe{Conn: server, address: net.TCPAddr{IP: net.IPv4(10, 0, 0, test.host)}}
+				go func() { _, _ = io.WriteString(client, head("/", 1)+"a") }()
+				if got := status(client); got != test.want {
+					t.Errorf("status %q, want %q", got, test.want)
+				}
+				if got := status(clients[0]); got != test.first {
+					t.Errorf("status %q of the first connection, want %q", got, test.first)
+				}
+			})
+		})
+	}
+}
+
+// TestNoDescriptors guards against an accept loop that ends or spins while the process has no descriptors, and checks
+// that an idle connection gives way.
+func TestNoDescriptors(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, true)
+		c := b.pipes.dial(1)
+		defer c.Close()
+		_, _ = io.WriteString(c, head("/", 1)+"a")
+		_ = status(c)
+		time.Sleep(time.Second)
+		b.pipes.shortage.Store(12)
+		before := b.pipes.accepts.Load()
+		other := b.pipes.dial(1) // taken by the Accept that waits
+		defer other.Close()
+		time.Sleep(4 * time.Second)
+		if tries := b.pipes.accepts.Load() - before; tries > 11 {
+			t.Errorf("%d tries in 4 s, want 11 at most", tries)
+		}
+		time.Sleep(6 * time.Second)
+		last := b.pipes.dial(1)
+		defer last.Close()
+		_, _ = io.WriteString(last, head("/", 1)+"a")
+		if got := status(last); got != "200" || status(c) != "" || !strings.Contains(b.seen(), CauseDescriptors) {
+			t.Errorf("status %q after the shortage and causes %q; want 200 and the idle connection closed", got, b.seen())
+		}
+	})
+}
+
+// TestReserveJob guards against jobs beyond their budget, and against memory that is released twice.
+func TestReserveJob(t *testing.T) {
+	g := New(Options{Limits: testLimits})
+	release, ok := g.ReserveJob(testLimits.Jobs)
+	if _, second := g.ReserveJob(1); !ok || second {
+		t.Fatalf("reserved %v, then beyond the budget %v; want only the first", ok, second)
+	}
+	release()
+	release()
+	if _, ok := g.ReserveJob(testLimits.Jobs + 1); ok || g.jobs != 0 {
+		t.Fatalf("reserved more than the budget: %v, %d bytes in use; want false and 0", ok, g.jobs)
+	}
+}
--- /dev/null
+++ b/internal/gateway/ingress/limits.go
@@ -0,0 +1,81 @@
+package ingress
+
+import (
+	"math"
+	"runtime/debug"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"github.com/radishgate/radishgate/common/inifile"
+)
+
+// Limits bound what the clients of a process can take.
+type Limits struct {
+	Memory      int64         // bytes of unfinished headers, of bodies and of their parsing
+	Jobs        int64         // bytes of the jobs that clients wait for
+	Connections int           // of clients; entries have half as many, and probes and metrics a sixteenth each
+	Address     int           // connections from one address, while there are others
+	HeaderBytes int64         // of one request; 0 for the limit of the configuration
+	Stall       time.Duration // without a byte, in either direction, after which a transfer is ended
+	Rate        int64         // lowest rate of a header or body over Stall, in bytes a second
+}
+
+// connectionBytes is what a connection takes besides its budget: two goroutines, the buffers of net/http, a parsed
+// header and a body of up to freeBytes.
+const connectionBytes = 32 << 10
+
+// maxFileDescriptors is the part of the descriptors that is kept for files and connections to others.
+const maxFileDescriptors = 200
+
+// DefaultLimits derives limits from the memory of the machine in bytes and the number of descriptors of the process.
+// Connections, budget and jobs of a process whose clients exceed all limits at once take half of the memory; the rest
+// is left to the process itself and to garbage.
+func DefaultLimits(memory int64, descriptors int) Limits {
+	files := min(maxFileDescriptors, descriptors/4)
+	// All listeners together have up to five thirds of the connections of the clients.
+	count := max(16, min(int(memory/8/connectionBytes), (descriptors-files)*3/5))
+	return Limits{Memory: memory / 5, Jobs: memory / 10, Connections: count, Address: max(1, count/2), Stall: 3 * time.Second, Rate: 2048}
+}
+
+// ReadLimits reads section [ingress] of a settings file. Missing keys have the values of DefaultLimits. Mistakes are
+// recorded in f.
+func ReadLimits(f *inifile.File, memory int64, descriptors int) Limits {
+	const section, most = "ingress", 1 << 20
+	d := DefaultLimits(memory, descriptors)
+	megabytes := func(key string, fallback int64) int64 {
+		if !f.Has(section, key) {
+			return fallback
+		}
+		return f.Int(section, key, 1, 1, most) << 20
+	}
+	l := Limits{
+		Memory: megabytes("memory", d.Memory), Jobs: megabytes("jobs", d.Jobs),
+		Connections: int(f.Int(section, "connections", int64(d.Connections), 16, most)),
+		HeaderBytes: f.Int(section, "header", 0, 1<<10, most),
+		Stall:       f.Duration(section, "stall", d.Stall, 100*time.Millisecond, time.Minute),
+		Rate:        f.Int(section, "rate", d.Rate, 1, most),
+	}
+	l.Address = int(f.Int(section, "address", int64(max(1, l.Connections/2)), 1, most))
+	return l
+}
+
+// ProcessMemory returns the memory in bytes that this process may take: GOMEMLIMIT, or else the memory of the machine.
+func ProcessMemory() int64 {
+	if limit := debug.SetMemoryLimit(-1); limit < math.MaxInt64 {
+		return limit
+	}
+	if memory, known := machineMemory(); known {
+		return memory
+	}
+	return 1 << 30 // a small machine
+}
+
+// DescriptorLimit returns the greatest number of descriptors that this process may open.
+func DescriptorLimit() int {
+	var limit unix.Rlimit
+	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &limit); err != nil {
+		return 1024 // the usual limit of a shell
+	}
+	return int(min(limit.Cur, math.MaxInt32))
+}
--- a/internal/gateway/node/metrics.go
+++ b/internal/gateway/node/metrics.go
@@ -22,6 +22,7 @@
 	jobs         *prometheus.CounterVec
 	response     *prometheus.HistogramVec
 	dependencies *prometheus.GaugeVec
+	refused      *prometheus.CounterVec
 
 	mu       sync.Mutex
 	counters map[string]prometheus.Counter
@@ -39,6 +40,7 @@
 		messages: counter("messages_total", "Messages to other entries, by kind.", "kind"),
 		orders:   counter("orders_total", "Orders to workers and ends that they list, by kind and answer.", "what"),
 		jobs:     counter("jobs_total", "Jobs of clients of this entry, by result.", "result"),
+		refused:  counter("refused_total", "Requests and connections refused or ended at a limit, by cause.", "cause"),
 		response: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name: name("response_seconds"), Help: "Arrival to result, by queue.", Buckets: responseBuckets,
 		}, []string{"queue"}),
@@ -50,7 +52,7 @@
 		return prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name(what), Help: help}, read)
 	}
 	m.registry.MustRegister(
-		m.messages, m.orders, m.jobs, m.response, m.dependencies,
+		m.messages, m.orders, m.jobs, m.response, m.dependencies, m.refused,
 		gauge("log_lines_dropped", "Log lines beyond the bounds.", func() float64 { return float64(droppedLogLines()) }),
 		gauge("configuration_version", "Version in force.", func() float64 { return float64(n.routes.Version()) }),
 		gauge("tasks_waiting", "Tasks without a worker in the groups of this entry.", func() float64 { return float64(n.load().Waiting) }),
@@ -86,6 +88,9 @@
 // countOrder counts an order to a worker or its answer.
 func (m *instruments) countOrder(what string) { m.increment(m.orders, what) }
 
+// countRefused counts a request or connection that was refused or ended at a limit.
+func (m *instruments) countRefused(cause string) { m.refused.WithLabelValues(cause).Inc() }
+
 // setDependency records whether a dependency answers.
 func (m *instruments) setDependency(name string, up bool) {
 	value := 0.0
--- a/internal/gateway/node/node.go
+++ b/internal/gateway/node/node.go
@@ -15,6 +15,7 @@
 
 	"github.com/radishgate/radishgate/common/counted"
 	"github.com/radishgate/radishgate/internal/gateway/feed"
+	"github.com/radishgate/radishgate/internal/gateway/ingress"
 	"github.com/radishgate/radishgate/internal/gateway/isolation"
 	"github.com/radishgate/radishgate/internal/gateway/routes"
 	"github.com/radishgate/radishgate/internal/gateway/settings"
@@ -59,6 +60,7 @@
 	registry    *registry.Registry
 	tracker     *submission.Tracker
 	instruments *instruments
+	ingress     *ingress.Guard
 	outbox      *outbox
 
 	draining       atomic.Bool
@@ -131,6 +133,7 @@
 		MayHavePeers:  n.othersMayRun,
 	})
 	n.instruments = newInstruments(n, options.DroppedLogLines)
+	n.ingress = newGuard(n)
 	n.outbox = newOutbox(n)
 	n.tracker = submission.New(submission.Options{
 		Self: s.VM, GroupOf: n.groupOfJob, FindHolder: n.currentHolder, Detour: n.detour, Place: n.placeAt, Await: n.awaitAt, Withdraw: n.withdrawAt,
--- a/internal/gateway/node/serve.go
+++ b/internal/gateway/node/serve.go
@@ -11,6 +11,7 @@
 	"github.com/labstack/echo/v4"
 
 	"github.com/radishgate/radishgate/common/wait"
+	"github.com/radishgate/radishgate/internal/gateway/ingress"
 	"github.com/radishgate/radishgate/internal/work/batch"
 	"github.com/radishgate/radishgate/member"
 	"github.com/radishgate/radishgate/peer"
@@ -63,22 +64,29 @@
 	failures := make(chan error, 4)
 	var servers sync.WaitGroup
 	httpServers := []*http.Server{clients}
-	servers.Go(func() { serve(clients, n.listeners.clients, failures) })
+	n.ingress.Attach(clients)
+	servers.Go(func() { serve(clients, n.ingress.Clients(n.listeners.clients), failures) })
 	for _, s := range []struct {
 		handler  http.Handler
 		listener net.Listener
-	}{{n.peerRoutes(), n.listeners.peers}, {n.readyRoutes(), n.ready}, {n.instruments.handler(), n.metrics}} {
+		guard    func(net.Listener) net.Listener
+	}{
+		{n.peerRoutes(), n.listeners.peers, n.ingress.Entries},
+		{n.readyRoutes(), n.ready, n.ingress.Operators},
+		{n.instruments.handler(), n.metrics, n.ingress.Operators},
+	} {
 		if s.listener == nil {
 			continue
 		}
 		server := &http.Server{Handler: s.handler, ReadHeaderTimeout: readHeaderTimeout}
+		n.ingress.Attach(server)
 		httpServers = append(httpServers, server)
-		servers.Go(func() { serve(server, s.listener, failures) })
+		servers.Go(func() { serve(server, s.guard(s.listener), failures) })
 	}
 	for _, f := range n.followers() {
 		n.loops.Go(func() { f.Run(n.ctx) })
 	}
-	for _, loop := range []func(context.Context){n.heartbeatLoop, n.contactLoop, n.rosterLoop, n.tracker.Run, n.registryExpiryLoop} {
+	for _, loop := range []func(context.Context){n.heartbeatLoop, n.contactLoop, n.rosterLoop, n.tracker.Run, n.registryExpiryLoop, n.ingress.Run} {
 		n.loops.Go(func() { loop(n.ctx) })
 	}
 	var failure error
@@ -118,6 +126,7 @@
 	ingress := &platform.Ingress{
 		Find: n.routes.Find, Submit: n.submit, JobState: n.jobState, Cancel: n.cancelJob, Backlog: n.backlog,
 		CloseConnection: n.closesConnections, MaxBodyBytes: n.routes.MaxBodyBytes,
+		Reserve: n.ingress.Reserve, ReserveJob: n.ingress.ReserveJob,
 	}
 	e := echo.New()
 	e.Any("/*", echo.WrapHandler(ingress))
@@ -141,6 +150,20 @@
 	return e
 }
 
+// newGuard returns the guard of the servers. Limits that are 0, as in tests, follow from the memory and the process.
+func newGuard(n *Node) *ingress.Guard {
+	limits := n.settings.Ingress
+	if limits == (ingress.Limits{}) {
+		limits = ingress.DefaultLimits(n.settings.Memory<<20, ingress.DescriptorLimit())
+	}
+	return ingress.New(ingress.Options{
+		Limits: limits, Log: n.log, OnRefuse: n.instruments.countRefused,
+		HeaderBytes:   func() int64 { bytes, _, _ := n.routes.Limits(); return bytes },
+		HeaderTimeout: func() time.Duration { _, timeout, _ := n.routes.Limits(); return timeout },
+		IdleTimeout:   func() time.Duration { _, _, timeout := n.routes.Limits(); return timeout },
+	})
+}
+
 // submit serves one job. Jobs whose result must be kept are refused, because results
 // are not stored yet.
 func (n *Node) submit(ctx context.Context, b *batch.Batch) batch.Result {
--- a/internal/gateway/routes/table.go
+++ b/internal/gateway/routes/table.go
@@ -7,6 +7,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/radishgate/radishgate/internal/work/batch"
 	"github.com/radishgate/radishgate/platform"
@@ -69,6 +70,14 @@
 	return 0
 }
 
+// Limits returns the configuration's limits of headers and idle connections, each 0 if it sets none.
+func (t *Table) Limits() (headerBytes int64, headerTimeout, idleTimeout time.Duration) {
+	if n := t.current.Load(); n != nil {
+		return n.MaxHeaderBytes, n.HeaderTimeout, n.IdleTimeout
+	}
+	return 0, 0, 0
+}
+
 // Find returns the settings of the queue with the longest prefix of path at a host, and
 // the path without that prefix. The host must be in lower case.
 func (t *Table) Find(host, path string) (batch.QueueSettings, string, platform.LookupStatus) {
--- a/internal/gateway/settings/settings.go
+++ b/internal/gateway/settings/settings.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/radishgate/radishgate/common/inifile"
+	"github.com/radishgate/radishgate/internal/gateway/ingress"
 	"github.com/radishgate/radishgate/settings"
 )
 
@@ -34,6 +35,9 @@
 	Groups            int // number of worker groups in each zone; one entry schedules the tasks of a group
 	HeartbeatInterval time.Duration
 	LogLevel          string
+
+	Descriptors int // that the process may open
+	Ingress     ingress.Limits
 }
 
 // Load reads and validates a settings file. Errors are *settings.Error or *inifile.Error.
@@ -65,6 +69,8 @@
 		HeartbeatInterval: f.Duration("entry", "beat", 150*time.Millisecond, 10*time.Millisecond, 10*time.Second),
 		LogLevel:          f.String("logs", "level", "info"),
 	}
+	s.Descriptors = int(f.Int("entry", "descriptors", int64(ingress.DescriptorLimit()), 64, 1<<30))
+	s.Ingress = ingress.ReadLimits(f, s.Memory<<20, s.Descriptors)
 	s.AdvertisedAddress = f.String("entry", "reach", s.Peers)
 	for key, text := range map[string]string{"listen": s.Listen, "ready": s.Ready, "peers": s.Peers, "metrics": s.Metrics, "reach": s.AdvertisedAddress} {
 		checkAddress(f, "entry", key, text)
--- a/internal/gateway/settings/settings_test.go
+++ b/internal/gateway/settings/settings_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/radishgate/radishgate/common/inifile"
+	"github.com/radishgate/radishgate/internal/gateway/ingress"
+	"github.com/radishgate/radishgate/internal/mutate"
 )
 
 const validSettings = `[entry]
@@ -16,6 +18,7 @@
 cores = 2
 share = 0.4
 memory = 284
+descriptors = 3075
 listen = 127.0.0.1:8161
 ready = 127.0.0.1:8167
 peers = 127.0.0.1:8166
@@ -28,6 +31,9 @@
 resend = 1300ms
 [logs]
 level = info
+[ingress]
+connections = 500
+stall = 2s
 `
 
 // TestParse checks that valid settings are read, and that the error for an invalid
@@ -40,6 +46,11 @@
 	if s.VM != "front-1" || s.Processors != 0.8 || len(s.Seeds) != 2 || len(s.Zones) != 2 || s.Lease != time.Second || s.Groups != 1 || s.AdvertisedAddress != s.Peers {
 		t.Fatalf("%+v", s)
 	}
+	want := ingress.DefaultLimits(284<<20, 3075)
+	want.Connections, want.Address, want.Stall = 500, 250, 2*time.Second
+	if s.Ingress != want {
+		t.Fatalf("limits %+v, want %+v", s.Ingress, want)
+	}
 	tests := []struct {
 		name, old, with, key string
 	}{
@@ -50,6 +61,10 @@
 		{"lease without a unit", "1000ms", "1000", "lease"},
 		{"unknown key", "[logs]", "[logs]\nshape = x", "shape"},
 		{"share above one", "share = 0.4", "share = 4", "share"},
+		{"fewer descriptors than listeners need", "descriptors = 3075", "descriptors = 3", "descriptors"},
+		{"stall without a unit", "stall = 2s", "stall = 2", "stall"},
+		{"rate of nothing", "stall = 2s", "rate = 0", "rate"},
+		{"unknown limit", "stall = 2s", "patience = 2s", "patience"},
 		{"missing VM", "vm = front-1\n", "", "vm"},
 	}
 	for _, c := range tests {
@@ -62,3 +77,19 @@
 		})
 	}
 }
+
+// FuzzParse guards against settings that crash the parser, or that leave clients without a limit.
+func FuzzParse(f *testing.F) {
+	for _, text := range mutate.Variants(validSettings, 500) {
+		f.Add(text)
+	}
+	f.Fuzz(func(t *testing.T, text string) {
+		s, err := Parse("fuzz", []byte(text))
+		if err != nil {
+			return
+		}
+		if l := s.Ingress; l.Memory <= 0 || l.Jobs <= 0 || l.Connections < 16 || l.Address < 1 || l.Stall <= 0 || l.Rate < 1 {
+			t.Errorf("limits %+v of %q", l, text)
+		}
+	})
+}
--- a/internal/trial/crowd/crowd_test.go
+++ b/internal/trial/crowd/crowd_test.go
@@ -4,6 +4,7 @@
 import (
 	"flag"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -131,17 +132,23 @@
 	return name
 }
 
+// freeAddresses returns addresses at which nothing listens. Their ports are below those that the system gives to
+// connections, which may take a port before the entry listens at it.
 func freeAddresses(t *testing.T, count int) []string {
+	const firstPort, portCount, maxTries = 15000, 17000, 1000
 	var addresses []string
-	for range count {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+	for range maxTries {
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(portCount)))
 		if err != nil {
-			t.Fatal(err)
+			continue // the port is taken
 		}
 		defer l.Close()
-		addresses = append(addresses, l.Addr().String())
+		if addresses = append(addresses, l.Addr().String()); len(addresses) == count {
+			return addresses
+		}
 	}
-	return addresses
+	t.Fatalf("only %d of %d free ports found", len(addresses), count)
+	return nil
 }
 
 // expectAnswer sends an ordinary request, repeated as a client would, until it is answered with 200.
--- a/measure/metrics.go
+++ b/measure/metrics.go
@@ -19,16 +19,17 @@
 // Metrics holds the metrics of one entry. The number of label values is bounded: tenants
 // and classes come from the bundle, all others from fixed lists.
 type Metrics struct {
-	Registry     *prometheus.Registry
-	Messages     *prometheus.CounterVec // by kind
-	StateChanges *prometheus.CounterVec // by what changed, label what
-	Jobs         *prometheus.CounterVec // by tenant, class and result
-	Refusals     *prometheus.CounterVec // by kind and outcome
-	TaskStarts   *prometheus.CounterVec // by tenant, class and result
-	ResponseTime *prometheus.HistogramVec
-	WaitTime     *prometheus.HistogramVec
-	ServiceTime  *prometheus.HistogramVec
-	IdealRatio   *prometheus.HistogramVec
+	Registry      *prometheus.Registry
+	LimitRefusals *prometheus.CounterVec // by cause
+	Messages      *prometheus.CounterVec // by kind
+	StateChanges  *prometheus.CounterVec // by what changed, label what
+	Jobs          *prometheus.CounterVec // by tenant, class and result
+	Refusals      *prometheus.CounterVec // by kind and outcome
+	TaskStarts    *prometheus.CounterVec // by tenant, class and result
+	ResponseTime  *prometheus.HistogramVec
+	WaitTime      *prometheus.HistogramVec
+	ServiceTime   *prometheus.HistogramVec
+	IdealRatio    *prometheus.HistogramVec
 }
 
 // histogram returns a histogram by tenant and class.
@@ -45,18 +46,19 @@
 // New returns metrics that are registered in a registry of their own.
 func New() *Metrics {
 	m := &Metrics{
-		Registry:     prometheus.NewRegistry(),
-		Messages:     counter("messages_total", "Messages sent, by kind; an answer counts as one of its own.", "kind"),
-		StateChanges: counter("changes_total", "Changes of state, by what changed.", "what"),
-		Jobs:         counter("jobs_total", "Jobs and requests answered, by result.", "tenant", "class", "result"),
-		Refusals:     counter("refusals_total", "Refusals to callers, by kind and known outcome.", "kind", "outcome"),
-		TaskStarts:   counter("starts_total", "Starts of tasks on upstreams, by result.", "tenant", "class", "result"),
-		ResponseTime: histogram("response_seconds", "Arrival to whole answer.", timeBuckets),
-		WaitTime:     histogram("wait_seconds", "Arrival of a job to start of a task.", timeBuckets),
-		ServiceTime:  histogram("service_seconds", "Start of a task to its answer.", timeBuckets),
-		IdealRatio:   histogram("ideal_ratio", "Response against the estimated ideal.", ratioBuckets),
+		Registry:      prometheus.NewRegistry(),
+		LimitRefusals: counter("limit_refusals_total", "Requests and connections refused or ended at a limit, by cause.", "cause"),
+		Messages:      counter("messages_total", "Messages sent, by kind; an answer counts as one of its own.", "kind"),
+		StateChanges:  counter("changes_total", "Changes of state, by what changed.", "what"),
+		Jobs:          counter("jobs_total", "Jobs and requests answered, by result.", "tenant", "class", "result"),
+		Refusals:      counter("refusals_total", "Refusals to callers, by kind and known outcome.", "kind", "outcome"),
+		TaskStarts:    counter("starts_total", "Starts of tasks on upstreams, by result.", "tenant", "class", "result"),
+		ResponseTime:  histogram("response_seconds", "Arrival to whole answer.", timeBuckets),
+		WaitTime:      histogram("wait_seconds", "Arrival of a job to start of a task.", timeBuckets),
+		ServiceTime:   histogram("service_seconds", "Start of a task to its answer.", timeBuckets),
+		IdealRatio:    histogram("ideal_ratio", "Response against the estimated ideal.", ratioBuckets),
 	}
-	m.Registry.MustRegister(m.Messages, m.StateChanges, m.Jobs, m.Refusals, m.TaskStarts, m.ResponseTime, m.WaitTime, m.ServiceTime, m.IdealRatio)
+	m.Registry.MustRegister(m.LimitRefusals, m.Messages, m.StateChanges, m.Jobs, m.Refusals, m.TaskStarts, m.ResponseTime, m.WaitTime, m.ServiceTime, m.IdealRatio)
 	return m
 }
 
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/radishgate/radishgate/common/inifile"
+	"github.com/radishgate/radishgate/internal/gateway/ingress"
 )
 
 // Settings are the settings of one entry. DefaultFile describes each of them for
@@ -22,6 +23,9 @@
 	CallerAddress   string  // listens for callers
 	PeerAddress     string  // listens for other entries
 	OperatorAddress string  // listens for operators: metrics, status, profiles
+	Memory          int64   // MB that the process may take
+
+	Ingress ingress.Limits
 
 	PlatformAddress string        // log and VM list of the platform
 	VMListInterval  time.Duration // time between reads of the VM list
@@ -99,8 +103,21 @@
 	s.CallerAddress = readAddress(f, section, "listen", true)
 	s.PeerAddress = readAddress(f, section, "peers", true)
 	s.OperatorAddress = readAddress(f, section, "operators", true)
+	s.Memory = f.Int(section, "memory", max(32, ingress.ProcessMemory()>>20), 32, 1<<30)
+	descriptors := f.Int(section, "descriptors", int64(ingress.DescriptorLimit()), 64, 1<<30)
+	s.Ingress = ingress.ReadLimits(f, int64(heapShare*float64(s.Memory<<20)), int(descriptors))
+	if s.Ingress.HeaderBytes == 0 {
+		s.Ingress.HeaderBytes = maxHeaderBytes
+	}
 }
 
+// heapShare is the part of the memory from which the limits of clients are derived. Garbage may take as much as what
+// is in use, since the process has no limit of its own for its heap.
+const heapShare = 0.6
+
+// maxHeaderBytes is the default size of a request's header.
+const maxHeaderBytes = 64 << 10
+
 func validateName(f *inifile.File, section, key, value string) {
 	if !namePattern.MatchString(value) {
 		f.Fail(section, key, "is not 1 to 40 of a-z, 0-9 and -")
@@ -198,6 +215,27 @@
 listen = 127.0.0.1:8080
 peers = 127.0.0.1:8081
 operators = 127.0.0.1:8082
+# Memory for the process, in MB, from which the limits below are derived.
+# Default: GOMEMLIMIT, or the memory of the machine.
+# memory = 1024
+# Descriptors that the process may open. Default: the limit of the process.
+# descriptors = 1024
+
+[ingress]
+# Limits of clients. Defaults are derived from memory and descriptors; these are
+# examples. MB of unfinished headers, of bodies and of their parsing.
+# memory = 120
+# MB of the jobs that callers wait for.
+# jobs = 60
+# Connections of callers in all, and from one address while there are others.
+# connections = 400
+# address = 200
+# Bytes of one request's header.
+# header = 65536
+# Time without a byte after which a transfer is ended, and its lowest rate in
+# bytes a second.
+# stall = 3s
+# rate = 2048
 
 [platform]
 # Address of the platform's log and VM list.
