--- a/internal/gateway/node/node.go
+++ b/internal/gateway/node/node.go
@@ -17,6 +17,7 @@
 	"github.com/radishgate/radishgate/internal/gateway/cancellation"
 	"github.com/radishgate/radishgate/internal/gateway/evacuation"
 	"github.com/radishgate/radishgate/internal/gateway/feed"
+	"github.com/radishgate/radishgate/internal/gateway/ingress"
 	"github.com/radishgate/radishgate/internal/gateway/isolation"
 	"github.com/radishgate/radishgate/internal/gateway/routes"
 	"github.com/radishgate/radishgate/internal/gateway/settings"
@@ -61,6 +62,7 @@
 	registry    *registry.Registry
 	tracker     *submission.Tracker
 	instruments *instruments
+	ingress     *ingress.Guard
 	outbox      *outbox
 	cancels     *cancellation.Exchange
 
@@ -144,6 +146,7 @@
 		MayHavePeers:  n.othersMayRun,
 	})
 	n.instruments = newInstruments(n, options.DroppedLogLines)
+	n.ingress = newGuard(n)
 	n.outbox = newOutbox(n)
 	n.cancels = n.newCancels()
 	n.tracker = submission.New(submission.Options{
--- a/internal/gateway/node/reload.go
+++ b/internal/gateway/node/reload.go
@@ -16,5 +16,9 @@
 			Name: "[platform] grace", Value: func(s *settings.Settings) any { return s.Grace },
 			Apply: func(s *settings.Settings) { n.grace.Store(int64(s.Grace)) },
 		},
+		{
+			Name: "[ingress]", Value: func(s *settings.Settings) any { return s.Ingress },
+			Apply: func(s *settings.Settings) { n.ingress.SetLimits(s.Ingress) },
+		},
 	}
 }
--- a/internal/gateway/reload/restart.go
+++ b/internal/gateway/reload/restart.go
@@ -16,6 +16,7 @@
 		{Name: "[entry] cores", Value: func(s *settings.Settings) any { return s.Cores }},
 		{Name: "[entry] share", Value: func(s *settings.Settings) any { return s.Share }},
 		{Name: "[entry] memory", Value: func(s *settings.Settings) any { return s.Memory }},
+		{Name: "[entry] descriptors", Value: func(s *settings.Settings) any { return s.Descriptors }},
 		{Name: "[entry] beat", Value: func(s *settings.Settings) any { return s.HeartbeatInterval }},
 		{Name: "[platform] store", Value: func(s *settings.Settings) any { return s.Store }},
 		{Name: "[platform] lease", Value: func(s *settings.Settings) any { return s.Lease }},
--- a/internal/gateway/settings/settings.go
+++ b/internal/gateway/settings/settings.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/radishgate/radishgate/common/inifile"
+	"github.com/radishgate/radishgate/internal/gateway/ingress"
 	"github.com/radishgate/radishgate/internal/work/cancels"
 	"github.com/radishgate/radishgate/settings"
 )
@@ -42,6 +43,9 @@
 
 	CancelKeep  time.Duration // how long a cancel is kept at least
 	CancelLimit int           // cancels kept at once
+
+	Descriptors int // that the process may open
+	Ingress     ingress.Limits
 }
 
 // Load reads and validates a settings file. Errors are *settings.Error or *inifile.Error.
@@ -79,6 +83,8 @@
 	if err := s.LogLevel.UnmarshalText([]byte(f.String("logs", "level", "info"))); err != nil {
 		f.Fail("logs", "level", err.Error())
 	}
+	s.Descriptors = int(f.Int("entry", "descriptors", int64(ingress.DescriptorLimit()), 64, 1<<30))
+	s.Ingress = ingress.ReadLimits(f, s.Memory<<20, s.Descriptors)
 	s.AdvertisedAddress = f.String("entry", "reach", s.Peers)
 	for key, text := range map[string]string{"listen": s.Listen, "ready": s.Ready, "peers": s.Peers, "metrics": s.Metrics, "reach": s.AdvertisedAddress} {
 		checkAddress(f, "entry", key, text)
