lookahead: Reserve workers for large tasks and fill gaps

Cause: at 1.5 times the usual load of the new deployments, tasks that need many cores find none while 0.21 of the cores are unused (0.26 on workers of 16 cores): what becomes free goes to the first waiting task that fits.

Ruled out, each measured on the same load: first fit, EASY and conservative backfilling, packing by alignment, reservations in an overload, filling without regard to queue and turn.

Change: package lookahead forecasts free resources, keeps at most 16 reservations and chooses tasks that fill a worker; plan asks it if [placement] lookahead is on (off by default). It does nothing while more work arrives at a service than its workers can do.

--- a/internal/gateway/node/groups.go
+++ b/internal/gateway/node/groups.go
@@ -164,6 +164,7 @@
 		TakeoverSuspected: func() bool { return n.pauseDetector.takeoverSuspected(time.Now()) },
 		MayBeReplaced:     n.mayBeReplaced,
 		LastContact:       n.lastContact,
+		Lookahead:         n.settings.Lookahead,
 		StartedElsewhere:  func(id string) string { return n.startedElsewhere(c.Group, id) },
 		OnConflict: func() bool {
 			now := time.Now()
--- a/internal/gateway/settings/settings.go
+++ b/internal/gateway/settings/settings.go
@@ -34,6 +34,7 @@
 	Groups            int // number of worker groups in each zone; one entry schedules the tasks of a group
 	HeartbeatInterval time.Duration
 	LogLevel          string
+	Lookahead         bool // look-ahead placement
 }
 
 // Load reads and validates a settings file. Errors are *settings.Error or *inifile.Error.
@@ -65,6 +66,7 @@
 		HeartbeatInterval: f.Duration("entry", "beat", 150*time.Millisecond, 10*time.Millisecond, 10*time.Second),
 		LogLevel:          f.String("logs", "level", "info"),
 	}
+	s.Lookahead = parseSwitch(f, "placement", "lookahead")
 	s.AdvertisedAddress = f.String("entry", "reach", s.Peers)
 	for key, text := range map[string]string{"listen": s.Listen, "ready": s.Ready, "peers": s.Peers, "metrics": s.Metrics, "reach": s.AdvertisedAddress} {
 		checkAddress(f, "entry", key, text)
@@ -79,6 +81,15 @@
 	return s, nil
 }
 
+// parseSwitch returns whether a key is on; off is the default.
+func parseSwitch(f *inifile.File, section, key string) bool {
+	text := f.String(section, key, "off")
+	if text != "on" && text != "off" {
+		f.Fail(section, key, fmt.Sprintf("%q is neither on nor off", text))
+	}
+	return text == "on"
+}
+
 // checkAddress records an error for a value that is neither empty nor an IP address
 // with a port.
 func checkAddress(f *inifile.File, section, key, text string) {
--- a/internal/gateway/settings/settings_test.go
+++ b/internal/gateway/settings/settings_test.go
@@ -26,6 +26,8 @@
 lease = 1000ms
 grace = 6s
 resend = 1300ms
+[placement]
+lookahead = on
 [logs]
 level = info
 `
@@ -37,7 +39,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if s.VM != "front-1" || s.Processors != 0.8 || len(s.Seeds) != 2 || len(s.Zones) != 2 || s.Lease != time.Second || s.Groups != 1 || s.AdvertisedAddress != s.Peers {
+	if s.VM != "front-1" || s.Processors != 0.8 || len(s.Seeds) != 2 || len(s.Zones) != 2 || s.Lease != time.Second || s.Groups != 1 || s.AdvertisedAddress != s.Peers || !s.Lookahead {
 		t.Fatalf("%+v", s)
 	}
 	tests := []struct {
@@ -50,6 +52,7 @@
 		{"lease without a unit", "1000ms", "1000", "lease"},
 		{"unknown key", "[logs]", "[logs]\nshape = x", "shape"},
 		{"share above one", "share = 0.4", "share = 4", "share"},
+		{"look-ahead neither on nor off", "lookahead = on", "lookahead = true", "lookahead"},
 		{"missing VM", "vm = front-1\n", "", "vm"},
 	}
 	for _, c := range tests {
--- a/internal/placement/holder/holder.go
+++ b/internal/placement/holder/holder.go
@@ -55,6 +55,8 @@
 	// StartedElsewhere returns another group whose holder has started a job, or "". Nil means
 	// that there never is.
 	StartedElsewhere func(id string) string
+	// Lookahead turns look-ahead placement on.
+	Lookahead bool
 	// CountCall counts a call to a worker, named after its kind and answer, for metrics.
 	CountCall func(kind string)
 }
@@ -91,7 +93,7 @@
 		options: options, sessions: map[string]*session{}, ended: map[string]endedWorker{},
 		plan: plan.New(plan.Options{
 			Lease: options.Lease, ClientRetryAfter: options.ClientRetryAfter, WorkersIncompleteUntil: options.WorkersIncompleteUntil,
-			StartedElsewhere: options.StartedElsewhere,
+			StartedElsewhere: options.StartedElsewhere, Lookahead: options.Lookahead,
 		}, now),
 	}
 	h.ctx, h.cancel = context.WithCancel(ctx)
--- a/internal/placement/plan/bench_test.go
+++ b/internal/placement/plan/bench_test.go
@@ -9,12 +9,20 @@
 // BenchmarkBusyZone measures the time that the plan spends on one task in an overloaded zone:
 // 117 workers, jobs of four tasks that each need half a worker, and about 300 jobs waiting.
 func BenchmarkBusyZone(b *testing.B) {
+	b.Run("lookahead=off", func(b *testing.B) { benchmarkBusyZone(b, false) })
+	b.Run("lookahead=on", func(b *testing.B) { benchmarkBusyZone(b, true) })
+}
+
+func benchmarkBusyZone(b *testing.B, lookahead bool) {
 	const workers, waiting = 117, 300
 	var all []Worker
 	for i := range workers {
 		all = append(all, testWorker(fmt.Sprintf("w%03d", i), 2))
 	}
 	p := fencedPlan(all...)
+	if lookahead {
+		p.ahead = newAhead()
+	}
 	now := start
 	running := map[string][]Order{}
 	note := func() {
--- a/internal/placement/plan/choose.go
+++ b/internal/placement/plan/choose.go
@@ -52,6 +52,9 @@
 		if p.now.Add(p.expectedTime(t, w)).After(t.job.ExpiresAt) {
 			continue // its client would have left
 		}
+		if !p.respectsReservation(t, w) {
+			continue
+		}
 		runtime := float64(p.expectedTime(t, w))
 		left := float64(w.free().MilliCores-step.Resources.MilliCores) / float64(max(1, w.Capacity.MilliCores))
 		cost := runtime * (1 + leftoverWeight*left)
@@ -85,12 +88,17 @@
 	if w.Service != t.job.Service || t.avoidedWorkers[w.ID] || !step.Resources.FitsIn(w.free()) || p.outliers.IsEjected(w.ID) || t.mayEndanger(w, p.now) {
 		return false
 	}
-	if step.RequiredLabel != "" && !slices.Contains(w.Labels, step.RequiredLabel) {
+	if !w.offers(step) {
 		return false
 	}
 	return (step.MaxPerWorker == 0 || p.countSameStep(t, w) < step.MaxPerWorker) && p.leaseFits(w, t.job)
 }
 
+// offers reports whether a worker has the label that a step needs.
+func (w *worker) offers(step batch.Step) bool {
+	return step.RequiredLabel == "" || slices.Contains(w.Labels, step.RequiredLabel)
+}
+
 // countSameStep counts the tasks of the same job and step on a worker.
 func (p *Plan) countSameStep(t *task, w *worker) int {
 	count := 0
--- a/internal/placement/plan/place.go
+++ b/internal/placement/plan/place.go
@@ -28,6 +28,7 @@
 		return
 	}
 	p.sortWaiting()
+	p.resetAhead()
 	p.placeOnWorkers(p.openWorkers())
 	p.spillOver(p.waiting)
 	p.endUnreachable(p.waiting)
@@ -45,6 +46,7 @@
 	if !p.waitingSorted {
 		p.sortWaiting()
 	}
+	p.fillWorker(w)
 	p.placeOnWorkers([]*worker{w})
 	p.pruneWaiting()
 }
@@ -78,7 +80,11 @@
 			return
 		}
 		// Skip early: under load most pending tasks need more than is free.
-		if !j.anyPendingFits(largestFree) || p.mayRunElsewhere(j) {
+		if p.mayRunElsewhere(j) {
+			continue
+		}
+		if !j.anyPendingFits(largestFree) {
+			p.reserveFor(j)
 			continue
 		}
 		if otherLeases {
@@ -94,6 +100,7 @@
 		if p.placeJob(j, workers, largestFree) {
 			largestFree = maxFree(workers)
 		}
+		p.reserveFor(j)
 	}
 }
 
@@ -143,21 +150,31 @@
 	for _, j := range p.waiting {
 		j.late = j.likelyMisses(p.now)
 	}
-	slices.SortStableFunc(p.waiting, func(a, b *job) int {
-		switch {
-		case a.late != b.late && b.late:
-			return -1
-		case a.late != b.late:
-			return 1
-		case a.late:
-			return a.ExpiresAt.Compare(b.ExpiresAt)
-		case a.partlyPlaced() != b.partlyPlaced() && a.partlyPlaced():
-			return -1
-		case a.partlyPlaced() != b.partlyPlaced():
-			return 1
-		}
-		return a.latestTurn().Compare(b.latestTurn())
-	})
+	slices.SortStableFunc(p.waiting, compareTurns)
+}
+
+// compareTurns is the order of sortWaiting.
+func compareTurns(a, b *job) int {
+	switch {
+	case a.late != b.late && b.late:
+		return -1
+	case a.late != b.late:
+		return 1
+	case a.late:
+		return a.ExpiresAt.Compare(b.ExpiresAt)
+	}
+	return compareOnTime(a, b)
+}
+
+// compareOnTime is the order of jobs that can still meet their objective.
+func compareOnTime(a, b *job) int {
+	switch {
+	case a.partlyPlaced() != b.partlyPlaced() && a.partlyPlaced():
+		return -1
+	case a.partlyPlaced() != b.partlyPlaced():
+		return 1
+	}
+	return a.latestTurn().Compare(b.latestTurn())
 }
 
 // likelyMisses reports whether a job is likely to miss its objective if its turn comes now. A
@@ -205,7 +222,7 @@
 func (p *Plan) placeJob(j *job, workers []*worker, largestFree resources.Resources) bool {
 	remaining := j.pending[:0]
 	for _, t := range j.pending {
-		if t.activeRun != nil || !j.Steps[t.step].Resources.FitsIn(largestFree) || !p.dependenciesDone(t) || p.hasUnaccountedRun(t) || t.waitsForProof() {
+		if !j.Steps[t.step].Resources.FitsIn(largestFree) || !p.mayStart(t) {
 			remaining = append(remaining, t)
 			continue
 		}
@@ -221,6 +238,11 @@
 	return started
 }
 
+// mayStart reports whether a pending task may start as soon as a worker has resources for it.
+func (p *Plan) mayStart(t *task) bool {
+	return t.activeRun == nil && p.dependenciesDone(t) && !p.hasUnaccountedRun(t) && !t.waitsForProof()
+}
+
 // hasUnaccountedRun reports whether a run of the task that is not its active one may be running, or
 // may be started late.
 func (p *Plan) hasUnaccountedRun(t *task) bool {
@@ -248,6 +270,9 @@
 		resources: t.job.Steps[t.step].Resources, sentAt: p.now, lateStartEnd: p.leaseEnd(p.now.Add(maxOrderDelay)),
 	}
 	t.activeRun = r
+	if p.ahead != nil {
+		p.ahead.Release(t.name)
+	}
 	t.job.noteStarted(p.now)
 	if t.job.result.State == batch.Pending {
 		t.job.result.State = batch.Running
--- a/internal/placement/plan/plan.go
+++ b/internal/placement/plan/plan.go
@@ -81,6 +81,7 @@
 	WorkersIncompleteUntil time.Time
 	// StartedElsewhere returns another group whose holder has started a job, or "". Nil means never.
 	StartedElsewhere func(id string) string
+	Lookahead        bool // look-ahead placement, see package lookahead
 }
 
 // Defaults of options that are zero.
@@ -140,6 +141,7 @@
 	nextTrial      map[string]time.Time    // when the next job may become a trial job, by queue
 	meanTaskSize   float64                 // moving average over recent tasks, in thousandths of a core
 	restarts       float64                 // stragglers that may be restarted now
+	ahead          *ahead                  // nil if look-ahead placement is off
 }
 
 // earlyCompletion records, until a given time, that a task succeeded before its job was
@@ -168,6 +170,9 @@
 		options: options, estimator: runtimes.New(), now: tookOverAt, tickedAt: tookOverAt, restarts: firstRestarts,
 		arrivals: map[string]*arrivalRate{}, formerRoom: map[string]formerRoom{}, nextReturn: map[string]time.Time{}, nextTrial: map[string]time.Time{}, workers: map[string]*worker{}, jobs: map[string]*job{}, earlyCompletions: map[string]earlyCompletion{}, unaccountedRuns: map[string][]*run{}, minFactor: map[string]float64{}, meanFactor: map[string]float64{},
 	}
+	if options.Lookahead {
+		p.ahead = newAhead()
+	}
 	// Also after a loss of all entries: one of them may have been lost before the others, so that
 	// its clients send their jobs again while the leases of the last holder are still valid.
 	p.otherLeasesEnd = p.leaseEnd(tookOverAt)
--- a/internal/placement/plan/replay_test.go
+++ b/internal/placement/plan/replay_test.go
@@ -45,6 +45,8 @@
 	// relative deviation of a task's run time from that of its job.
 	runtimeSigma, hintSigma, taskSpread float64
 	patience                            time.Duration // how long clients wait, at least 1.5 s
+	// draw returns the number of tasks of a job and the cores that each needs; nil for tasks and drawCores.
+	draw func(random *rand.Rand) (tasks int, milliCores int64)
 }
 
 // interval is the time from the start to the end of a run.
@@ -61,8 +63,9 @@
 	runtimes map[string][]time.Duration     // of the tasks, by job
 	onTime   map[string]int                 // jobs, by queue
 	total    map[string]int
-	starts   int // orders to start a run
-	restarts int // runs stopped as stragglers
+	starts   int                          // orders to start a run
+	restarts int                          // runs stopped as stragglers
+	observe  func(o Order, now time.Time) // called with each order once it is carried out; may be nil
 }
 
 func (z *replay) schedule(at time.Time, handle func(now time.Time)) {
@@ -121,18 +124,25 @@
 	if m.hintSigma > 0 {
 		hint = time.Duration(float64(runtime) * math.Exp(m.hintSigma*z.random.NormFloat64()))
 	}
-	for range m.tasks {
+	tasks, milliCores := m.tasks, int64(0)
+	if m.draw != nil {
+		tasks, milliCores = m.draw(z.random)
+	}
+	for range tasks {
 		task := runtime
 		if m.taskSpread > 0 {
 			task = time.Duration(float64(runtime) * (1 + m.taskSpread*(2*z.random.Float64()-1)))
 		}
 		z.runtimes[id] = append(z.runtimes[id], task)
 	}
+	if m.draw == nil {
+		milliCores = z.drawCores(m.cores)
+	}
 	z.total[m.queue]++
 	z.plan.Admit(&batch.Batch{
 		QueueSettings: batch.QueueSettings{Queue: m.queue, Service: "listing", MaxAttempts: 2, Stretch: 1.6, Slack: 60 * time.Millisecond},
 		ID:            id, ArrivedAt: now, ExpiresAt: now.Add(max(1500*time.Millisecond, m.patience)),
-		Steps: []batch.Step{{Count: m.tasks, Resources: resources.Resources{MilliCores: z.drawCores(m.cores), MemoryMB: 64}, Hint: hint}},
+		Steps: []batch.Step{{Count: tasks, Resources: resources.Resources{MilliCores: milliCores, MemoryMB: 64}, Hint: hint}},
 	}, nil, now)
 }
 
@@ -169,14 +179,21 @@
 			z.schedule(now.Add(2*time.Millisecond), func(now time.Time) { z.report(o.Worker, nil, now) })
 		case DeliverResult:
 			b := o.Batch
-			objective := b.ArrivedAt.Add(time.Duration(float64(slices.Max(z.runtimes[b.ID]))*b.Stretch) + b.Slack)
-			if o.Result.State == batch.Completed && !now.After(objective) {
+			if o.Result.State == batch.Completed && !now.After(z.objective(b)) {
 				z.onTime[b.Queue]++
 			}
 		}
+		if z.observe != nil {
+			z.observe(o, now)
+		}
 	}
 }
 
+// objective returns the time by which a job should be completed.
+func (z *replay) objective(b *batch.Batch) time.Time {
+	return b.ArrivedAt.Add(time.Duration(float64(slices.Max(z.runtimes[b.ID]))*b.Stretch) + b.Slack)
+}
+
 // endRun ends a run and reports that, along with the other runs of the worker.
 func (z *replay) endRun(worker string, key runKey, outcome RunOutcome, now time.Time) {
 	_, found := z.running[worker][key]
