order: Order waiting jobs by the priority of their queue

Cause: queues have a priority that is decoded and not used, so that urgent and low-priority jobs are refused alike when resources are short.

Change: with [placement] priorities = on (off by default) the turn of a job comes 60 ms later for each priority below 0. Order, estimates of the work ahead and refusals follow from the turn. The delay is constant, so that waiting outweighs it and no job starves.

--- a/internal/gateway/node/groups.go
+++ b/internal/gateway/node/groups.go
@@ -165,6 +165,7 @@
 		MayBeReplaced:     n.mayBeReplaced,
 		LastContact:       n.lastContact,
 		Lookahead:         n.settings.Lookahead,
+		Priorities:        n.settings.Priorities,
 		StartedElsewhere:  func(id string) string { return n.startedElsewhere(c.Group, id) },
 		OnConflict: func() bool {
 			now := time.Now()
--- a/internal/gateway/settings/settings.go
+++ b/internal/gateway/settings/settings.go
@@ -35,6 +35,7 @@
 	HeartbeatInterval time.Duration
 	LogLevel          string
 	Lookahead         bool // look-ahead placement
+	Priorities        bool // waiting jobs are ordered by the priority of their queue
 }
 
 // Load reads and validates a settings file. Errors are *settings.Error or *inifile.Error.
@@ -66,7 +67,7 @@
 		HeartbeatInterval: f.Duration("entry", "beat", 150*time.Millisecond, 10*time.Millisecond, 10*time.Second),
 		LogLevel:          f.String("logs", "level", "info"),
 	}
-	s.Lookahead = parseSwitch(f, "placement", "lookahead")
+	s.Lookahead, s.Priorities = parseSwitch(f, "placement", "lookahead"), parseSwitch(f, "placement", "priorities")
 	s.AdvertisedAddress = f.String("entry", "reach", s.Peers)
 	for key, text := range map[string]string{"listen": s.Listen, "ready": s.Ready, "peers": s.Peers, "metrics": s.Metrics, "reach": s.AdvertisedAddress} {
 		checkAddress(f, "entry", key, text)
--- a/internal/gateway/settings/settings_test.go
+++ b/internal/gateway/settings/settings_test.go
@@ -28,6 +28,7 @@
 resend = 1300ms
 [placement]
 lookahead = on
+priorities = on
 [logs]
 level = info
 `
@@ -39,7 +40,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if s.VM != "front-1" || s.Processors != 0.8 || len(s.Seeds) != 2 || len(s.Zones) != 2 || s.Lease != time.Second || s.Groups != 1 || s.AdvertisedAddress != s.Peers || !s.Lookahead {
+	if s.VM != "front-1" || s.Processors != 0.8 || len(s.Seeds) != 2 || len(s.Zones) != 2 || s.Lease != time.Second || s.Groups != 1 || s.AdvertisedAddress != s.Peers || !s.Lookahead || !s.Priorities {
 		t.Fatalf("%+v", s)
 	}
 	tests := []struct {
@@ -53,6 +54,7 @@
 		{"unknown key", "[logs]", "[logs]\nshape = x", "shape"},
 		{"share above one", "share = 0.4", "share = 4", "share"},
 		{"look-ahead neither on nor off", "lookahead = on", "lookahead = true", "lookahead"},
+		{"priorities neither on nor off", "priorities = on", "priorities = yes", "priorities"},
 		{"missing VM", "vm = front-1\n", "", "vm"},
 	}
 	for _, c := range tests {
--- a/internal/placement/holder/holder.go
+++ b/internal/placement/holder/holder.go
@@ -55,8 +55,8 @@
 	// StartedElsewhere returns another group whose holder has started a job, or "". Nil means
 	// that there never is.
 	StartedElsewhere func(id string) string
-	// Lookahead turns look-ahead placement on.
-	Lookahead bool
+	// Lookahead turns look-ahead placement on, Priorities the order of waiting jobs by priority.
+	Lookahead, Priorities bool
 	// CountCall counts a call to a worker, named after its kind and answer, for metrics.
 	CountCall func(kind string)
 }
@@ -93,7 +93,7 @@
 		options: options, sessions: map[string]*session{}, ended: map[string]endedWorker{},
 		plan: plan.New(plan.Options{
 			Lease: options.Lease, ClientRetryAfter: options.ClientRetryAfter, WorkersIncompleteUntil: options.WorkersIncompleteUntil,
-			StartedElsewhere: options.StartedElsewhere, Lookahead: options.Lookahead,
+			StartedElsewhere: options.StartedElsewhere, Lookahead: options.Lookahead, Priorities: options.Priorities,
 		}, now),
 	}
 	h.ctx, h.cancel = context.WithCancel(ctx)
--- a/internal/placement/plan/job.go
+++ b/internal/placement/plan/job.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/radishgate/radishgate/internal/placement/order"
 	"github.com/radishgate/radishgate/internal/work/batch"
 )
 
@@ -47,6 +48,7 @@
 	inWaiting      bool            // it is in Plan.waiting
 	baseTimes      []time.Duration // run time of a task on a worker with a slowdown factor of 1, by step
 	latestStart    time.Time       // last moment at which it can start and still meet its objective
+	priorityDelay  time.Duration   // by how much its turn comes later than with priority 0; 0 without priorities
 	late           bool            // likelyMisses at the last sort of Plan.waiting
 	trial          bool            // its base times are those that its client states, as those of its queue would refuse it
 	trialSucceeded bool            // a task of the trial job has succeeded
@@ -129,6 +131,9 @@
 // adopted.
 func (p *Plan) newJob(b *batch.Batch, completed []string) *job {
 	j := &job{Batch: b, result: batch.Result{ID: b.ID, State: batch.Pending}, started: b.MaybeStarted, startedBefore: b.MaybeStarted}
+	if p.options.Priorities {
+		j.priorityDelay = order.Delay(b.Priority)
+	}
 	p.awaitEarlierRuns(j)
 	p.jobs[b.ID] = j
 	completedNames := map[string]bool{}
--- a/internal/placement/plan/lookahead_test.go
+++ b/internal/placement/plan/lookahead_test.go
@@ -37,13 +37,14 @@
 
 // play replays the load of a zone of 117 workers times scale. It returns the jobs, the share of the cores
 // in use and a hash of all starts.
-func (s site) play(seed uint64, lookahead bool, scale float64, span time.Duration) (jobs []*jobRecord, use float64, starts uint64) {
+func (s site) play(seed uint64, lookahead, priorities bool, scale float64, span time.Duration) (jobs []*jobRecord, use float64, starts uint64) {
 	z := newReplay(117, seed, func(i int) (float64, float64, string) {
 		return s.cores * s.sizes[i%3], s.factors[i%3], fmt.Sprint(i % 3)
 	})
 	if lookahead {
 		z.plan.ahead = newAhead()
 	}
+	z.plan.options.Priorities = priorities
 	mixes := []jobMix{
 		{queue: "0", rate: 64.5, tasks: 8, runtime: 55 * time.Millisecond},
 		{queue: "1", rate: 188, tasks: 2, runtime: 185 * time.Millisecond},
@@ -51,7 +52,7 @@
 	}
 	for i := range mixes {
 		m, tasks := &mixes[i], mixes[i].tasks
-		m.runtimeSigma, m.hintSigma, m.taskSpread = 0.4, 0.4, 0.15
+		m.priority, m.runtimeSigma, m.hintSigma, m.taskSpread = i, 0.4, 0.4, 0.15
 		m.draw = func(r *rand.Rand) (int, int64) { // the widest jobs have 32 tasks
 			return tasks * []int{4, 1}[min(1, r.IntN(33))], s.least + r.Int64N(s.most-s.least+1)
 		}
@@ -126,18 +127,18 @@
 func TestCompareLookahead(t *testing.T) {
 	for _, s := range sites {
 		for _, scale := range []float64{0.7, 1, 1.5, 2.5} {
-			for _, lookahead := range []bool{false, true} {
+			for _, on := range [][2]bool{{false, false}, {true, false}, {false, true}, {true, true}} {
 				var all []*jobRecord
 				sum := 0.0
 				for seed := range *compareSeeds {
-					jobs, use, _ := s.play(100+seed, lookahead, scale, 8*time.Second)
+					jobs, use, _ := s.play(100+seed, on[0], on[1], scale, 8*time.Second)
 					all, sum = append(all, jobs...), sum+use
 				}
 				groups := byClass(all)
 				for _, class := range classes {
 					if len(all) > 0 {
 						onTime, unserved, mean, high := measure(groups[class])
-						t.Logf("%2.0f cores, load %.1f, look-ahead %-5t use %.3f %-9s in time %.3f unserved %.3f wait %3d p99 %3d", s.cores, scale, lookahead, sum/float64(*compareSeeds), class, onTime, unserved, mean.Milliseconds(), high.Milliseconds())
+						t.Logf("%2.0f cores, load %.1f, look-ahead %-5t priorities %-5t use %.3f %-9s in time %.3f unserved %.3f wait %3d p99 %3d", s.cores, scale, on[0], on[1], sum/float64(*compareSeeds), class, onTime, unserved, mean.Milliseconds(), high.Milliseconds())
 					}
 				}
 			}
@@ -153,7 +154,7 @@
 	for i := range shares {
 		var all []*jobRecord
 		for seed := range uint64(2) {
-			jobs, _, _ := sites[0].play(seed, i == 1, 1.5, 4*time.Second)
+			jobs, _, _ := sites[0].play(seed, i == 1, false, 1.5, 4*time.Second)
 			all = append(all, jobs...)
 		}
 		shares[i] = map[string]float64{}
@@ -173,8 +174,24 @@
 // other rules replaces them.
 func TestLookaheadOffChangesNothing(t *testing.T) {
 	for i, want := range []uint64{0x47281c0f2b098592, 0x899fd343dda0ed07} {
-		if _, _, starts := sites[i].play(0, false, 1, 4*time.Second); starts != want {
+		if _, _, starts := sites[i].play(0, false, false, 1, 4*time.Second); starts != want {
 			t.Errorf("%.0f cores: hash of starts %#x, want %#x", sites[i].cores, starts, want)
 		}
 	}
 }
+
+// TestPrioritiesServeUrgentJobs guards against priorities without effect, and against starvation of the
+// lowest: at 1.5 times the usual load, more jobs of priority 0 and 1 must be in time, and most of priority 2.
+func TestPrioritiesServeUrgentJobs(t *testing.T) {
+	var shares [2]map[string]float64
+	for i := range shares {
+		jobs, _, _ := sites[1].play(1, false, i == 1, 1.5, 8*time.Second)
+		shares[i] = map[string]float64{}
+		for class, jobs := range byClass(jobs) {
+			shares[i][class], _, _, _ = measure(jobs)
+		}
+	}
+	if on := shares[1]; on["0"] < shares[0]["0"] || on["1"] < shares[0]["1"]+0.01 || on["2"] < 0.5 {
+		t.Errorf("in time by priority: off %v, on %v", shares[0], on)
+	}
+}
--- a/internal/placement/plan/place.go
+++ b/internal/placement/plan/place.go
@@ -161,7 +161,7 @@
 	case a.late != b.late:
 		return 1
 	case a.late:
-		return a.ExpiresAt.Compare(b.ExpiresAt)
+		return a.ExpiresAt.Add(a.priorityDelay).Compare(b.ExpiresAt.Add(b.priorityDelay))
 	}
 	return compareOnTime(a, b)
 }
@@ -190,9 +190,10 @@
 
 // latestTurn returns the last moment at which the job's turn can come, if all of its tasks are
 // to start in time. Under load its tasks get resources one after the other, so that a job of
-// many tasks needs its turn sooner than one of few with the same latest start.
+// many tasks needs its turn sooner than one of few with the same latest start. With priorities, the turn
+// of a job of low priority comes later.
 func (j *job) latestTurn() time.Time {
-	return j.latestStart.Add(-taskPlacementTime * time.Duration(len(j.tasks)))
+	return j.latestStart.Add(j.priorityDelay - taskPlacementTime*time.Duration(len(j.tasks)))
 }
 
 // taskPlacementTime is the time that each task of a job waits under load for resources.
--- a/internal/placement/plan/plan.go
+++ b/internal/placement/plan/plan.go
@@ -81,6 +81,7 @@
 	WorkersIncompleteUntil time.Time
 	// StartedElsewhere returns another group whose holder has started a job, or "". Nil means never.
 	StartedElsewhere func(id string) string
+	Priorities       bool // order waiting jobs by the priority of their queue, see package order
 	Lookahead        bool // look-ahead placement, see package lookahead
 }
 
--- a/internal/placement/plan/replay_test.go
+++ b/internal/placement/plan/replay_test.go
@@ -35,11 +35,12 @@
 
 // jobMix describes the jobs of one queue in a replay.
 type jobMix struct {
-	queue   string
-	rate    float64 // jobs per second
-	tasks   int
-	cores   float64
-	runtime time.Duration // of a task on a worker with a slowdown factor of 1
+	queue    string
+	priority int
+	rate     float64 // jobs per second
+	tasks    int
+	cores    float64
+	runtime  time.Duration // of a task on a worker with a slowdown factor of 1
 	// runtimeSigma and hintSigma are standard deviations of logarithms: of the run times of
 	// jobs, and of the clients' estimates relative to them. taskSpread is the largest
 	// relative deviation of a task's run time from that of its job.
@@ -140,7 +141,7 @@
 	}
 	z.total[m.queue]++
 	z.plan.Admit(&batch.Batch{
-		QueueSettings: batch.QueueSettings{Queue: m.queue, Service: "listing", MaxAttempts: 2, Stretch: 1.6, Slack: 60 * time.Millisecond},
+		QueueSettings: batch.QueueSettings{Queue: m.queue, Priority: m.priority, Service: "listing", MaxAttempts: 2, Stretch: 1.6, Slack: 60 * time.Millisecond},
 		ID:            id, ArrivedAt: now, ExpiresAt: now.Add(max(1500*time.Millisecond, m.patience)),
 		Steps: []batch.Step{{Count: tasks, Resources: resources.Resources{MilliCores: milliCores, MemoryMB: 64}, Hint: hint}},
 	}, nil, now)
