--- a/internal/gateway/node/groups.go
+++ b/internal/gateway/node/groups.go
@@ -165,6 +165,8 @@
 		MayBeReplaced:     n.mayBeReplaced,
 		LastContact:       n.lastContact,
 		Cancelled:         n.cancels.Cancelled,
+		Lookahead:         n.settings.Lookahead,
+		Priorities:        n.settings.Priorities,
 		StartedElsewhere:  func(id string) string { return n.startedElsewhere(c.Group, id) },
 		Zone:              zoneOfGroup(c.Group), Evacuations: n.planEvacuations, EvacuationTarget: n.evacuationTarget,
 		OnConflict: func() bool {
--- a/internal/gateway/reload/restart.go
+++ b/internal/gateway/reload/restart.go
@@ -24,6 +24,8 @@
 		{Name: "[platform] evacuate", Value: func(s *settings.Settings) any { return s.EvacuationBound }},
 		{Name: "[cancels] keep", Value: func(s *settings.Settings) any { return s.CancelKeep }},
 		{Name: "[cancels] most", Value: func(s *settings.Settings) any { return s.CancelLimit }},
+		{Name: "[placement] lookahead", Value: func(s *settings.Settings) any { return s.Lookahead }},
+		{Name: "[placement] priorities", Value: func(s *settings.Settings) any { return s.Priorities }},
 		{Name: "[workers] groups", Value: func(s *settings.Settings) any { return s.Groups }},
 	}
 }
--- a/internal/gateway/settings/settings.go
+++ b/internal/gateway/settings/settings.go
@@ -46,6 +46,8 @@
 
 	Descriptors int // that the process may open
 	Ingress     ingress.Limits
+	Lookahead   bool // look-ahead placement
+	Priorities  bool // waiting jobs are ordered by the priority of their queue
 }
 
 // Load reads and validates a settings file. Errors are *settings.Error or *inifile.Error.
@@ -85,6 +87,7 @@
 	}
 	s.Descriptors = int(f.Int("entry", "descriptors", int64(ingress.DescriptorLimit()), 64, 1<<30))
 	s.Ingress = ingress.ReadLimits(f, s.Memory<<20, s.Descriptors)
+	s.Lookahead, s.Priorities = parseSwitch(f, "placement", "lookahead"), parseSwitch(f, "placement", "priorities")
 	s.AdvertisedAddress = f.String("entry", "reach", s.Peers)
 	for key, text := range map[string]string{"listen": s.Listen, "ready": s.Ready, "peers": s.Peers, "metrics": s.Metrics, "reach": s.AdvertisedAddress} {
 		checkAddress(f, "entry", key, text)
@@ -99,6 +102,15 @@
 	return s, nil
 }
 
+// parseSwitch returns whether a key is on; off is the default.
+func parseSwitch(f *inifile.File, section, key string) bool {
+	text := f.String(section, key, "off")
+	if text != "on" && text != "off" {
+		f.Fail(section, key, fmt.Sprintf("%q is neither on nor off", text))
+	}
+	return text == "on"
+}
+
 // checkAddress records an error for a value that is neither empty nor an IP address
 // with a port.
 func checkAddress(f *inifile.File, section, key, text string) {
--- a/internal/gateway/settings/settings_test.go
+++ b/internal/gateway/settings/settings_test.go
@@ -29,6 +29,9 @@
 lease = 1000ms
 grace = 6s
 resend = 1300ms
+[placement]
+lookahead = on
+priorities = on
 [logs]
 level = info
 [ingress]
@@ -43,7 +46,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if s.VM != "front-1" || s.Processors != 0.8 || len(s.Seeds) != 2 || len(s.Zones) != 2 || s.Lease != time.Second || s.EvacuationBound != 5*time.Second || s.Groups != 1 || s.AdvertisedAddress != s.Peers {
+	if s.VM != "front-1" || s.Processors != 0.8 || len(s.Seeds) != 2 || len(s.Zones) != 2 || s.Lease != time.Second || s.EvacuationBound != 5*time.Second || s.Groups != 1 || s.AdvertisedAddress != s.Peers || !s.Lookahead || !s.Priorities {
 		t.Fatalf("%+v", s)
 	}
 	want := ingress.DefaultLimits(284<<20, 3075)
@@ -70,6 +73,8 @@
 		{"stall without a unit", "stall = 2s", "stall = 2", "stall"},
 		{"rate of nothing", "stall = 2s", "rate = 0", "rate"},
 		{"unknown limit", "stall = 2s", "patience = 2s", "patience"},
+		{"look-ahead neither on nor off", "lookahead = on", "lookahead = true", "lookahead"},
+		{"priorities neither on nor off", "priorities = on", "priorities = yes", "priorities"},
 		{"missing VM", "vm = front-1\n", "", "vm"},
 	}
 	for _, c := range tests {
--- a/internal/placement/holder/holder.go
+++ b/internal/placement/holder/holder.go
@@ -64,6 +64,8 @@
 	EvacuationTarget func(id string) string
 	// Cancelled reports whether a client has cancelled a job. Nil means never.
 	Cancelled func(id string) bool
+	// Lookahead turns look-ahead placement on, Priorities the order of waiting jobs by priority.
+	Lookahead, Priorities bool
 	// CountCall counts a call to a worker, named after its kind and answer, for metrics.
 	CountCall func(kind string)
 }
@@ -100,7 +102,7 @@
 		options: options, sessions: map[string]*session{}, ended: map[string]endedWorker{},
 		plan: plan.New(plan.Options{
 			Lease: options.Lease, ClientRetryAfter: options.ClientRetryAfter, WorkersIncompleteUntil: options.WorkersIncompleteUntil,
-			StartedElsewhere: options.StartedElsewhere, Zone: options.Zone, EvacuationTarget: options.EvacuationTarget, Cancelled: options.Cancelled,
+			StartedElsewhere: options.StartedElsewhere, Zone: options.Zone, EvacuationTarget: options.EvacuationTarget, Cancelled: options.Cancelled, Lookahead: options.Lookahead, Priorities: options.Priorities,
 		}, now),
 	}
 	h.ctx, h.cancel = context.WithCancel(ctx)
