cancellation: Ask other entries if the holders do not answer

Cause: an entry that holds a group itself, while the holders of the other groups are cut off but count as alive, had no other process to keep a cancel and answered 503 for seconds, although entries of its own zone were there. Found by reading.

Change: two other entries, those of the own zone first, are asked once the answer is open for 0.1 s, also while another entry holds a group. Ruled out: asking them with each cancel, which costs two calls a cancel in calm conditions.

Tests of node and cancellation pass. Without the change the new row of TestAnswerToACancel gets 503 after 2 s.

--- a/internal/gateway/cancellation/cancellation_test.go
+++ b/internal/gateway/cancellation/cancellation_test.go
@@ -19,7 +19,10 @@
 	if options.WaitingJob == nil {
 		options.WaitingJob = func(string) (string, time.Time, bool) { return "", time.Time{}, false }
 	}
-	options.AskOthers = func(context.Context, string, time.Duration) []Reply { return nil }
+	options.HeldElsewhere = func() bool { return true }
+	if options.AskOthers == nil {
+		options.AskOthers = func(context.Context, string, time.Duration) []Reply { return nil }
+	}
 	if options.Alone == nil {
 		options.Alone = func() bool { return false }
 	}
@@ -33,7 +36,8 @@
 	local, earlier := &Reply{Known: true}, &Reply{Known: true, Earlier: true}
 	tests := []struct {
 		name                        string
-		a, b                        *Reply // of the holders; nil if it does not answer
+		a, b                        *Reply  // of the holders; nil if it does not answer
+		others                      []Reply // of entries that hold no group
 		alone, unheard, waits, full bool
 		want                        Answer
 		within                      time.Duration
@@ -46,7 +50,8 @@
 		{name: "its client is here", a: known, b: kept, waits: true, want: Cancelled},
 		{name: "its client is here, its holder is down", b: kept, waits: true, want: Unavailable, within: timeout},
 		{name: "no other process keeps it", a: local, b: neither, want: Unavailable, within: timeout},
-		{name: "alone", a: local, b: neither, alone: true, want: Cancelled},
+		{name: "held here, the other holder is cut off", a: local, others: []Reply{{Kept: true}}, want: Cancelled, within: retryDelay},
+		{name: "alone", a: local, b: neither, alone: true, want: Cancelled, within: retryDelay},
 		{name: "beside an earlier build", a: earlier, b: neither, want: Cancelled},
 		{name: "no room", a: known, b: kept, full: true, want: Unavailable},
 	}
@@ -57,6 +62,7 @@
 				x, ended := newExchange(Options{
 					Alone: func() bool { return c.alone }, Unheard: func() bool { return c.unheard },
 					WaitingJob: func(string) (string, time.Time, bool) { return "a/0", time.Now().Add(time.Second), c.waits },
+					AskOthers:  func(context.Context, string, time.Duration) []Reply { return c.others },
 					AskHolder: func(_ context.Context, group, _ string, _ time.Duration) (Reply, error) {
 						if r := replies[group]; r != nil {
 							return *r, nil
--- a/internal/gateway/cancellation/exchange.go
+++ b/internal/gateway/cancellation/exchange.go
@@ -33,10 +33,12 @@
 	// AskHolder has the holder of a group record a cancel for a time. After an error it may not have.
 	AskHolder func(ctx context.Context, group, id string, left time.Duration) (Reply, error)
 	// AskOthers has other entries, which need not hold a group, record a cancel, and returns the replies of those that
-	// answered. Nothing is asked while the holder of a group is another entry.
+	// answered.
 	AskOthers func(ctx context.Context, id string, left time.Duration) []Reply
-	Alone     func() bool // no other entry runs
-	Unheard   func() bool // an entry that may have clients is not heard
+	// HeldElsewhere reports whether another entry holds a group, so that the record is kept there if that entry answers.
+	HeldElsewhere func() bool
+	Alone         func() bool // no other entry runs
+	Unheard       func() bool // an entry that may have clients is not heard
 }
 
 // Exchange keeps the cancels that one entry knows and passes them on to others. It is safe for concurrent use.
--- a/internal/gateway/cancellation/request.go
+++ b/internal/gateway/cancellation/request.go
@@ -101,8 +101,12 @@
 	}
 }
 
-// askOthers asks other entries until one keeps the record, or the answer is decided.
+// askOthers asks other entries until one keeps the record, or the answer is decided. While another entry holds a group,
+// they are asked only if the answer is still open after retryDelay: that entry may be cut off.
 func (r *request) askOthers(ctx context.Context) {
+	if r.HeldElsewhere() {
+		wait.For(ctx, retryDelay)
+	}
 	for ctx.Err() == nil {
 		alone := r.Alone()
 		replies := r.AskOthers(ctx, r.id, time.Until(r.until))
--- a/internal/gateway/node/cancel.go
+++ b/internal/gateway/node/cancel.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -47,7 +48,7 @@
 	}
 	return cancellation.New(cancellation.Options{
 		Table:  cancels.New(cancels.Options{Keep: n.settings.CancelKeep, Most: n.settings.CancelLimit}),
-		Groups: groups, End: n.endCancelled, AskHolder: n.askHolder, AskOthers: n.askOthers,
+		Groups: groups, End: n.endCancelled, AskHolder: n.askHolder, AskOthers: n.askOthers, HeldElsewhere: n.groupHeldElsewhere,
 		WaitingJob: func(id string) (string, time.Time, bool) { return n.tracker.WaitingJob(id) },
 		Alone:      func() bool { return !n.hasPeers() && !n.othersMayRun() },
 		Unheard:    func() bool { return n.members.UnheardInAnyZone(time.Now().Add(-unheardTime)) },
@@ -114,16 +115,21 @@
 	return known || !certain, true
 }
 
-// askOthers asks some other entries to keep a cancel, unless another entry holds a group and is asked for that reason.
+// groupHeldElsewhere reports whether another entry holds a group.
+func (n *Node) groupHeldElsewhere() bool {
+	return slices.ContainsFunc(n.cancels.Groups, func(group string) bool {
+		holder, live := n.currentHolder(group)
+		return live && !holder.Local
+	})
+}
+
+// askOthers asks some other entries to keep a cancel, those of the own zone first, which are the last to be cut off.
 func (n *Node) askOthers(ctx context.Context, id string, left time.Duration) []cancellation.Reply {
-	for _, group := range n.cancels.Groups {
-		if holder, live := n.currentHolder(group); live && !holder.Local {
-			return nil
-		}
-	}
 	var asked []member.Record
-	for _, r := range n.members.Live("") {
-		if r.ID != n.settings.VM && len(asked) < maxAsked {
+	included := map[string]bool{n.settings.VM: true}
+	for _, r := range append(n.members.Live(n.settings.Zone), n.members.Live("")...) {
+		if !included[r.ID] && len(asked) < maxAsked {
+			included[r.ID] = true
 			asked = append(asked, r)
 		}
 	}
--- a/internal/trial/history/cancels_test.go
+++ b/internal/trial/history/cancels_test.go
@@ -33,6 +33,10 @@
 			e.tracker.Cancel(id)
 		},
 		AskHolder: e.askHolder, AskOthers: e.askOthers,
+		HeldElsewhere: func() bool {
+			to, live := e.findHolder(group)
+			return live && !to.Local
+		},
 		Alone: func() bool { return !e.hearsPeers() && !e.othersRun() }, Unheard: e.mayBeReplaced,
 	})
 }
@@ -107,9 +111,6 @@
 }
 
 func (e *entry) askOthers(ctx context.Context, id string, left time.Duration) (replies []cancellation.Reply) {
-	if to, live := e.findHolder(group); live && !to.Local {
-		return nil
-	}
 	for _, o := range e.liveEntries() {
 		if o != e {
 			if reply, err := e.ask(ctx, o, id, left, false); err == nil {
