deploy, review: Leave out settings without a value

Cause: the template has `descriptors = {{limits.max-fds}}` without a section. The stand-in of the review also kept sections of values that are absent, so that `evacuate = ms` stopped all entries.

Ruled out: a value for limits.max-fds in the stand-in, which would hide the former; accepting empty values in the settings, which would hide mistakes in other keys.

--- a/review/stand2/world.go
+++ b/review/stand2/world.go
@@ -324,7 +324,11 @@
 		if parts[1] == "zones" {
 			return strings.Join(zoneNames, ",")
 		}
-		return strings.ReplaceAll(parts[2], "{{.}}", values[parts[1]])
+		value, present := values[parts[1]]
+		if !present {
+			return ""
+		}
+		return strings.ReplaceAll(parts[2], "{{.}}", value)
 	})
 	return placeholder.ReplaceAllStringFunc(template, func(text string) string {
 		return values[strings.Trim(text, "{}")]
