plan: Test cancels of jobs that move or were refused

Cause: after the merge of evacuations, started jobs elsewhere and the stop of an entry, a cancelled job can come back from the group to which it moved, belong to another group that has started it, or have been refused as its entry stopped. No test held that Admit asks for the cancel before these.

Ruled out: ending a job again that has moved already when the cancel arrives. Its former holder would count as one that knows the job, so that the present holder would not be waited for.

Change: three rows of TestRecordedCancelStartsNothing.

--- a/internal/placement/plan/cancelled_test.go
+++ b/internal/placement/plan/cancelled_test.go
@@ -36,6 +36,32 @@
 			p.Orders() // its run has been stopped
 			cancel()
 		}, 0},
+		{"moved out of its evacuated zone, and sent back", func(p *Plan, cancel func()) {
+			p.options.Zone = "a"
+			p.options.EvacuationTarget = func(string) string { return "b/0" }
+			p.SetEvacuations(Evacuations{Zones: map[string]bool{"a": true}})
+			p.Admit(testJob(id, 1, after(1900)), nil, after(1900))
+			p.Tick(after(1925))
+			if moved := ordersOfKind(p.Orders(), DeliverResult); len(moved) != 1 || moved[0].Result.State != batch.Moved {
+				t.Fatalf("results %+v, want one that moves the job", moved)
+			}
+			p.SetEvacuations(Evacuations{})
+			cancel()
+		}, 0},
+		{"another group has started it", func(p *Plan, cancel func()) {
+			p.options.StartedElsewhere = func(string) string { return "b/0" }
+			cancel()
+		}, 0},
+		{"refused as its entry stops", func(p *Plan, cancel func()) {
+			p.Admit(testJob("00000000000000bb", 2, after(1900)), nil, after(1900))
+			b := testJob(id, 1, after(1900))
+			p.Admit(b, nil, after(1900))
+			if !p.Refuse(id, b.Attempt, after(1910)) {
+				t.Fatal("the job is not refused")
+			}
+			p.Orders()
+			cancel()
+		}, 0},
 		{"it runs, and the message arrives before the cancel itself", func(p *Plan, cancel func()) {
 			p.Admit(testJob(id, 1, after(1900)), nil, after(1900))
 			p.Orders()
@@ -50,6 +76,9 @@
 			c.prepare(p, func() { cancelled = true })
 			b := testJob(id, 1, after(2000))
 			b.Attempt = 7
+			if j, known := p.jobs[id]; known && j.result.State == batch.Moved {
+				b.StartedHere = true // as the other group sends it back
+			}
 			p.Admit(b, nil, after(2000))
 			orders := p.Orders()
 			if stopped := ordersOfKind(orders, Stop); len(stopped) != c.stops {
