cancellation: Finish the calls after the answer

Cause: the reply that decides the answer ended all other calls, as did a client that left. A holder whose call had failed until then got the record only with a heartbeat, although the job might move to its group. A holder of an earlier build that knows the job decides the answer without keeping a record, so that the loss of the answering process undid a 200 beside it, also where entries of this build could have kept the record.

Ruled out: waiting with the answer for all holders, which makes a cancel of a known job take 2 s while any group has no holder. Calls without any end: they end with the entry's context, and after the 2 s of a cancel.

Change: the calls have a context of the entry and go on until they are answered or the 2 s are over; the client waits only for the decision. Two other entries are asked also if the answer is decided and no other process keeps the record.

Measured: TestOtherProcessesGetTheRecordAfterTheAnswer fails in each row before and passes after, with -race, 20 times. TestAnswerToACancel keeps its bounds; it waits for the calls at its end, since a synctest bubble must not end before its goroutines.

--- a/internal/gateway/cancellation/cancellation_test.go
+++ b/internal/gateway/cancellation/cancellation_test.go
@@ -14,6 +14,7 @@
 // newExchange returns an exchange for two groups that are held by others, and a list of the jobs that it has ended.
 func newExchange(options Options) (*Exchange, *[]string) {
 	var ended []string
+	options.Context = context.Background()
 	options.Table, options.Groups = cancels.New(cancels.Options{Most: 2}), []string{"a/0", "b/0"}
 	options.End = func(id string) { ended = append(ended, id) }
 	if options.WaitingJob == nil {
@@ -58,6 +59,7 @@
 	for _, c := range tests {
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
+				defer time.Sleep(timeout) // calls without a reply go on until then
 				replies := map[string]*Reply{"a/0": c.a, "b/0": c.b}
 				x, ended := newExchange(Options{
 					Alone: func() bool { return c.alone }, Unheard: func() bool { return c.unheard },
@@ -87,6 +89,61 @@
 	}
 }
 
+// TestOtherProcessesGetTheRecordAfterTheAnswer guards against a job that moves to a group whose holder has no record of the
+// cancel, since its call failed before the reply of another holder decided the answer or the client left; and against a
+// cancel that only this process keeps, since the holder that knows the job is of an earlier build.
+func TestOtherProcessesGetTheRecordAfterTheAnswer(t *testing.T) {
+	tests := []struct {
+		name                  string
+		a                     Reply
+		clientLeaves          bool
+		fails                 bool // the cancel is not answered with 200
+		othersAsked, bReached bool
+	}{
+		{name: "the reply of one holder decides", a: Reply{Known: true, Kept: true}, bReached: true},
+		{name: "the client leaves", a: Reply{Kept: true}, clientLeaves: true, fails: true, othersAsked: true, bReached: true},
+		{name: "the holder that knows it is of an earlier build", a: Reply{Known: true, Earlier: true}, othersAsked: true, bReached: true},
+	}
+	for _, c := range tests {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				bCalls, bReached, othersAsked := 0, false, false
+				x, _ := newExchange(Options{
+					Unheard: func() bool { return false },
+					AskOthers: func(context.Context, string, time.Duration) []Reply {
+						othersAsked = true
+						return []Reply{{Kept: true}}
+					},
+					AskHolder: func(ctx context.Context, group, _ string, _ time.Duration) (Reply, error) {
+						if group == "a/0" {
+							return c.a, nil
+						}
+						if bCalls++; bCalls < 4 || ctx.Err() != nil {
+							return Reply{}, context.DeadlineExceeded
+						}
+						bReached = true
+						return Reply{Earlier: c.a.Earlier, Kept: !c.a.Earlier}, nil
+					},
+				})
+				ctx, leave := context.WithCancel(t.Context())
+				defer leave()
+				if c.clientLeaves {
+					time.AfterFunc(retryDelay/2, leave)
+				}
+				began := time.Now()
+				if known, err := x.Cancel(ctx, id); known == c.fails || (err != nil) != c.fails || time.Since(began) > retryDelay/2 {
+					t.Errorf("known: %t, error %v, after %s", known, err, time.Since(began))
+				}
+				time.Sleep(timeout)
+				synctest.Wait()
+				if bReached != c.bReached || othersAsked != c.othersAsked {
+					t.Errorf("the other holder has the record: %t, want %t; other entries asked: %t, want %t", bReached, c.bReached, othersAsked, c.othersAsked)
+				}
+			})
+		})
+	}
+}
+
 // TestRecordsReachEachReceiver guards against records that are lost with a heartbeat, or sent again and again: to an entry
 // that was frozen, and to one that only sends heartbeats and so confirms nothing.
 func TestRecordsReachEachReceiver(t *testing.T) {
--- a/internal/gateway/cancellation/exchange.go
+++ b/internal/gateway/cancellation/exchange.go
@@ -22,10 +22,11 @@
 	Earlier bool // it is of an earlier build, which keeps no records
 }
 
-// Options configure an Exchange. AskHolder and AskEntry may block until their context ends, the others return at once.
+// Options configure an Exchange. AskHolder and AskOthers may block until their context ends, the others return at once.
 type Options struct {
-	Table  *cancels.Table
-	Groups []string // all groups of workers of all zones
+	Context context.Context // of the entry; calls may go on after the answer to a client, but not after its end
+	Table   *cancels.Table
+	Groups  []string // all groups of workers of all zones
 	// WaitingJob returns the group of a job that a client of this entry waits for, and when that client leaves.
 	WaitingJob func(id string) (group string, expiresAt time.Time, waiting bool)
 	// End ends a job in this entry: in its tracker, and in the holders that it runs.
--- a/internal/gateway/cancellation/request.go
+++ b/internal/gateway/cancellation/request.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"sync"
 	"time"
 
@@ -41,12 +42,13 @@
 	mu      sync.Mutex
 	tally   Tally
 	cause   error
-	decided func() // ends the calls
+	decided func() // ends the wait for replies
 }
 
 // Cancel cancels a job for a client: it records the cancel, ends the job here and asks the holders of all groups to do
 // the same. It reports whether the job is, or may be, known. An error, which is an *UncertainError, says that the cancel
-// may not hold.
+// may not hold. Calls without a reply go on for the rest of the timeout after the answer: the job may yet move to a group
+// whose holder has no record.
 func (x *Exchange) Cancel(ctx context.Context, id string) (known bool, err error) {
 	now := time.Now()
 	r := &request{Exchange: x, id: id, tally: Tally{Missing: map[string]bool{}}}
@@ -63,22 +65,41 @@
 	for _, group := range x.Groups {
 		r.tally.Missing[group] = true
 	}
-	ctx, r.decided = context.WithTimeout(ctx, timeout)
-	defer r.decided()
+	callCtx, endCalls := context.WithTimeout(x.Context, timeout)
+	waitCtx, decided := context.WithCancel(ctx)
+	r.decided = decided
+	defer decided()
 	var calls sync.WaitGroup
 	for _, group := range x.Groups {
-		calls.Go(func() { r.askGroup(ctx, group) })
+		calls.Go(func() { r.askGroup(callCtx, group) })
 	}
-	calls.Go(func() { r.askOthers(ctx) })
-	calls.Wait()
-	r.tally.Unheard = r.tally.Unheard || x.Unheard()
-	switch r.tally.Answer(true) {
+	calls.Go(func() { r.askOthers(callCtx) })
+	go func() {
+		calls.Wait()
+		endCalls()
+	}()
+	select {
+	case <-waitCtx.Done():
+	case <-callCtx.Done():
+	}
+	tally, cause := r.replies()
+	tally.Unheard = x.Unheard()
+	switch tally.Answer(true) {
 	case Cancelled:
 		return true, nil
 	case Gone:
 		return false, nil
 	}
-	return false, &UncertainError{ID: id, Tally: r.tally, Cause: r.cause}
+	return false, &UncertainError{ID: id, Tally: tally, Cause: cause}
+}
+
+// replies returns a copy of the replies so far, and the last failure of a call.
+func (r *request) replies() (Tally, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	tally := r.tally
+	tally.Missing = maps.Clone(tally.Missing)
+	return tally, r.cause
 }
 
 // askGroup asks the holder of a group until it answers or the context ends.
@@ -101,11 +122,15 @@
 	}
 }
 
-// askOthers asks other entries until one keeps the record, or the answer is decided. While another entry holds a group,
-// they are asked only if the answer is still open after retryDelay: that entry may be cut off.
+// askOthers asks other entries until one replies. While another entry holds a group, they are asked only if after
+// retryDelay the answer is still open, since that entry may be cut off, or no other process keeps the record, since that
+// entry is of an earlier build.
 func (r *request) askOthers(ctx context.Context) {
 	if r.HeldElsewhere() {
 		wait.For(ctx, retryDelay)
+		if tally, _ := r.replies(); tally.Kept > 0 && tally.Answer(false) != Undecided {
+			return
+		}
 	}
 	for ctx.Err() == nil {
 		alone := r.Alone()
@@ -123,7 +148,7 @@
 	}
 }
 
-// note counts a reply, and ends the calls if it decides the answer.
+// note counts a reply, and ends the wait for replies if it decides the answer.
 func (r *request) note(change func(t *Tally)) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/gateway/node/cancel.go
+++ b/internal/gateway/node/cancel.go
@@ -47,7 +47,7 @@
 		}
 	}
 	return cancellation.New(cancellation.Options{
-		Table:  cancels.New(cancels.Options{Keep: n.settings.CancelKeep, Most: n.settings.CancelLimit}),
+		Context: n.ctx, Table: cancels.New(cancels.Options{Keep: n.settings.CancelKeep, Most: n.settings.CancelLimit}),
 		Groups: groups, End: n.endCancelled, AskHolder: n.askHolder, AskOthers: n.askOthers, HeldElsewhere: n.groupHeldElsewhere,
 		WaitingJob: func(id string) (string, time.Time, bool) { return n.tracker.WaitingJob(id) },
 		Alone:      func() bool { return !n.hasPeers() && !n.othersMayRun() },
--- a/internal/trial/history/cancels_test.go
+++ b/internal/trial/history/cancels_test.go
@@ -25,7 +25,7 @@
 
 func (e *entry) newCancels() *cancellation.Exchange {
 	return cancellation.New(cancellation.Options{
-		Table: cancels.New(cancels.Options{}), Groups: []string{group},
+		Context: e.ctx, Table: cancels.New(cancels.Options{}), Groups: []string{group},
 		WaitingJob: func(id string) (string, time.Time, bool) { return e.tracker.WaitingJob(id) },
 		End: func(id string) {
 			e.touch(id)
