cancellation: Bound the time of learned cancels

Cause: a call that brings a cancel can have it kept for 25 h at most, but a record in a heartbeat for up to 49 days. With wrong times from one entry the tables of all entries would stay full, and cancels be answered with 503.

Change: the bound applies where records are added, for both.

Measured: TestLearnedTimeIsBounded fails before (job 1 is kept for longer) and passes after.

--- a/internal/gateway/cancellation/cancellation_test.go
+++ b/internal/gateway/cancellation/cancellation_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -176,6 +177,19 @@
 	}
 }
 
+// TestLearnedTimeIsBounded guards against a table that stays full since another entry has stated wrong times.
+func TestLearnedTimeIsBounded(t *testing.T) {
+	x, _ := newExchange(Options{})
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	x.Learn([]cancels.Record{{Job: 1, Until: now.Add(math.MaxUint32 * time.Millisecond)}}, now)
+	x.Receive(id, math.MaxUint32*time.Millisecond, now)
+	for _, job := range []uint64{1, 0xaa} {
+		if !x.Table.Has(job, now.Add(maxKeep-time.Second)) || x.Table.Has(job, now.Add(maxKeep)) {
+			t.Errorf("job %x is not kept for %s", job, maxKeep)
+		}
+	}
+}
+
 // TestLearnedCancelEndsTheJob guards against an entry that knows a cancel and goes on with the job, and against a record that
 // expires while the job's client still waits here.
 func TestLearnedCancelEndsTheJob(t *testing.T) {
--- a/internal/gateway/cancellation/exchange.go
+++ b/internal/gateway/cancellation/exchange.go
@@ -101,7 +101,7 @@
 		x.End(id)
 		return waiting, false
 	}
-	until := now.Add(min(left, maxKeep))
+	until := now.Add(left)
 	if left == 0 {
 		until = x.Table.KeepUntil(time.Time{}, now)
 	}
@@ -111,6 +111,9 @@
 // learn records a cancel, ends the job if the record is new or has no room, and reports whether it is kept. If a client
 // of this entry waits for the job, the record is kept for longer than that.
 func (x *Exchange) learn(r cancels.Record, now time.Time) (kept bool) {
+	if latest := now.Add(maxKeep); r.Until.After(latest) {
+		r.Until = latest
+	}
 	id := cancels.ID(r.Job)
 	if _, expiresAt, waiting := x.WaitingJob(id); waiting {
 		if until := x.Table.KeepUntil(expiresAt, now); until.After(r.Until) {
