--- a/internal/gateway/cancellation/exchange.go
+++ b/internal/gateway/cancellation/exchange.go
@@ -83,7 +83,7 @@
 	return ok && x.Table.Has(number, time.Now())
 }
 
-// Learn records cancels of which another entry has told, and ends the jobs of those that are new. A job is ended also
+// Learn records cancels that another entry has passed on, and ends the jobs of those that are new. A job is ended also
 // if the table is full.
 func (x *Exchange) Learn(records []cancels.Record, now time.Time) {
 	for _, r := range records {
--- a/internal/work/cancels/cancels.go
+++ b/internal/work/cancels/cancels.go
@@ -66,7 +66,7 @@
 	options Options
 	base    time.Time        // from which the times in until count
 	until   map[uint64]int64 // by job, in milliseconds since base
-	order   []position       // of records and extensions; also of jobs that have left until
+	order   []position       // of records and their extensions; some may be of jobs whose record has been removed
 	next    uint64           // position of the next record
 	sweepAt time.Time        // before which a full table is not swept again
 }
