node: Copy all fields of a heartbeat that is extended

Cause: the heartbeats with cancels and with started jobs were put together field by field. A field that is added to Beat and not there is missing exactly for receivers of cancels or started jobs: demands and zones were left out beside started jobs, which costs nothing today, since dispatch does not set them.

Ruled out: proto.Clone, which would copy all members and claims for each receiver.

Change: both use copyHeartbeat, which copies whatever fields are set and shares their values.

--- a/internal/gateway/node/cancel.go
+++ b/internal/gateway/node/cancel.go
@@ -172,10 +172,9 @@
 	if len(records) == 0 {
 		return heartbeat, confirm
 	}
-	return &wire.Beat{
-		Members: heartbeat.Members, Demands: heartbeat.Demands, Zones: heartbeat.Zones, Claims: heartbeat.Claims, Vacancies: heartbeat.Vacancies,
-		Started: heartbeat.Started, Evacuations: heartbeat.Evacuations, Cancels: peer.PackCancels(records, now),
-	}, confirm
+	extended = copyHeartbeat(heartbeat)
+	extended.Cancels = peer.PackCancels(records, now)
+	return extended, confirm
 }
 
 // replyCancels adds cancels to the answer to a heartbeat of a member.
--- a/internal/gateway/node/cancelled_test.go
+++ b/internal/gateway/node/cancelled_test.go
@@ -76,6 +76,33 @@
 	}
 }
 
+// TestExtendedHeartbeatKeepsAllFields guards against a field of a heartbeat that receivers of cancels or of started jobs do
+// not get, since it was added later.
+func TestExtendedHeartbeatKeepsAllFields(t *testing.T) {
+	n, now := newLargeNode(t, 3), time.Now()
+	n.cancels.Learn([]cancels.Record{{Job: 1, Until: now.Add(time.Minute)}}, now)
+	heartbeat := &wire.Beat{}
+	message := heartbeat.ProtoReflect()
+	fields := message.Descriptor().Fields()
+	for i := range fields.Len() {
+		f := fields.Get(i)
+		if f.IsList() {
+			message.Mutable(f).List().AppendMutable()
+			continue
+		}
+		message.Mutable(f)
+	}
+	extended, _ := n.addCancels(withStarted(heartbeat, []*wire.Started{{Group: "a/0"}}), member.Record{ID: "e1", Incarnation: 7})
+	for i := range fields.Len() {
+		if f := fields.Get(i); !extended.ProtoReflect().Has(f) {
+			t.Errorf("%s is lost", f.Name())
+		}
+	}
+	if heartbeat.Cancels[0].Job != 0 || heartbeat.Started[0].Group != "" {
+		t.Errorf("the heartbeat for other receivers has changed: %v", heartbeat)
+	}
+}
+
 // TestCancelAtALoneEntry guards against an entry that is the only one and acknowledges no cancel, since no other process
 // can keep it.
 func TestCancelAtALoneEntry(t *testing.T) {
--- a/internal/gateway/node/heartbeats.go
+++ b/internal/gateway/node/heartbeats.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"google.golang.org/protobuf/reflect/protoreflect"
+
 	"github.com/radishgate/radishgate/member"
 	"github.com/radishgate/radishgate/peer"
 	"github.com/radishgate/radishgate/peer/wire"
@@ -195,6 +197,17 @@
 	return heartbeat
 }
 
+// copyHeartbeat returns a heartbeat whose fields can be replaced without a change to the given one, which is sent to
+// other entries as well. The values of the fields are shared.
+func copyHeartbeat(heartbeat *wire.Beat) *wire.Beat {
+	shallow := &wire.Beat{}
+	heartbeat.ProtoReflect().Range(func(field protoreflect.FieldDescriptor, value protoreflect.Value) bool {
+		shallow.ProtoReflect().Set(field, value)
+		return true
+	})
+	return shallow
+}
+
 // heartbeatTimeout bounds a heartbeat and its answer.
 const heartbeatTimeout = 300 * time.Millisecond
 
--- a/internal/gateway/node/started.go
+++ b/internal/gateway/node/started.go
@@ -91,7 +91,9 @@
 
 // withStarted returns a heartbeat with started jobs. Other targets get the given one.
 func withStarted(heartbeat *wire.Beat, started []*wire.Started) *wire.Beat {
-	return &wire.Beat{Members: heartbeat.Members, Claims: heartbeat.Claims, Vacancies: heartbeat.Vacancies, Evacuations: heartbeat.Evacuations, Started: started}
+	extended := copyHeartbeat(heartbeat)
+	extended.Started = started
+	return extended
 }
 
 // replyStarted adds all started jobs to the answer to an entry that has just taken another group. It
