--- a/internal/gateway/cancellation/exchange.go
+++ b/internal/gateway/cancellation/exchange.go
@@ -22,10 +22,11 @@
 	Earlier bool // it is of an earlier build, which keeps no records
 }
 
-// Options configure an Exchange. AskHolder and AskEntry may block until their context ends, the others return at once.
+// Options configure an Exchange. AskHolder and AskOthers may block until their context ends, the others return at once.
 type Options struct {
-	Table  *cancels.Table
-	Groups []string // all groups of workers of all zones
+	Context context.Context // of the entry; calls may go on after the answer to a client, but not after its end
+	Table   *cancels.Table
+	Groups  []string // all groups of workers of all zones
 	// WaitingJob returns the group of a job that a client of this entry waits for, and when that client leaves.
 	WaitingJob func(id string) (group string, expiresAt time.Time, waiting bool)
 	// End ends a job in this entry: in its tracker, and in the holders that it runs.
@@ -82,7 +83,7 @@
 	return ok && x.Table.Has(number, time.Now())
 }
 
-// Learn records cancels of which another entry has told, and ends the jobs of those that are new. A job is ended also
+// Learn records cancels that another entry has passed on, and ends the jobs of those that are new. A job is ended also
 // if the table is full.
 func (x *Exchange) Learn(records []cancels.Record, now time.Time) {
 	for _, r := range records {
@@ -100,7 +101,7 @@
 		x.End(id)
 		return waiting, false
 	}
-	until := now.Add(min(left, maxKeep))
+	until := now.Add(left)
 	if left == 0 {
 		until = x.Table.KeepUntil(time.Time{}, now)
 	}
@@ -110,6 +111,9 @@
 // learn records a cancel, ends the job if the record is new or has no room, and reports whether it is kept. If a client
 // of this entry waits for the job, the record is kept for longer than that.
 func (x *Exchange) learn(r cancels.Record, now time.Time) (kept bool) {
+	if latest := now.Add(maxKeep); r.Until.After(latest) {
+		r.Until = latest
+	}
 	id := cancels.ID(r.Job)
 	if _, expiresAt, waiting := x.WaitingJob(id); waiting {
 		if until := x.Table.KeepUntil(expiresAt, now); until.After(r.Until) {
--- a/internal/gateway/node/cancel.go
+++ b/internal/gateway/node/cancel.go
@@ -47,7 +47,7 @@
 		}
 	}
 	return cancellation.New(cancellation.Options{
-		Table:  cancels.New(cancels.Options{Keep: n.settings.CancelKeep, Most: n.settings.CancelLimit}),
+		Context: n.ctx, Table: cancels.New(cancels.Options{Keep: n.settings.CancelKeep, Most: n.settings.CancelLimit}),
 		Groups: groups, End: n.endCancelled, AskHolder: n.askHolder, AskOthers: n.askOthers, HeldElsewhere: n.groupHeldElsewhere,
 		WaitingJob: func(id string) (string, time.Time, bool) { return n.tracker.WaitingJob(id) },
 		Alone:      func() bool { return !n.hasPeers() && !n.othersMayRun() },
@@ -172,10 +172,9 @@
 	if len(records) == 0 {
 		return heartbeat, confirm
 	}
-	return &wire.Beat{
-		Members: heartbeat.Members, Demands: heartbeat.Demands, Zones: heartbeat.Zones, Claims: heartbeat.Claims, Vacancies: heartbeat.Vacancies,
-		Started: heartbeat.Started, Evacuations: heartbeat.Evacuations, Cancels: peer.PackCancels(records, now),
-	}, confirm
+	extended = copyHeartbeat(heartbeat)
+	extended.Cancels = peer.PackCancels(records, now)
+	return extended, confirm
 }
 
 // replyCancels adds cancels to the answer to a heartbeat of a member.
