plan: Explain where a new job would start, without starting it

Cause: operators see from logs and metrics that jobs wait, move or are refused, but not why a certain worker is not chosen for a job now.

Ruled out: a copy of the conditions, which would differ from placement sooner or later; a copy of the whole plan for each question, which costs a holder of hundreds of workers too much; admission with a later undo, which touches records, arrival rates and leases.

Change: Plan.Explain builds a job that is not added to the plan (draftJob, split from newJob) and follows Admit and placeNewJob with unservableReason, queueDelay, chooseWorker, maySpillOver, unreachable and retryTime. chooseWorker and canRun ask obstacle and exclusion, which return a reason in place of a bool; mayGet has no use any more. What unservableReason and retryTime note (next trial job, next time of return) is set back. The estimator no longer adds empty averages when it is only read. Results are plain structs in package explanation.

Without keepEntry of either map, with the free slots not cloned, with newJob in place of draftJob, without isOpen, or with another reason for a missing label the new tests fail.

--- a/internal/placement/plan/choose.go
+++ b/internal/placement/plan/choose.go
@@ -4,6 +4,8 @@
 	"slices"
 	"time"
 
+	"github.com/radishgate/radishgate/internal/placement/eligibility"
+	"github.com/radishgate/radishgate/internal/placement/explanation"
 	"github.com/radishgate/radishgate/internal/work/batch"
 )
 
@@ -45,15 +47,9 @@
 	step := t.job.Steps[t.step]
 	var best *worker
 	bestCost := 0.0
-	canBeOnTime := !p.now.Add(p.shortestTime(t)).After(t.job.objective)
+	canBeOnTime := p.canBeOnTime(t)
 	for _, w := range candidates {
-		if !p.canRun(t, step, w) || canBeOnTime && p.likelyMisses(t, w) {
-			continue
-		}
-		if p.now.Add(p.expectedTime(t, w)).After(t.job.ExpiresAt) {
-			continue // its client would have left
-		}
-		if !p.respectsReservation(t, w) {
+		if p.exclusion(t, step, w, canBeOnTime) != "" {
 			continue
 		}
 		runtime := float64(p.expectedTime(t, w))
@@ -66,6 +62,27 @@
 	return best
 }
 
+// canBeOnTime reports whether a task that starts now can meet its objective on the fastest worker of its service.
+func (p *Plan) canBeOnTime(t *task) bool {
+	return !p.now.Add(p.shortestTime(t)).After(t.job.objective)
+}
+
+// exclusion returns why a task does not start on a worker now, or "" if the worker is a candidate.
+func (p *Plan) exclusion(t *task, step batch.Step, w *worker, canBeOnTime bool) explanation.Reason {
+	reason := p.obstacle(t, step, w)
+	switch {
+	case reason != "":
+		return reason
+	case canBeOnTime && p.likelyMisses(t, w):
+		return explanation.Slow
+	case p.now.Add(p.expectedTime(t, w)).After(t.job.ExpiresAt):
+		return explanation.Slow // its client would have left
+	case !p.respectsReservation(t, w):
+		return explanation.Reserved
+	}
+	return ""
+}
+
 // likelyMisses reports whether a task that starts on a worker now is likely to miss its
 // objective. Long tasks miss it on slow workers, while fast ones have free resources again
 // within some tens of milliseconds.
@@ -86,13 +103,34 @@
 // within the step's limit of tasks per worker. Workers that are not eligible or to be avoided
 // cannot run it, nor those whose lease does not fit its job.
 func (p *Plan) canRun(t *task, step batch.Step, w *worker) bool {
-	if w.Service != t.job.Service || t.avoidedWorkers[w.ID] || !step.Resources.FitsIn(w.free()) || !p.mayGet(w, step.Resources) || t.mayEndanger(w, p.now) {
-		return false
+	return p.obstacle(t, step, w) == ""
+}
+
+// obstacle returns why a worker cannot run a task, or "" if it can, see canRun. What costs more to find out
+// comes later.
+func (p *Plan) obstacle(t *task, step batch.Step, w *worker) explanation.Reason {
+	switch {
+	case w.Service != t.job.Service:
+		return explanation.Service
+	case t.avoidedWorkers[w.ID]:
+		return explanation.Avoided
+	case !step.Resources.FitsIn(w.free()):
+		return explanation.Resources
+	}
+	if verdict := p.verdictOn(w, step.Resources); verdict != eligibility.Eligible {
+		return explanation.Reason(verdict)
 	}
-	if !w.offers(step) {
-		return false
+	switch {
+	case t.mayEndanger(w, p.now):
+		return explanation.Busy
+	case !w.offers(step):
+		return explanation.Label
+	case step.MaxPerWorker != 0 && p.countSameStep(t, w) >= step.MaxPerWorker:
+		return explanation.Limit
+	case !p.leaseFits(w, t.job):
+		return explanation.Lease
 	}
-	return (step.MaxPerWorker == 0 || p.countSameStep(t, w) < step.MaxPerWorker) && p.leaseFits(w, t.job)
+	return ""
 }
 
 // offers reports whether a worker has the label that a step needs.
--- a/internal/placement/plan/evacuate.go
+++ b/internal/placement/plan/evacuate.go
@@ -26,11 +26,6 @@
 // verdict returns whether a worker may get any task now, and otherwise why not.
 func (p *Plan) verdict(w *worker) eligibility.Verdict { return p.verdictOn(w, smallestTask) }
 
-// mayGet reports whether a worker may get a task of the given size now.
-func (p *Plan) mayGet(w *worker, task resources.Resources) bool {
-	return p.verdictOn(w, task) == eligibility.Eligible
-}
-
 // verdictOn returns whether a worker may get a task of the given size now, and otherwise why not.
 func (p *Plan) verdictOn(w *worker, task resources.Resources) eligibility.Verdict {
 	facts := p.lastingFacts(w)
--- a/internal/placement/plan/job.go
+++ b/internal/placement/plan/job.go
@@ -137,30 +137,18 @@
 // newJob adds a job. Tasks that have succeeded already are done, and those that run are
 // adopted.
 func (p *Plan) newJob(b *batch.Batch, completed []string) *job {
-	j := &job{Batch: b, result: batch.Result{ID: b.ID, State: batch.Pending}, started: b.MaybeStarted || len(completed) > 0, startedBefore: b.MaybeStarted}
-	if p.options.Priorities {
-		j.priorityDelay = order.Delay(b.Priority)
-	}
+	j := p.draftJob(b)
+	j.started, j.startedBefore = b.MaybeStarted || len(completed) > 0, b.MaybeStarted
 	p.awaitEarlierRuns(j)
 	p.jobs[b.ID] = j
 	completedNames := map[string]bool{}
 	for _, name := range completed {
 		completedNames[name] = true
 	}
-	for n, s := range b.Steps {
-		j.baseTimes = append(j.baseTimes, p.estimator.BaseRuntime(b.Queue, s.Hint))
-		for i := range s.Count {
-			t := &task{job: j, step: n, name: batch.TaskName(b.ID, 0, n, i)}
-			if _, found := p.earlyCompletions[t.name]; found || completedNames[t.name] {
-				t.done = true
-				delete(p.earlyCompletions, t.name)
-			}
-			j.tasks = append(j.tasks, t)
-		}
-	}
-	p.setObjective(j)
 	for _, t := range j.tasks {
-		if t.done {
+		if _, found := p.earlyCompletions[t.name]; found || completedNames[t.name] {
+			t.done = true
+			delete(p.earlyCompletions, t.name)
 			continue
 		}
 		j.unfinished++
@@ -171,6 +159,22 @@
 	return j
 }
 
+// draftJob returns a job with its tasks and expected run times, without adding it to the plan.
+func (p *Plan) draftJob(b *batch.Batch) *job {
+	j := &job{Batch: b, result: batch.Result{ID: b.ID, State: batch.Pending}}
+	if p.options.Priorities {
+		j.priorityDelay = order.Delay(b.Priority)
+	}
+	for n, s := range b.Steps {
+		j.baseTimes = append(j.baseTimes, p.estimator.BaseRuntime(b.Queue, s.Hint))
+		for i := range s.Count {
+			j.tasks = append(j.tasks, &task{job: j, step: n, name: batch.TaskName(b.ID, 0, n, i)})
+		}
+	}
+	p.setObjective(j)
+	return j
+}
+
 // noteCompleted marks tasks of a known job as done that have succeeded under another holder. The caller
 // delivers the result if none is left.
 func (p *Plan) noteCompleted(j *job, completed []string) {
--- a/internal/placement/plan/place.go
+++ b/internal/placement/plan/place.go
@@ -60,7 +60,7 @@
 	}
 	p.leaveEvacuated([]*job{j})
 	open := p.openWorkers()
-	if len(open) > 0 && !p.mayRunElsewhere(j) && (!p.otherLeasesActive() || p.allFenced(j.Service)) {
+	if len(open) > 0 && p.mayPlaceNow(j) {
 		p.placeJob(j, open, maxFree(open))
 	}
 	p.spillOver([]*job{j})
@@ -68,6 +68,12 @@
 	p.pruneWaiting()
 }
 
+// mayPlaceNow reports whether tasks of a job that has just been admitted may start: it is not running under another
+// holder, and no lease of another holder may be valid on the workers of its service.
+func (p *Plan) mayPlaceNow(j *job) bool {
+	return !p.mayRunElsewhere(j) && (!p.otherLeasesActive() || p.allFenced(j.Service))
+}
+
 // placeOnWorkers places pending tasks on the given workers, job by job. It skips jobs that
 // might still be running under another holder.
 func (p *Plan) placeOnWorkers(workers []*worker) {
@@ -213,7 +219,7 @@
 func (p *Plan) openWorkers() []*worker {
 	open := p.openBuffer[:0]
 	for _, w := range p.workerList {
-		if w.free().MilliCores > 0 && p.isEligible(w) {
+		if p.isOpen(w) {
 			open = append(open, w)
 		}
 	}
@@ -221,6 +227,9 @@
 	return open
 }
 
+// isOpen reports whether a worker is eligible and has free cores.
+func (p *Plan) isOpen(w *worker) bool { return w.free().MilliCores > 0 && p.isEligible(w) }
+
 // placeJob starts the tasks of a job that fit and reports whether it started any.
 func (p *Plan) placeJob(j *job, workers []*worker, largestFree resources.Resources) bool {
 	remaining := j.pending[:0]
--- a/internal/placement/plan/refuse.go
+++ b/internal/placement/plan/refuse.go
@@ -86,17 +86,23 @@
 		capacity = p.lateCapacity(j.Service, capacity)
 	}
 	for _, other := range p.waiting {
-		if other == j || other.Service != j.Service {
-			continue
-		}
-		otherLate := other.likelyMisses(p.now)
-		if otherLate != late && late || otherLate == late && !other.latestTurn().After(j.latestTurn()) {
+		if p.comesBefore(other, j, late) {
 			load += other.pendingWork()
 		}
 	}
 	return time.Duration(load / capacity * float64(time.Second))
 }
 
+// comesBefore reports whether the turn of another waiting job of the service comes before that of j. late says whether j
+// is likely to miss its objective.
+func (p *Plan) comesBefore(other, j *job, late bool) bool {
+	if other == j || other.Service != j.Service {
+		return false
+	}
+	otherLate := other.likelyMisses(p.now)
+	return otherLate != late && late || otherLate == late && !other.latestTurn().After(j.latestTurn())
+}
+
 // capacityAndLoad returns the thousandths of a core that tasks of a service can use, and the
 // work that runs on them in thousandths of a core times seconds. Workers that have not yet
 // accepted the fencing token count as capacity: they do so within a network delay, and a
--- a/internal/placement/plan/spillover.go
+++ b/internal/placement/plan/spillover.go
@@ -52,7 +52,7 @@
 		return
 	}
 	for _, j := range jobs {
-		if j.SpilledOver || j.startedBefore || j.started || len(j.pending) != len(j.tasks) || j.result.State.Ended() || p.mayRunUnlisted(j.Service) {
+		if !p.maySpillOver(j) {
 			continue
 		}
 		if group := p.otherFreeSlots.Take(len(j.tasks)); group != "" {
@@ -61,6 +61,11 @@
 	}
 }
 
+// maySpillOver reports whether a job may move to another group that has free slots.
+func (p *Plan) maySpillOver(j *job) bool {
+	return !j.SpilledOver && !j.startedBefore && !j.started && len(j.pending) == len(j.tasks) && !j.result.State.Ended() && !p.mayRunUnlisted(j.Service)
+}
+
 // mayRunUnlisted reports whether an earlier holder may have started jobs of a service on a worker
 // that has not told this holder of them yet. Jobs that are sent again by a client do not say
 // that they may have been started, and another group cannot find their runs.
--- a/internal/placement/runtimes/runtimes.go
+++ b/internal/placement/runtimes/runtimes.go
@@ -79,11 +79,19 @@
 	return a
 }
 
+// current returns a copy of an average, the zero value if there is none yet.
+func current(all map[string]*average, key string) average {
+	if a, known := all[key]; known {
+		return *a
+	}
+	return average{}
+}
+
 // BaseRuntime returns the expected run time of a task on a worker with a slowdown
 // factor of 1. hint is the client's estimate, or 0 if there is none.
 func (e *Estimator) BaseRuntime(queue string, hint time.Duration) time.Duration {
-	q := averageFor(e.queues, queue)
-	hinted := math.Log(max(1, float64(hint.Milliseconds()))) + averageFor(e.hintBias, queue).mean
+	q := current(e.queues, queue)
+	hinted := math.Log(max(1, float64(hint.Milliseconds()))) + current(e.hintBias, queue).mean
 	switch {
 	case q.count == 0 && hint <= 0:
 		return defaultRuntime
