commands: Add explain, which asks an entry where a job would go

Cause: operators need the answer of plan.Explain from a running entry, with the group, why it gets the job, and the entry that holds it.

Ruled out: forwarding to the holder (the answer names it instead); a listener of its own (the metrics address serves other reads of operators); Options.Detour as it is, since it takes free slots of the other group.

Change: POST /explain at the metrics address. submission.Tracker.Explain finds the route with GroupOf, Redirect and a detour that takes no slots; Holder.Explain does the rest. One answer at a time and ten a second, else 429; 64 KB, 16 steps and 1,000 tasks at most. The command prints text, or JSON.

--- a/commands/commands.go
+++ b/commands/commands.go
@@ -49,6 +49,7 @@
 	Demo     *demoCommand     `arg:"subcommand:demo" help:"run both firms' examples in one process"`
 	Capacity *capacityCommand `arg:"subcommand:capacity" help:"measure the slopes behind docs/CAPACITY.md"`
 	Outcomes *outcomesCommand `arg:"subcommand:outcomes" help:"count from logs how jobs ended, when and why"`
+	Explain  *explainCommand  `arg:"subcommand:explain" help:"say where a job would go now, and why"`
 	Version  *versionCommand  `arg:"subcommand:version" help:"print the version"`
 }
 
--- a/internal/gateway/node/freeslots.go
+++ b/internal/gateway/node/freeslots.go
@@ -69,10 +69,13 @@
 	return slots
 }
 
+// find returns another group than the given one that has free slots for a number of tasks, or "". The slots stay free.
+func (v *freeSlotsTable) find(except string, tasks int) string { return v.others(except).Take(tasks) }
+
 // take returns another group than the given one that has free slots for a number of tasks, or
 // "". The slots count as used until the next report of that group.
 func (v *freeSlotsTable) take(except string, tasks int) string {
-	group := v.others(except).Take(tasks)
+	group := v.find(except, tasks)
 	if group == "" {
 		return ""
 	}
--- a/internal/gateway/node/node.go
+++ b/internal/gateway/node/node.go
@@ -65,6 +65,7 @@
 	ingress     *ingress.Guard
 	outbox      *outbox
 	cancels     *cancellation.Exchange
+	explainer   *explainer
 
 	draining       atomic.Bool
 	grace          atomic.Int64    // grace period of a stop, in nanoseconds
@@ -148,6 +149,7 @@
 	n.instruments = newInstruments(n, options.DroppedLogLines)
 	n.ingress = newGuard(n)
 	n.outbox = newOutbox(n)
+	n.explainer = newExplainer()
 	n.cancels = n.newCancels()
 	n.tracker = submission.New(submission.Options{
 		Cancelled: n.cancels.Cancelled,
--- a/internal/gateway/node/reach.go
+++ b/internal/gateway/node/reach.go
@@ -31,6 +31,11 @@
 // entry may send jobs again there is none: an earlier run of such a job may go on in its group for
 // as long as the lease that the silent holder has granted.
 func (n *Node) detour(group string, tasks int) string {
+	return n.detourBy(group, tasks, n.freeSlots.take)
+}
+
+// detourBy is detour with a function that finds a group with free slots for a number of tasks, other than the given one.
+func (n *Node) detourBy(group string, tasks int, find func(except string, tasks int) string) string {
 	if n.answers(group) {
 		return ""
 	}
@@ -38,7 +43,7 @@
 	if n.members.LostSince(time.Now().Add(-n.settings.ClientRetryAfter-resendMargin), holder.Holder) {
 		return ""
 	}
-	other := n.freeSlots.take(group, tasks)
+	other := find(group, tasks)
 	if other == "" || !n.answers(other) {
 		return ""
 	}
--- a/internal/gateway/node/serve.go
+++ b/internal/gateway/node/serve.go
@@ -71,7 +71,7 @@
 	}{
 		{n.peerRoutes(), n.listeners.peers, n.ingress.Entries},
 		{n.readyRoutes(), n.ready, n.ingress.Operators},
-		{n.instruments.handler(), n.metrics, n.ingress.Operators},
+		{n.operatorRoutes(), n.metrics, n.ingress.Operators},
 	} {
 		if s.listener == nil {
 			continue
