plan, holder: Suspect each new incarnation of a worker with late starts

Cause: a start without an answer may be executed by the next incarnation of its worker, so the run of its task elsewhere is stopped once the incarnation is in doubt. Two ways to learn of another incarnation left the run going until the worker had been silent for a lease, or until the next report: an answer on another connection that states another start under a token with which a start may have been sent (session.suspectRestart), and a registration that comes back after it had gone (plan.AddWorker of a retired worker).

Ruled out: closed and refused connections, and a restart told by a registration of a known worker; they suspect the incarnation already. A report or registration that repeats a known restart does not stop the run again.

Change: Plan.DoubtIncarnation fences the worker and stops the runs elsewhere; AddWorker does so for a worker that was retired.

--- a/internal/placement/holder/incarnation.go
+++ b/internal/placement/holder/incarnation.go
@@ -41,7 +41,7 @@
 // suspectRestart keeps work off a worker until an answer to a new token tells which incarnation
 // it is. The caller holds the lock.
 func (s *session) suspectRestart(p *plan.Plan, now time.Time) {
-	p.RequireFence(s.target.ID, now)
+	p.DoubtIncarnation(s.target.ID, now)
 	s.raiseToken("an answer states another start of the worker")
 }
 
--- a/internal/placement/holder/latestart_test.go
+++ b/internal/placement/holder/latestart_test.go
@@ -80,3 +80,37 @@
 		b.Wait()
 	})
 }
+
+// TestReportOfAnotherIncarnationStopsTheRunElsewhere guards against two runs of a task at a time: a worker has left a
+// start unanswered, and the task runs elsewhere. While a hold is pending, an answer on the other connection states
+// another start of the worker, which may execute the late start before it accepts a new token.
+func TestReportOfAnotherIncarnationStopsTheRunElsewhere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		b := newRestartBench(ctx)
+		w1, w2 := b.workers["w1"], b.workers["w2"]
+		w2.runtime = 2 * time.Second
+		w1.setDeaf(true)
+		b.admit()
+		time.Sleep(5 * time.Millisecond)
+		draining := w1.registration("w1") // so that the task starts on w2 once w1 has accepted a higher token
+		draining.Draining = true
+		b.AddWorker(draining)
+		b.AddWorker(w2.registration("w2"))
+		b.keepAsking(450*time.Millisecond, func() bool { return false })
+		w1.setDeaf(false)
+		b.keepAsking(time.Second, func() bool { _, second := b.starts(); return second > 0 })
+		b.keepAsking(20*time.Millisecond, func() bool { return false })
+		s := b.session("w1")
+		b.mu.Lock()
+		token := s.token
+		b.mu.Unlock()
+		s.applyReport(platform.Report{Verdict: platform.Accepted, ClockMilli: 1, StartUnixMilli: draining.StartUnixMilli + 500}, false, token, time.Now())
+		b.keepAsking(500*time.Millisecond, func() bool { return false }) // the stand-in answers the pending hold, which the new token interrupts, after up to 400 ms
+		if first, second := b.starts(); first != 0 || second != 2 {
+			t.Errorf("%d starts on w1 and %d on w2, want 0 and 2: the run on w2 is stopped, and starts again once w1 has accepted a token", first, second)
+		}
+		cancel()
+		b.Wait()
+	})
+}
--- a/internal/placement/plan/incarnation_test.go
+++ b/internal/placement/plan/incarnation_test.go
@@ -26,6 +26,11 @@
 		{"closes the connection, and another copy of the start was answered", CopyAccepted, "w2", 8000, closed, true, nil, 6000, 8000},
 		{"closes the connection, and the start was answered", StartAccepted, "w2", 8000, closed, true, nil, 0, 0},
 		{"another incarnation", OutcomeUnknown, "w2", 8000, func(p *Plan) { p.RestartWorker(testWorker("w1", 1), after(6000)) }, true, nil, 6000, 8000},
+		{"answers as another incarnation under a token with which a start was sent", CopyAccepted, "w2", 8000, func(p *Plan) { p.DoubtIncarnation("w1", after(6000)) }, true, nil, 6000, 8000},
+		{"registers again after its registration has gone", OutcomeUnknown, "w2", 8000, func(p *Plan) {
+			p.RetireWorker("w1", after(6000))
+			p.AddWorker(testWorker("w1", 1), after(6000))
+		}, true, nil, 6000, 8000},
 		{"does not come back", OutcomeUnknown, "w2", 20_000, closed, false, nil, 6000, 18080},
 		{"does not come back, and the last copy was sent later", OutcomeUnknown, "w2", 20_000, func(p *Plan) {
 			closed(p)
--- a/internal/placement/plan/restart.go
+++ b/internal/placement/plan/restart.go
@@ -44,6 +44,15 @@
 	p.workers[registration.ID].registrationDue = now.Add(registrationWait)
 }
 
+// DoubtIncarnation records that a worker has answered as another incarnation under a token with which a start may
+// have been sent. It gets no work, and may execute late starts, until it has accepted a new token.
+func (p *Plan) DoubtIncarnation(id string, now time.Time) {
+	p.RequireFence(id, now)
+	if w, known := p.workers[id]; known {
+		p.suspectIncarnation(w)
+	}
+}
+
 // registrationWait is how long a restarted worker that has not registered gets no work. It covers
 // two reads of the registrations. After it the store is away, or cut off from either of them,
 // and the worker counts as being of the kind that it was.
--- a/internal/placement/plan/worker.go
+++ b/internal/placement/plan/worker.go
@@ -95,8 +95,9 @@
 		p.workers[registration.ID] = w
 		p.noteEarlierRenewal(w)
 	}
-	if w.retired {
+	if w.retired { // it may be another incarnation, which this holder has not called yet
 		w.retired, w.state, w.leaseUnknown = false, fencing, true
+		p.suspectIncarnation(w)
 	}
 	if !w.Capacity.FitsIn(registration.Capacity) {
 		p.noteFormerRoom(w)
