review: Fill in the template of the settings with present values only

Cause: review/6 and review/9 ended with 2, since the stand-in of the platform wrote 'evacuate = ms' for a section whose value is absent, and an empty number of descriptors.

Ruled out: a fault of the deploy file; the platform leaves such sections out and states max-fds.

Change: a section of an absent value is left out, and limits.max-fds is 4,096.

--- a/review/stand2/world.go
+++ b/review/stand2/world.go
@@ -294,7 +294,7 @@
 			return err
 		}
 		settings := fillIn(string(template), map[string]string{
-			"node": e.name, "zone": zone, "limits.cores": "1", "limits.cpu-share": "0.4", "limits.memory-mb": "284",
+			"node": e.name, "zone": zone, "limits.cores": "1", "limits.cpu-share": "0.4", "limits.memory-mb": "284", "limits.max-fds": "4096",
 			"listen.front": own[0], "listen.ready-addr": own[1], "listen.control": own[2], "ip": host, "port-range.0": port,
 			"seeds": strings.Join(seeds, ","), "platform.address": w.address,
 			"bounds.max-hold-ms": "1000", "bounds.grace-s": fmt.Sprint(graceSeconds), "bounds.retransmit-ms": "1300",
@@ -324,7 +324,11 @@
 		if parts[1] == "zones" {
 			return strings.Join(zoneNames, ",")
 		}
-		return strings.ReplaceAll(parts[2], "{{.}}", values[parts[1]])
+		value, present := values[parts[1]]
+		if !present {
+			return ""
+		}
+		return strings.ReplaceAll(parts[2], "{{.}}", value)
 	})
 	return placeholder.ReplaceAllStringFunc(template, func(text string) string {
 		return values[strings.Trim(text, "{}")]
