reload, settings: Derive the limits from the memory in force

Cause: the defaults of the section [ingress] are derived from memory and descriptors. A changed settings file with another memory was logged as needing a restart, but the limits that follow from the new value took effect at once: with 4096 instead of 256 the budget for bodies rose from 53 to 858 MB.

Ruled out: limits that the file states; they are applied as written.

Change: settings.ParseChanged derives the defaults from the settings in force.

Measured: TestLimitsFollowTheMachineInForce fails in all three rows without it; packages reload and settings pass with it.

--- a/internal/gateway/reload/watcher.go
+++ b/internal/gateway/reload/watcher.go
@@ -92,7 +92,7 @@
 		return
 	}
 	w.content = data
-	s, err := settings.Parse(w.File, data)
+	s, err := settings.ParseChanged(w.File, data, w.InForce)
 	if err != nil {
 		w.Log.Warn("settings not applied", "file", w.File, "error", err)
 		return
--- a/internal/gateway/reload/watcher_test.go
+++ b/internal/gateway/reload/watcher_test.go
@@ -124,3 +124,37 @@
 		}
 	}
 }
+
+// TestLimitsFollowTheMachineInForce guards against limits of the ingress that follow a change of the memory or the
+// descriptors, which need a restart: with a budget for more memory than the machine has, clients end the process.
+func TestLimitsFollowTheMachineInForce(t *testing.T) {
+	before := strings.Replace(started, "zone = a\n", "zone = a\nmemory = 256\ndescriptors = 4096\n", 1) + "[ingress]\nstall = 3s\n"
+	tests := []struct {
+		name     string
+		replaced []string
+		stall    time.Duration // in force afterwards
+	}{
+		{"memory", []string{"memory = 256", "memory = 4096"}, 3 * time.Second},
+		{"descriptors", []string{"descriptors = 4096", "descriptors = 300"}, 3 * time.Second},
+		{"both, and a limit", []string{"memory = 256", "memory = 4096", "descriptors = 4096", "descriptors = 300", "stall = 3s", "stall = 4s"}, 4 * time.Second},
+	}
+	for _, c := range tests {
+		s, err := settings.Parse("", []byte(before))
+		if err != nil {
+			t.Fatal(err)
+		}
+		file := filepath.Join(t.TempDir(), "entry.ini")
+		if err := os.WriteFile(file, []byte(strings.NewReplacer(c.replaced...).Replace(before)), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		limits, want := s.Ingress, s.Ingress
+		want.Stall = c.stall
+		w := &Watcher{File: file, InForce: s, Log: slog.New(slog.DiscardHandler), Keys: []Key{{
+			Name: "[ingress]", Value: func(s *settings.Settings) any { return s.Ingress },
+			Apply: func(s *settings.Settings) { limits = s.Ingress },
+		}}}
+		if w.check(true); limits != want {
+			t.Errorf("%s: limits %+v, want %+v", c.name, limits, want)
+		}
+	}
+}
--- a/internal/gateway/settings/settings.go
+++ b/internal/gateway/settings/settings.go
@@ -60,7 +60,15 @@
 }
 
 // Parse reads and validates settings. Errors refer to the file by name.
-func Parse(name string, data []byte) (*Settings, error) {
+func Parse(name string, data []byte) (*Settings, error) { return parse(name, data, nil) }
+
+// ParseChanged reads and validates settings that take effect while the process runs with others. The defaults of the
+// section [ingress] are those of the memory and the descriptors in force, which only a restart changes.
+func ParseChanged(name string, data []byte, inForce *Settings) (*Settings, error) {
+	return parse(name, data, inForce)
+}
+
+func parse(name string, data []byte, inForce *Settings) (*Settings, error) {
 	f, err := inifile.Parse(name, data)
 	if err != nil {
 		return nil, err
@@ -86,7 +94,11 @@
 		f.Fail("logs", "level", err.Error())
 	}
 	s.Descriptors = int(f.Int("entry", "descriptors", int64(ingress.DescriptorLimit()), 64, 1<<30))
-	s.Ingress = ingress.ReadLimits(f, s.Memory<<20, s.Descriptors)
+	machine := s
+	if inForce != nil {
+		machine = inForce
+	}
+	s.Ingress = ingress.ReadLimits(f, machine.Memory<<20, machine.Descriptors)
 	s.Lookahead, s.Priorities = parseSwitch(f, "placement", "lookahead"), parseSwitch(f, "placement", "priorities")
 	s.AdvertisedAddress = f.String("entry", "reach", s.Peers)
 	for key, text := range map[string]string{"listen": s.Listen, "ready": s.Ready, "peers": s.Peers, "metrics": s.Metrics, "reach": s.AdvertisedAddress} {
