plan: Count a task that succeeded before its job came as a start

Cause: a holder that does not know a job keeps the success of a task that a worker reports, for the case that the job comes. Such a job did not count as started, so that it could be refused, at the end of a drain as well as for its turn, although one of its tasks had run.

Ruled out: tasks that the job's message names as completed, and runs that go on; both count as a start.

Change: newJob counts an early completion as a start.

Measured: TestJobWithAnEarlyCompletionIsNotRefused fails without the change and passes with it.

--- a/internal/placement/plan/job.go
+++ b/internal/placement/plan/job.go
@@ -152,7 +152,7 @@
 		for i := range s.Count {
 			t := &task{job: j, step: n, name: batch.TaskName(b.ID, 0, n, i)}
 			if _, found := p.earlyCompletions[t.name]; found || completedNames[t.name] {
-				t.done = true
+				t.done, j.started = true, true
 				delete(p.earlyCompletions, t.name)
 			}
 			j.tasks = append(j.tasks, t)
--- a/internal/placement/plan/stop_test.go
+++ b/internal/placement/plan/stop_test.go
@@ -46,3 +46,18 @@
 		})
 	}
 }
+
+// TestJobWithAnEarlyCompletionIsNotRefused guards against a refusal of a job that has run in part: an earlier holder
+// has started it, one of its tasks succeeds before the job comes, and its entry does not know that it has started.
+func TestJobWithAnEarlyCompletionIsNotRefused(t *testing.T) {
+	p, b := fencedPlan(testWorker("w1", 1)), testJob("00000000000000aa", 2, after(2000))
+	p.HandleReport(Report{Worker: "w1", Sent: after(2000), Ended: []EndedRun{{"00000000000000aa.0.0.0", 1, Succeeded}}}, after(2000))
+	p.Admit(testJob("00000000000000bb", 1, after(2000)), nil, after(2000)) // has the worker
+	p.Admit(b, nil, after(2000))
+	if j := p.jobs[b.ID]; j.unfinished != 1 || len(j.pending) != 1 {
+		t.Fatalf("%d tasks unfinished, %d pending; want 1 of each", j.unfinished, len(j.pending))
+	}
+	if p.Refuse(b.ID, 0, after(2010)) {
+		t.Error("the job is refused, although one of its tasks has succeeded")
+	}
+}
