latestart: Name the check of a task by what it finds

Cause: plan.mayStart asked for !lateStarts.MayStart, two opposite meanings of the same name in one line.

Ruled out: a change of behaviour; only the name and its comment change.

Change: Table.MayStart is Table.MayStartLate.

--- a/internal/placement/latestart/table.go
+++ b/internal/placement/latestart/table.go
@@ -168,7 +168,7 @@
 // HasStarts reports whether a worker has starts in the table.
 func (t *Table) HasStarts(worker string) bool { return t.workers[worker] != nil }
 
-// MayStart reports whether a suspect worker may start a task now.
-func (t *Table) MayStart(task string, now time.Time) bool {
+// MayStartLate reports whether a suspect worker may yet execute a start of a task.
+func (t *Table) MayStartLate(task string, now time.Time) bool {
 	return slices.ContainsFunc(t.starts[task], func(s Start) bool { return t.workers[s.Worker].suspect && now.Before(s.Until) })
 }
