--- a/internal/placement/plan/job.go
+++ b/internal/placement/plan/job.go
@@ -147,7 +147,7 @@
 	}
 	for _, t := range j.tasks {
 		if _, found := p.earlyCompletions[t.name]; found || completedNames[t.name] {
-			t.done = true
+			t.done, j.started = true, true
 			delete(p.earlyCompletions, t.name)
 			continue
 		}
