outlier: Ask for ejected upstreams without a lock while there are none

Cause: eligibility asks for the ejection of each open worker, which took the detector's lock and a lookup each time. Change: the detector counts ejected upstreams; while there are none, IsEjected returns at once. The verdict on a worker is judged once instead of twice.

--- a/internal/placement/plan/evacuate.go
+++ b/internal/placement/plan/evacuate.go
@@ -30,9 +30,6 @@
 func (p *Plan) verdictOn(w *worker, task resources.Resources) eligibility.Verdict {
 	facts := p.lastingFacts(w)
 	facts.State, facts.Refusing, facts.EvacuationsUnknown = w.state, w.refusing, p.evacuations.Unknown
-	if verdict := eligibility.Judge(facts); verdict != eligibility.Eligible {
-		return verdict // what follows costs more to find out
-	}
 	if w.cold.Left(p.now) > 0 {
 		facts.ColdShare, facts.UsedShare = w.cold.Share(p.now), coldstart.UsedShare(w.used, task, w.Capacity)
 	}
--- a/outlier/detector.go
+++ b/outlier/detector.go
@@ -3,6 +3,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -36,6 +37,9 @@
 // use.
 type Detector struct {
 	options Options
+	// ejected is the number of ejected upstreams. It is changed with mu held, and read without it: while it is 0,
+	// as usual, IsEjected takes no lock.
+	ejected atomic.Int64
 
 	mu         sync.Mutex
 	states     map[string]*state
@@ -93,7 +97,11 @@
 	}
 	s.outcomes++
 	if success {
-		return s.succeed()
+		returned := s.succeed()
+		if returned {
+			d.ejected.Add(-1)
+		}
+		return returned
 	}
 	s.consecutiveFailures++
 	s.failureRate += outcomeWeight * (1 - s.failureRate)
@@ -103,7 +111,7 @@
 		return false
 	}
 	failing := s.consecutiveFailures >= d.options.ConsecutiveFailures || (s.outcomes >= d.options.MinOutcomes && s.failureRate > d.options.FailureRate)
-	if !failing || d.countEjected() >= d.maxEjected {
+	if !failing || int(d.ejected.Load()) >= d.maxEjected {
 		return false
 	}
 	d.eject(s)
@@ -129,21 +137,14 @@
 // eject ejects an upstream, or extends its ejection after a failed trial.
 func (d *Detector) eject(s *state) {
 	duration := d.options.BaseEjectionTime << min(s.ejections, 10)
-	s.ejected = true
+	if !s.ejected {
+		s.ejected = true
+		d.ejected.Add(1)
+	}
 	s.ejectedUntil = d.options.Now().Add(min(duration, d.options.MaxEjectionTime))
 	s.ejections++
 }
 
-func (d *Detector) countEjected() int {
-	count := 0
-	for _, s := range d.states {
-		if s.ejected {
-			count++
-		}
-	}
-	return count
-}
-
 // IsEjected reports whether the upstream is ejected and may get no task at present.
 // When its ejection time is over, TrialDue reports true instead until its trial
 // task starts.
@@ -161,6 +162,9 @@
 // ejectionState reports whether the upstream is ejected, and whether its trial task
 // is due.
 func (d *Detector) ejectionState(name string) (bool, bool) {
+	if d.ejected.Load() == 0 {
+		return false, false
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	s, ok := d.states[name]
@@ -200,5 +204,8 @@
 func (d *Detector) Forget(name string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if s, ok := d.states[name]; ok && s.ejected {
+		d.ejected.Add(-1)
+	}
 	delete(d.states, name)
 }
