plan: Refuse new jobs that the memory for jobs has no room for

Cause: a holder kept any number of jobs that other entries hand to it, and each for 5 s after its end.

Ruled out: answering in onPlace that the job is not accepted. The entry takes that for a change of holders and sends the job again each 25 ms. Forgetting results sooner: a client that sends its job again would start it anew.

Change: Admit refuses a new job beyond Options.JobBytes, unless it may have runs: handed over before, sent back, with completed or listed runs, or while leases of another holder may be valid. Its ID and attempt are kept, so that a late copy of the message starts nothing.

--- a/internal/placement/holder/holder.go
+++ b/internal/placement/holder/holder.go
@@ -66,6 +66,8 @@
 	Cancelled func(id string) bool
 	// Lookahead turns look-ahead placement on, Priorities the order of waiting jobs by priority.
 	Lookahead, Priorities bool
+	// JobBytes returns how much memory jobs may take, 0 for any. Nil means any.
+	JobBytes func() int64
 	// CountCall counts a call to a worker, named after its kind and answer, for metrics.
 	CountCall func(kind string)
 }
@@ -102,7 +104,7 @@
 		options: options, sessions: map[string]*session{}, ended: map[string]endedWorker{},
 		plan: plan.New(plan.Options{
 			Lease: options.Lease, ClientRetryAfter: options.ClientRetryAfter, WorkersIncompleteUntil: options.WorkersIncompleteUntil,
-			StartedElsewhere: options.StartedElsewhere, Zone: options.Zone, EvacuationTarget: options.EvacuationTarget, Cancelled: options.Cancelled, Lookahead: options.Lookahead, Priorities: options.Priorities,
+			StartedElsewhere: options.StartedElsewhere, Zone: options.Zone, EvacuationTarget: options.EvacuationTarget, Cancelled: options.Cancelled, JobBytes: options.JobBytes, Lookahead: options.Lookahead, Priorities: options.Priorities,
 		}, now),
 	}
 	h.ctx, h.cancel = context.WithCancel(ctx)
--- a/internal/placement/plan/cancel.go
+++ b/internal/placement/plan/cancel.go
@@ -14,7 +14,7 @@
 	switch {
 	case !known:
 		j = &job{Batch: &batch.Batch{ID: id, Attempt: attempt}}
-		p.jobs[id] = j
+		p.keep(j)
 	case j.Attempt != attempt || j.result.State.Ended():
 		return
 	}
--- a/internal/placement/plan/job.go
+++ b/internal/placement/plan/job.go
@@ -52,6 +52,7 @@
 	late           bool            // likelyMisses at the last sort of Plan.waiting
 	trial          bool            // its base times are those that its client states, as those of its queue would refuse it
 	trialSucceeded bool            // a task of the trial job has succeeded
+	bytes          int64           // that count in Plan.jobBytes
 }
 
 // Admit adds a job; completed names its tasks that have succeeded under an earlier holder.
@@ -75,11 +76,15 @@
 		if p.sendHome(b) {
 			return
 		}
+		if p.lacksMemory(b, completed) {
+			p.refuseForMemory(b)
+			return
+		}
 		j = p.newJob(b, completed)
 	case j.withdrawn && j.Attempt == b.Attempt:
 		return
 	case j.resultApplies(b):
-		j.Batch, j.result.Attempt = b, b.Attempt
+		j.Batch, j.result.Attempt = j.withOwnWork(b), b.Attempt // its own work, since that counts in jobBytes
 		p.emit(Order{Kind: DeliverResult, Batch: b, Result: j.result})
 		return
 	case j.result.State.Ended():
@@ -142,7 +147,7 @@
 		j.priorityDelay = order.Delay(b.Priority)
 	}
 	p.awaitEarlierRuns(j)
-	p.jobs[b.ID] = j
+	p.keep(j)
 	completedNames := map[string]bool{}
 	for _, name := range completed {
 		completedNames[name] = true
@@ -356,7 +361,7 @@
 	switch {
 	case j.result.State.Ended():
 		if j.forgetAt.Before(p.now) && !j.hasActiveRun() {
-			delete(p.jobs, j.ID)
+			p.forget(j)
 		}
 	case p.abandonTime(j.Batch, j.askedAt).Before(p.now):
 		p.abandon(j, batch.Result{State: batch.Cancelled, Reason: reasonAbandoned})
--- a/internal/placement/plan/plan.go
+++ b/internal/placement/plan/plan.go
@@ -91,7 +91,9 @@
 	// zone is evacuated, or "" if there is none. Nil means that there never is.
 	EvacuationTarget func(id string) string
 	// Cancelled reports whether a client has cancelled a job. Nil means never.
-	Cancelled  func(id string) bool
+	Cancelled func(id string) bool
+	// JobBytes returns how much memory jobs may take, see batch.Batch.Bytes; 0 or nil means any.
+	JobBytes   func() int64
 	Priorities bool // order waiting jobs by the priority of their queue, see package order
 	Lookahead  bool // look-ahead placement, see package lookahead
 }
@@ -125,6 +127,7 @@
 	minFactor  map[string]float64 // smallest slowdown factor of any worker, by service
 	meanFactor map[string]float64 // mean slowdown factor of the workers if all are sound, by service
 	jobs       map[string]*job
+	jobBytes   int64  // memory of jobs, ended ones included
 	waiting    []*job // jobs with pending tasks
 	// waitingSorted reports whether no job has been added to waiting since it was last sorted.
 	waitingSorted     bool
@@ -184,6 +187,9 @@
 	if options.EvacuationTarget == nil {
 		options.EvacuationTarget = func(string) string { return "" }
 	}
+	if options.JobBytes == nil {
+		options.JobBytes = func() int64 { return 0 }
+	}
 	if options.Cancelled == nil {
 		options.Cancelled = func(string) bool { return false }
 	}
--- a/internal/work/batch/batch.go
+++ b/internal/work/batch/batch.go
@@ -70,6 +70,17 @@
 	return total
 }
 
+// Estimates of the memory that an entry or a holder takes for a job, in bytes.
+const (
+	TaskBytes = 400
+	StepBytes = 300
+)
+
+// Bytes returns an estimate of the memory in bytes that the job takes in a process.
+func (b *Batch) Bytes() int64 {
+	return int64(len(b.Spec) + len(b.Steps)*StepBytes + b.Tasks()*TaskBytes)
+}
+
 // TaskName returns the name of a task on workers. occurrence is 0 for jobs that run
 // once.
 func TaskName(id string, occurrence, step, index int) string {
