ingress, node: Bound held jobs and keep other entries connected

Causes, found by review: a handler that panicked left its body charged for ever. A request that had waited for memory for 3 s was ended as stalled. A request was refused if the one to be ended for it was served meanwhile. Entries of 144 MB admitted 288 connections of other entries, too few for 300. Clients could end large heartbeats. ENOBUFS and ENOMEM ended the accept loop. Each idle connection closed was a warning, in place of other causes. Jobs of a holder had no limit.

Change: mend these; [ingress] held and entries are new settings.

Ruled out: deadlocks in Guard.charge; what is leaving is released by its handler.

The race in Guard.charge has no test. Histories and the tests of entry have not been run on this change.

--- a/internal/gateway/ingress/body.go
+++ b/internal/gateway/ingress/body.go
@@ -22,8 +22,8 @@
 	// A copy, since the server looks at the type of the body of its own request.
 	request := *r
 	request.Body = b
+	defer b.Close() // also after a panic of the handler, which ends only its connection
 	h.inner.ServeHTTP(w, &request)
-	_ = b.Close()
 	if !b.complete {
 		// The server reads on, to use the connection again.
 		if !c.enter(body, rest) {
--- a/internal/gateway/ingress/conn.go
+++ b/internal/gateway/ingress/conn.go
@@ -175,9 +175,12 @@
 // recent returns the number of bytes received since the sweep before the last one.
 func (c *conn) recent() int64 { return c.received.Load() - c.earlier }
 
-// slowerThan reports whether the connection is ended before another one: large requests first, then those with less
-// progress, then older ones.
+// slowerThan reports whether the connection is ended before another one: those of clients before those of entries, probes
+// and metrics, then large requests, then those with less progress, then older ones.
 func (c *conn) slowerThan(other *conn) bool {
+	if c.pool.clients != other.pool.clients {
+		return c.pool.clients
+	}
 	if c.large() != other.large() {
 		return c.large()
 	}
--- a/internal/gateway/ingress/guard.go
+++ b/internal/gateway/ingress/guard.go
@@ -19,6 +19,7 @@
 const (
 	CauseMemory      = "memory"      // the budget for headers, bodies and parsing is full
 	CauseJobs        = "jobs"        // the budget for jobs is full
+	CauseHeld        = "held"        // the budget for the jobs of a group is full
 	CauseConnections = "connections" // there are too many
 	CauseAddress     = "address"     // there are too many from one address
 	CauseDescriptors = "descriptors" // the process has no more of them
@@ -109,6 +110,9 @@
 	g.freed.Broadcast()
 }
 
+// Limits returns the limits in force.
+func (g *Guard) Limits() Limits { return *g.limits.Load() }
+
 // Clients wraps the listener for clients.
 func (g *Guard) Clients(inner net.Listener) net.Listener {
 	return g.listener(inner, true, func(l Limits) int { return l.Connections })
@@ -116,7 +120,7 @@
 
 // Entries wraps the listener for other entries.
 func (g *Guard) Entries(inner net.Listener) net.Listener {
-	return g.listener(inner, false, func(l Limits) int { return max(16, l.Connections/2) })
+	return g.listener(inner, false, func(l Limits) int { return max(16, l.Entries) })
 }
 
 // Operators wraps a listener for probes or metrics.
@@ -162,9 +166,15 @@
 // now returns the time since the guard was made, which is above 0: 0 means that a connection waits for nothing.
 func (g *Guard) now() int64 { return 1 + int64(time.Since(g.started)) }
 
+// Refused counts and logs a refusal that was decided elsewhere.
+func (g *Guard) Refused(cause string) { g.refused(cause) }
+
 // refused counts and logs a refusal.
 func (g *Guard) refused(cause string) {
 	g.options.OnRefuse(cause)
+	if cause == CauseIdle {
+		return // ordinary clients keep connections as well
+	}
 	g.logged.Do(func() { g.options.Log.Warn("limit of clients reached", "cause", cause) })
 }
 
@@ -226,12 +236,11 @@
 			c.blocked = true
 			g.freed.Wait()
 			c.blocked = false
+			c.lastByte.Store(g.now()) // nothing could be read from it meanwhile
 		default:
 			slowest := g.slowestRequest(c)
-			if slowest == c || !g.end(slowest, CauseMemory) {
-				g.end(c, CauseMemory)
-				return &RefusedError{}
-			}
+			// If another one is served by now, it is not ended, and the next turn of the loop finds the next one.
+			g.end(slowest, CauseMemory)
 		}
 	}
 }
@@ -267,7 +276,7 @@
 
 // slowestRequest returns the request whose end frees memory for c: of the large ones that with the least progress,
 // oldest first. If there is none and c is small as well, it returns a small one that stands still. Otherwise it
-// returns c. The caller holds g.mu.
+// returns c. A request of another entry is not ended for one of a client. The caller holds g.mu.
 func (g *Guard) slowestRequest(c *conn) *conn {
 	slowest := c
 	if !c.large() {
@@ -275,7 +284,7 @@
 	}
 	for _, p := range g.pools {
 		for other := range p.conns {
-			if other.charged == 0 || !other.endable() || !other.large() && (c.large() || other.recent() > 0) {
+			if other.charged == 0 || !other.endable() || c.pool.clients && !p.clients || !other.large() && (c.large() || other.recent() > 0) {
 				continue
 			}
 			if slowest == nil || other.slowerThan(slowest) {
--- a/internal/gateway/ingress/guard_test.go
+++ b/internal/gateway/ingress/guard_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"bytes"
+	"cmp"
 	"fmt"
 	"io"
+	"log/slog"
 	"net"
 	"net/http"
 	"slices"
@@ -20,6 +22,7 @@
 type pipes struct {
 	accepted chan net.Conn
 	shortage atomic.Int32
+	failure  syscall.Errno // of Accept meanwhile, EMFILE if 0
 	accepts  atomic.Int32
 	closed   sync.Once
 }
@@ -35,7 +38,7 @@
 func (p *pipes) Accept() (net.Conn, error) {
 	p.accepts.Add(1)
 	if p.shortage.Add(-1) >= 0 {
-		return nil, &net.OpError{Op: "accept", Err: syscall.EMFILE}
+		return nil, &net.OpError{Op: "accept", Err: cmp.Or(p.failure, syscall.EMFILE)}
 	}
 	c, open := <-p.accepted
 	if !open {
@@ -60,7 +63,7 @@
 }
 
 // bench is a server with a guard. Its handler reads the body and answers with its length. The path /wait
-// waits for 20 s after that, /long has a long answer, and /parse needs more than the budget to be parsed.
+// waits for 20 s after that, /long has a long answer, the handler of /panic panics, and /parse needs more than the budget to be parsed.
 type bench struct {
 	*Guard
 	pipes  *pipes
@@ -87,6 +90,8 @@
 			return
 		}
 		switch r.URL.Path {
+		case "/panic":
+			panic(http.ErrAbortHandler)
 		case "/wait":
 			time.Sleep(20 * time.Second)
 		case "/long":
@@ -369,3 +374,128 @@
 		t.Fatalf("reserved more than the budget: %v, %d bytes in use; want false and 0", ok, g.jobs)
 	}
 }
+
+// TestPanicReleasesBody guards against memory that stays charged because the handler of a request has panicked.
+func TestPanicReleasesBody(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, true)
+		c := b.pipes.dial(1)
+		defer c.Close()
+		go func() { _, _ = io.WriteString(c, head("/panic", 20_000)+strings.Repeat("a", 20_000)) }()
+		if got := status(c); got != "" {
+			t.Errorf("status %q, want a closed connection", got)
+		}
+		synctest.Wait()
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		if b.used != 0 {
+			t.Errorf("%d bytes are left after a panic, want 0", b.used)
+		}
+	})
+}
+
+// TestIdleIsNotLogged guards against a warning for each keep-alive connection of an ordinary client that is closed, which
+// also takes the place of the lines that matter.
+func TestIdleIsNotLogged(t *testing.T) {
+	var text bytes.Buffer
+	g := New(Options{Limits: testLimits, Log: slog.New(slog.NewTextHandler(&text, nil))})
+	g.refused(CauseIdle)
+	if text.Len() > 0 {
+		t.Errorf("logged %q for an idle connection, want nothing", text.String())
+	}
+	g.refused(CauseMemory)
+	if !strings.Contains(text.String(), "cause=memory") {
+		t.Errorf("logged %q, want a line with the cause memory", text.String())
+	}
+}
+
+// TestEntriesBeforeClients guards against requests of other entries that are ended because of clients: heartbeats of large
+// fleets count as large requests.
+func TestEntriesBeforeClients(t *testing.T) {
+	g := New(Options{Limits: testLimits})
+	clients, entries := g.Clients(nil).(*listener).pool, g.Entries(nil).(*listener).pool
+	add := func(p *pool) *conn {
+		c := &conn{Conn: &pipe{}, guard: g, pool: p, charged: 1}
+		c.bodyBytes.Store(20_000)
+		c.phase.Store(body)
+		p.conns[c] = struct{}{}
+		return c
+	}
+	heartbeat, upload := add(entries), add(clients)
+	upload.received.Store(100_000) // progresses, whereas the heartbeat stands still
+	if got := g.slowestRequest(heartbeat); got != upload {
+		t.Error("a heartbeat that needs memory does not end the request of a client")
+	}
+	if got := g.slowestRequest(upload); got != upload {
+		t.Error("a client that needs memory ends the heartbeat of an entry")
+	}
+}
+
+// TestWaitForMemoryIsNoStall guards against the end of a request that was not read because it waited for memory: no byte
+// was received from it for longer than Stall.
+func TestWaitForMemoryIsNoStall(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := New(Options{Limits: testLimits})
+		p := g.Clients(nil).(*listener).pool
+		c := &conn{guard: g, pool: p}
+		c.phase.Store(body)
+		p.conns[c] = struct{}{}
+		g.used, g.leaving = testLimits.Memory, testLimits.Memory
+		go func() {
+			if err := g.charge(c, 1); err != nil {
+				t.Error(err)
+			}
+		}()
+		for range 20 {
+			time.Sleep(sweepInterval)
+			g.sweep()
+		}
+		g.mu.Lock()
+		g.used, g.leaving = 0, 0
+		g.freed.Broadcast()
+		g.mu.Unlock()
+		for range 4 {
+			time.Sleep(sweepInterval)
+			if cause := c.overdue(g.now(), &testLimits, int64(time.Minute), int64(time.Minute)); cause != "" {
+				t.Fatalf("ended for %q right after it got memory", cause)
+			}
+		}
+	})
+}
+
+// TestConnectionsOfEntries guards against entries of a large fleet that close each other's connections: the smallest
+// entry must have room for two from each of 287 others.
+func TestConnectionsOfEntries(t *testing.T) {
+	for _, memory := range []int64{144, 284, 536} {
+		l := DefaultLimits(memory<<20, 3075)
+		entries := New(Options{Limits: l}).Entries(nil).(*listener).pool.limit(l)
+		if all := l.Connections + entries + 2*max(16, l.Connections/16); entries < 2*287 || all > 3075-maxFileDescriptors {
+			t.Errorf("with %d MB: %d connections of entries, %d in all; want 574 at least and %d at most", memory, entries, all, 3075-maxFileDescriptors)
+		}
+	}
+}
+
+// TestNoKernelMemory guards against an accept loop that ends, and the entry with it, because the kernel has no memory for a
+// connection.
+func TestNoKernelMemory(t *testing.T) {
+	for _, failure := range []syscall.Errno{syscall.ENOBUFS, syscall.ENOMEM} {
+		synctest.Test(t, func(t *testing.T) {
+			b := newBench(t, true)
+			first := b.pipes.dial(1) // taken by the Accept that waits
+			defer first.Close()
+			b.pipes.failure = failure
+			b.pipes.shortage.Store(3)
+			second := b.pipes.dial(1)
+			defer second.Close()
+			go func() {
+				last := b.pipes.dial(1)
+				defer last.Close()
+				_, _ = io.WriteString(last, head("/", 1)+"a")
+				if got := status(last); got != "200" {
+					t.Errorf("status %q after %v, want 200", got, failure)
+				}
+			}()
+			time.Sleep(3 * time.Second)
+		})
+	}
+}
--- a/internal/gateway/ingress/limits.go
+++ b/internal/gateway/ingress/limits.go
@@ -14,7 +14,9 @@
 type Limits struct {
 	Memory      int64         // bytes of unfinished headers, of bodies and of their parsing
 	Jobs        int64         // bytes of the jobs that clients wait for
-	Connections int           // of clients; entries have half as many, and probes and metrics a sixteenth each
+	Held        int64         // bytes of the jobs of a group that this process holds, with those answered lately; 0 for no bound
+	Connections int           // of clients; probes and metrics have a sixteenth each
+	Entries     int           // connections of other entries
 	Address     int           // connections from one address, while there are others
 	HeaderBytes int64         // of one request; 0 for the limit of the configuration
 	Stall       time.Duration // without a byte, in either direction, after which a transfer is ended
@@ -25,6 +27,9 @@
 // header and a body of up to freeBytes.
 const connectionBytes = 32 << 10
 
+// fleetConnections lets each of 300 entries have two connections: one with a heartbeat and one with jobs under way.
+const fleetConnections = 600
+
 // maxFileDescriptors is the part of the descriptors that is kept for files and connections to others.
 const maxFileDescriptors = 200
 
@@ -33,9 +38,14 @@
 // is left to the process itself and to garbage.
 func DefaultLimits(memory int64, descriptors int) Limits {
 	files := min(maxFileDescriptors, descriptors/4)
-	// All listeners together have up to five thirds of the connections of the clients.
+	// All listeners together leave descriptors free: they have 13/8 of the connections of the clients, or 9/8 of them and a
+	// fifth of the descriptors.
 	count := max(16, min(int(memory/8/connectionBytes), (descriptors-files)*3/5))
-	return Limits{Memory: memory / 5, Jobs: memory / 10, Connections: count, Address: max(1, count/2), Stall: 3 * time.Second, Rate: 2048}
+	entries := max(16, count/2, min(fleetConnections, (descriptors-files)/5))
+	return Limits{
+		Memory: memory / 5, Jobs: memory / 10, Held: memory / 5, Connections: count, Entries: entries, Address: max(1, count/2),
+		Stall: 3 * time.Second, Rate: 2048,
+	}
 }
 
 // ReadLimits reads section [ingress] of a settings file. Missing keys have the values of DefaultLimits. Mistakes are
@@ -50,7 +60,8 @@
 		return f.Int(section, key, 1, 1, most) << 20
 	}
 	l := Limits{
-		Memory: megabytes("memory", d.Memory), Jobs: megabytes("jobs", d.Jobs),
+		Memory: megabytes("memory", d.Memory), Jobs: megabytes("jobs", d.Jobs), Held: megabytes("held", d.Held),
+		Entries:     int(f.Int(section, "entries", int64(d.Entries), 16, most)),
 		Connections: int(f.Int(section, "connections", int64(d.Connections), 16, most)),
 		HeaderBytes: f.Int(section, "header", 0, 1<<10, most),
 		Stall:       f.Duration(section, "stall", d.Stall, 100*time.Millisecond, time.Minute),
--- a/internal/gateway/ingress/listener.go
+++ b/internal/gateway/ingress/listener.go
@@ -22,7 +22,7 @@
 )
 
 // Accept implements net.Listener. It refuses connections beyond the limits, and waits while the process has no
-// descriptors.
+// descriptors, or the kernel no memory for a connection.
 func (l *listener) Accept() (net.Conn, error) {
 	delay := minAcceptDelay
 	for {
@@ -33,7 +33,7 @@
 				return c, nil
 			}
 			delay = minAcceptDelay
-		case errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE):
+		case isShortage(err):
 			l.guard.closeForDescriptor()
 			time.Sleep(delay)
 			delay = min(2*delay, maxAcceptDelay)
@@ -43,6 +43,12 @@
 	}
 }
 
+// isShortage reports whether Accept has failed because the process or the kernel lacks descriptors or memory. net/http
+// ends the server after errors that are not of net.Error's Temporary, as the latter two are.
+func isShortage(err error) bool {
+	return errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) || errors.Is(err, syscall.ENOBUFS) || errors.Is(err, syscall.ENOMEM)
+}
+
 // unavailable is the answer to a client whose connection is refused.
 const unavailable = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
 
--- a/internal/gateway/node/groups.go
+++ b/internal/gateway/node/groups.go
@@ -9,6 +9,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/radishgate/radishgate/internal/gateway/ingress"
 	"github.com/radishgate/radishgate/internal/gateway/submission"
 	"github.com/radishgate/radishgate/internal/placement/election"
 	"github.com/radishgate/radishgate/internal/placement/holder"
@@ -165,6 +166,7 @@
 		MayBeReplaced:     n.mayBeReplaced,
 		LastContact:       n.lastContact,
 		Cancelled:         n.cancels.Cancelled,
+		JobBytes:          func() int64 { return n.ingress.Limits().Held },
 		Lookahead:         n.settings.Lookahead,
 		Priorities:        n.settings.Priorities,
 		StartedElsewhere:  func(id string) string { return n.startedElsewhere(c.Group, id) },
@@ -342,6 +344,9 @@
 
 // deliverResult sends the result of a job to the entry that waits for it.
 func (n *Node) deliverResult(b *batch.Batch, r batch.Result) {
+	if r.Reason == plan.ReasonMemory {
+		n.ingress.Refused(ingress.CauseHeld)
+	}
 	if b.WaitingEntry == n.settings.VM {
 		n.tracker.DeliverResults([]batch.Result{r})
 		return
--- a/internal/gateway/settings/settings_test.go
+++ b/internal/gateway/settings/settings_test.go
@@ -98,7 +98,7 @@
 		if err != nil {
 			return
 		}
-		if l := s.Ingress; l.Memory <= 0 || l.Jobs <= 0 || l.Connections < 16 || l.Address < 1 || l.Stall <= 0 || l.Rate < 1 {
+		if l := s.Ingress; l.Memory <= 0 || l.Jobs <= 0 || l.Held <= 0 || l.Entries < 16 || l.Connections < 16 || l.Address < 1 || l.Stall <= 0 || l.Rate < 1 {
 			t.Errorf("limits %+v of %q", l, text)
 		}
 	})
