ingress: Keep a quarter of the memory for the jobs of a group

Cause: the review estimates 30 MB for three times the load of the requirements in one group, and the default was 28.8 MB on VMs of 144 MB. Change: the default is a quarter, 36 MB there.

--- a/internal/gateway/ingress/limits.go
+++ b/internal/gateway/ingress/limits.go
@@ -43,7 +43,7 @@
 	count := max(16, min(int(memory/8/connectionBytes), (descriptors-files)*3/5))
 	entries := max(16, count/2, min(fleetConnections, (descriptors-files)/5))
 	return Limits{
-		Memory: memory / 5, Jobs: memory / 10, Held: memory / 5, Connections: count, Entries: entries, Address: max(1, count/2),
+		Memory: memory / 5, Jobs: memory / 10, Held: memory / 4, Connections: count, Entries: entries, Address: max(1, count/2),
 		Stall: 3 * time.Second, Rate: 2048,
 	}
 }
