--- a/internal/trial/history/cancels_test.go
+++ b/internal/trial/history/cancels_test.go
@@ -68,7 +68,7 @@
 	e.touch(kept...)
 }
 
-// anyCutOff reports whether an entry that holds the group has not been in touch with one that keeps the cancel of a job
+// anyCutOff reports whether an entry that holds the group has exchanged no message with one that keeps the cancel of a job
 // since at least a time ago. Tasks may start there: it is cut off, or all that kept the record were lost.
 func (w *world) anyCutOff(id string, ago time.Duration) bool {
 	for _, e := range w.liveEntries() {
