--- a/internal/gateway/ingress/guard_test.go
+++ b/internal/gateway/ingress/guard_test.go
@@ -456,7 +456,10 @@
 		g.mu.Unlock()
 		for range 4 {
 			time.Sleep(sweepInterval)
-			if cause := c.overdue(g.now(), &testLimits, int64(time.Minute), int64(time.Minute)); cause != "" {
+			g.mu.Lock()
+			cause := c.overdue(g.now(), &testLimits, int64(time.Minute), int64(time.Minute))
+			g.mu.Unlock()
+			if cause != "" {
 				t.Fatalf("ended for %q right after it got memory", cause)
 			}
 		}
