plan: Keep a job in an evacuated zone while a late start of it may run

Cause: mayStart and mayHaveRuns each listed what may still run of a task. When late starts were merged only mayStart learned of them, so that a job could move out of an evacuated zone while a worker that may have crashed could still execute an unanswered start: two runs. Ruled out: adding the condition to the second list as well. Change: plan.mayHaveRun answers for both. Behaviour changes in that case only: the job stays until the start can no longer be executed.

--- a/internal/placement/plan/evacuate.go
+++ b/internal/placement/plan/evacuate.go
@@ -120,7 +120,7 @@
 		return true
 	}
 	for _, t := range j.tasks {
-		if !t.done && (t.activeRun != nil || p.hasUnaccountedRun(t) || t.waitsForProof()) {
+		if !t.done && p.mayHaveRun(t) {
 			return true
 		}
 	}
--- a/internal/placement/plan/evacuate_test.go
+++ b/internal/placement/plan/evacuate_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/radishgate/radishgate/internal/placement/latestart"
 	"github.com/radishgate/radishgate/internal/work/batch"
 )
 
@@ -176,6 +177,14 @@
 			p.evacuations.Zones = map[string]bool{"a": true}
 			endAll(p, Succeeded, 1450)
 		}, 4000, batch.Moved, true, 2},
+		{"a crashed worker may execute a late start of it", "b/0", func(p *Plan, b *batch.Batch) {
+			p.evacuations.Zones = nil
+			p.Admit(b, nil, after(1400))
+			p.evacuations.Zones = map[string]bool{"a": true}
+			p.lateStarts.Add(latestart.Start{Worker: "w2", Task: batch.TaskName(evacuatedJob, 0, 0, 0), Run: 1, Until: after(9000)})
+			p.lateStarts.Suspect("w2")
+			endAll(p, Aborted, 1450)
+		}, 4000, "", false, 0},
 		{"its runs have ended and no zone is left", "", func(p *Plan, b *batch.Batch) {
 			p.evacuations.Zones = nil
 			p.Admit(b, nil, after(1400))
--- a/internal/placement/plan/place.go
+++ b/internal/placement/plan/place.go
@@ -252,7 +252,12 @@
 
 // mayStart reports whether a pending task may start as soon as a worker has resources for it.
 func (p *Plan) mayStart(t *task) bool {
-	return t.activeRun == nil && p.dependenciesDone(t) && !p.hasUnaccountedRun(t) && !p.lateStarts.MayStartLate(t.name, p.now) && !t.waitsForProof()
+	return !p.mayHaveRun(t) && p.dependenciesDone(t)
+}
+
+// mayHaveRun reports whether the task has a run, or may have or get one by an earlier order.
+func (p *Plan) mayHaveRun(t *task) bool {
+	return t.activeRun != nil || p.hasUnaccountedRun(t) || p.lateStarts.MayStartLate(t.name, p.now) || t.waitsForProof()
 }
 
 // hasUnaccountedRun reports whether a run of the task that is not its active one may be running, or
