node: List the groups in one place

Cause: newCancels built the list of all groups that groups() returns for explain. Change: groups() is beside groupName's other users in groups.go and serves both. Measured: node and cancellation pass.

--- a/internal/gateway/node/cancel.go
+++ b/internal/gateway/node/cancel.go
@@ -40,15 +40,9 @@
 
 // newCancels returns the exchange of cancels of this entry.
 func (n *Node) newCancels() *cancellation.Exchange {
-	var groups []string
-	for _, zone := range n.settings.Zones {
-		for i := range n.settings.Groups {
-			groups = append(groups, groupName(zone, i))
-		}
-	}
 	return cancellation.New(cancellation.Options{
 		Context: n.ctx, Table: cancels.New(cancels.Options{Keep: n.settings.CancelKeep, Most: n.settings.CancelLimit}),
-		Groups: groups, End: n.endCancelled, AskHolder: n.askHolder, AskOthers: n.askOthers, HeldElsewhere: n.groupHeldElsewhere,
+		Groups: n.groups(), End: n.endCancelled, AskHolder: n.askHolder, AskOthers: n.askOthers, HeldElsewhere: n.groupHeldElsewhere,
 		WaitingJob: func(id string) (string, time.Time, bool) { return n.tracker.WaitingJob(id) },
 		Alone:      func() bool { return !n.hasPeers() && !n.othersMayRun() },
 		Unheard:    func() bool { return n.members.UnheardInAnyZone(time.Now().Add(-unheardTime)) },
--- a/internal/gateway/node/explain.go
+++ b/internal/gateway/node/explain.go
@@ -122,17 +122,6 @@
 	return e, nil
 }
 
-// groups returns the names of all groups.
-func (n *Node) groups() []string {
-	var names []string
-	for _, zone := range n.settings.Zones {
-		for i := range n.settings.Groups {
-			names = append(names, groupName(zone, i))
-		}
-	}
-	return names
-}
-
 // queriedJob returns the job that a query is about. An error is a *QueryError.
 func (n *Node) queriedJob(query explanation.Query) (*batch.Batch, error) {
 	queue, status := n.routes.Named(query.Queue)
--- a/internal/gateway/node/groups.go
+++ b/internal/gateway/node/groups.go
@@ -204,6 +204,17 @@
 	return groupName(n.settings.Zone, int(xxhash.Sum64String(b.ID)%uint64(n.settings.Groups)))
 }
 
+// groups returns the names of all groups.
+func (n *Node) groups() []string {
+	var names []string
+	for _, zone := range n.settings.Zones {
+		for i := range n.settings.Groups {
+			names = append(names, groupName(zone, i))
+		}
+	}
+	return names
+}
+
 // currentHolder returns the current holder of a group, and false if it is not known or
 // not live.
 func (n *Node) currentHolder(group string) (submission.GroupHolder, bool) {
