crowd: Play the crowds that were missing, and large requests alone

Cause: the crowd test sent either only whole requests or only unfinished ones of one form, and its clients never came back after a refusal. It did not play several forms at once, chunks of one byte, `serve` with a bundle in force, the loss of a zone's holder, or one request of the largest size in calm. Change: kinds "single bytes", "mixed" (four forms, five of six requests stop short), "long spec", "requests" (`serve` with a bundle and an upstream). Clients of some kinds return after a refusal. TestCrowdsAtTakeover gathers each kind at three entries of a zone and kills its holder. TestLargeRequestAlone expects 2xx for one request of the largest size in each form. Ruled out: more clients in place of returning ones, which would make the crowds large.

--- a/internal/trial/crowd/crowd_test.go
+++ b/internal/trial/crowd/crowd_test.go
@@ -2,8 +2,11 @@
 package crowd
 
 import (
+	"encoding/json"
+	"errors"
 	"flag"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -18,6 +21,7 @@
 	"time"
 
 	"github.com/radishgate/radishgate/standin/ledger"
+	"github.com/radishgate/radishgate/standin/runner"
 	"github.com/radishgate/radishgate/standin/store"
 	"github.com/radishgate/radishgate/standin/worker"
 )
@@ -35,6 +39,7 @@
 	answerTimeout  = 30 * time.Second // of an ordinary client with its repeats
 	pieces         = 8
 	pieceDelay     = 20 * time.Millisecond
+	returnDelay    = 3 * time.Second // within which a client of the crowd waits for an answer
 )
 
 const configuration = `{"version":1,"routes":[{"name":"hold","host":"hold.example","path-prefix":"/hold/","slo-ms":60,"backend":"listing","max-attempts":3,"slack-factor":1.6}],
@@ -81,8 +86,14 @@
 	return e
 }
 
-// startDispatch starts radishgate dispatch with a store and workers in this process.
+// startDispatch starts one entry of radishgate dispatch.
 func startDispatch(t *testing.T, binary string, maxOpen int) *entry {
+	return startZone(t, binary, maxOpen, 1, "")[0]
+}
+
+// startZone starts entries of radishgate dispatch in one zone, with further settings, and with a store and workers in this
+// process.
+func startZone(t *testing.T, binary string, maxOpen, count int, settings string) []*entry {
 	topics := ledger.New()
 	address := serveHandler(t, topics)
 	topics.Put("keyed.op", "config", []byte(configuration))
@@ -92,32 +103,89 @@
 		topics.Put("keyed.servers", id, fmt.Appendf(nil,
 			`{"backend":"listing","address":%q,"zone":"a","state":"ready","capacity":{"cpu":48000,"mem-mb":64000},"seq":1}`, w))
 	}
-	a := freeAddresses(t, 4)
-	file := write(t, fmt.Sprintf("[entry]\nvm = e0\nzone = a\nzones = a\nmemory = %d\nlisten = %s\npeers = %s\nready = %s\nmetrics = %s\n[platform]\nstore = %s\n",
-		memoryMB, a[0], a[1], a[2], a[3], address))
+	var entries []*entry
+	peers := freeAddresses(t, count)
 	next := 0
-	ordinary := func() (*http.Request, error) {
-		next++
-		r, err := http.NewRequest(http.MethodPost, fmt.Sprintf("http://%s/hold/%016x", a[0], 1<<40+next), strings.NewReader(smallJob))
-		if err == nil {
-			r.Host = "hold.example"
+	for i := range count {
+		a := freeAddresses(t, 3)
+		file := write(t, fmt.Sprintf("[entry]\nvm = e%d\nzone = a\nzones = a\nmemory = %d\nlisten = %s\npeers = %s\nready = %s\nmetrics = %s\nseeds = %s\n[platform]\nstore = %s\n%s",
+			i, memoryMB, a[0], peers[i], a[1], a[2], strings.Join(peers, ", "), address, settings))
+		ordinary := func() (*http.Request, error) {
+			next++
+			r, err := http.NewRequest(http.MethodPost, fmt.Sprintf("http://%s/hold/%016x", a[0], 1<<40+next), strings.NewReader(smallJob))
+			if err == nil {
+				r.Host = "hold.example"
+			}
+			return r, err
 		}
-		return r, err
+		entries = append(entries, start(t, &entry{clients: a[0], metrics: a[2], ordinary: ordinary}, maxOpen, binary, "dispatch", "--settings", file))
+	}
+	return entries
+}
+
+// holdsGroup reports whether the entry holds a group: only then its metrics count workers.
+func (e *entry) holdsGroup() bool {
+	response, err := http.Get("http://" + e.metrics + "/metrics")
+	if err != nil {
+		return false
 	}
-	return start(t, &entry{clients: a[0], metrics: a[3], ordinary: ordinary}, maxOpen, binary, "dispatch", "--settings", file)
+	defer response.Body.Close()
+	text, err := io.ReadAll(response.Body)
+	return err == nil && strings.Contains(string(text), "radishgate_dispatch_workers{")
 }
 
 // startServe starts radishgate serve. It has no bundle, since bodies are read before a service is looked up.
 func startServe(t *testing.T, binary string, maxOpen int) *entry {
+	return startServeAt(t, binary, maxOpen, serveHandler(t, store.New(store.Options{}).Handler()), "MCowBQYDK2VwAyEAGb9ECWmEzf6FQbrBZ9w7lshQhqowtrbLDFw4rXAxZuE=")
+}
+
+// startServeAt starts radishgate serve with a store and a public key of an operator.
+func startServeAt(t *testing.T, binary string, maxOpen int, platform, signer string) *entry {
 	a := freeAddresses(t, 3)
 	file := write(t, fmt.Sprintf("[entry]\nvm = e0\nzone = a\nlisten = %s\npeers = %s\noperators = %s\n[platform]\naddress = %s\n[keys]\nsigners = %s\n[limits]\nbeat = 100ms\n",
-		a[0], a[1], a[2], serveHandler(t, store.New(store.Options{}).Handler()), "MCowBQYDK2VwAyEAGb9ECWmEzf6FQbrBZ9w7lshQhqowtrbLDFw4rXAxZuE="))
+		a[0], a[1], a[2], platform, signer))
 	ordinary := func() (*http.Request, error) {
 		return http.NewRequest(http.MethodGet, "http://"+a[0]+"/v1/origin", nil)
 	}
 	return start(t, &entry{clients: a[0], metrics: a[2], ordinary: ordinary}, maxOpen, binary, "serve", "--settings", file)
 }
 
+// startServeWithBundle starts radishgate serve with a bundle in force, and with an upstream in this process.
+func startServeWithBundle(t *testing.T, binary string, maxOpen int) *entry {
+	directory := t.TempDir()
+	call := func(args ...string) []byte {
+		command := exec.Command(binary, args...)
+		command.Dir = directory
+		out, err := command.CombinedOutput()
+		if err != nil {
+			t.Fatalf("%v failed: %v: %s", args, err, out)
+		}
+		return out
+	}
+	var key struct{ Signer string }
+	if err := json.Unmarshal(call("keys", "new", "operator.key", "--json"), &key); err != nil {
+		t.Fatal(err)
+	}
+	services := fmt.Sprintf("[tenant shop]\n[service hold]\npath = /hold\n[service recall]\npath = /recall\nrepeatable = true\n[upstream u0]\nzone = a\naddress = %s\nslots = 200\nconnections = 200\n",
+		serveHandler(t, runner.New(runner.Options{Name: "u0", Slots: 200}).Handler()))
+	if err := os.WriteFile(filepath.Join(directory, "bundle.ini"), []byte(services), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	platform := serveHandler(t, store.New(store.Options{}).Handler())
+	e := startServeAt(t, binary, maxOpen, platform, key.Signer)
+	call("bundle", "sign", "bundle.ini", "--key", "operator.key", "--signer", key.Signer, "--platform", platform, "--out", "v1.json")
+	call("bundle", "publish", "v1.json", "--signer", key.Signer, "--platform", platform, "--operators", e.metrics)
+	e.ordinary = func() (*http.Request, error) {
+		r, err := http.NewRequest(http.MethodPost, "http://"+e.clients+"/v1/requests/recall", strings.NewReader(`{"run":"20ms"}`))
+		if err == nil {
+			r.Header.Set("Radishgate-Tenant", "shop")
+		}
+		return r, err
+	}
+	e.expectAnswer("before the crowd")
+	return e
+}
+
 func serveHandler(t *testing.T, h http.Handler) string {
 	s := httptest.NewServer(h)
 	t.Cleanup(s.Close)
@@ -207,40 +275,68 @@
 }
 
 // gather sends a request over each of many connections and returns those that are still open. A client of the crowd
-// whose connection is refused or closed does nothing more.
-func gather(address string, count int, requestOf func(number int) []byte, inPieces, reset bool) []net.Conn {
+// whose connection is refused or closed does nothing more, unless clients of its kind return.
+func gather(address string, k kind, requestOf func(number int) []byte, inPieces bool) []net.Conn {
 	var mu sync.Mutex
 	var open []net.Conn
 	var clients sync.WaitGroup
-	for i := range count {
+	for i := range k.count {
 		clients.Go(func() {
-			c, err := net.DialTimeout("tcp", address, writeTimeout)
-			if err != nil {
-				return
-			}
-			_ = c.SetWriteDeadline(time.Now().Add(writeTimeout))
-			request, parts := requestOf(i), 1
-			if inPieces {
-				parts = pieces
-			}
-			for p := range parts {
-				if _, err = c.Write(request[p*len(request)/parts : (p+1)*len(request)/parts]); err != nil {
-					break
+			for try := 0; try <= k.returns; try++ {
+				c := send(address, requestOf(i+try*k.count), inPieces)
+				if c == nil {
+					continue
 				}
-				if inPieces {
-					time.Sleep(pieceDelay)
+				if k.reset {
+					_ = c.(*net.TCPConn).SetLinger(0)
+					_ = c.Close()
+					continue
 				}
-			}
-			if reset {
-				_ = c.(*net.TCPConn).SetLinger(0)
-				_ = c.Close()
+				if try < k.returns && isRefused(c) {
+					_ = c.Close()
+					continue
+				}
+				mu.Lock()
+				open = append(open, c)
+				mu.Unlock()
 				return
 			}
-			mu.Lock()
-			open = append(open, c)
-			mu.Unlock()
 		})
 	}
 	clients.Wait()
 	return open
 }
+
+// send sends a request, or as much of it as the entry takes, over a connection of its own. It returns nil if there is
+// no connection.
+func send(address string, request []byte, inPieces bool) net.Conn {
+	c, err := net.DialTimeout("tcp", address, writeTimeout)
+	if err != nil {
+		return nil
+	}
+	_ = c.SetWriteDeadline(time.Now().Add(writeTimeout))
+	parts := 1
+	if inPieces {
+		parts = pieces
+	}
+	for p := range parts {
+		if _, err = c.Write(request[p*len(request)/parts : (p+1)*len(request)/parts]); err != nil {
+			break
+		}
+		if inPieces {
+			time.Sleep(pieceDelay)
+		}
+	}
+	return c
+}
+
+// isRefused reports whether a connection is closed, or brings an answer other than 2xx, within returnDelay.
+func isRefused(c net.Conn) bool {
+	_ = c.SetReadDeadline(time.Now().Add(returnDelay))
+	status := make([]byte, len("HTTP/1.1 2"))
+	_, err := io.ReadFull(c, status)
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return false
+	}
+	return err != nil || status[len(status)-1] != '2'
+}
