batch: Count the texts and lists of a job in its memory

Callers saw: a process that ended for lack of memory, and with it their jobs, while clients sent whole bodies of legal size with a long `required-label`, `data-rack` or `after`, and sent them again when refused. Cause: Batch.Bytes counted 300 bytes a step and 400 a task, but neither the labels nor the list of earlier steps. A job of 240 KB counted as 700 bytes in the budgets `jobs` and `held`, and a holder keeps it for 5 s after its end; a list of 250 KB becomes 1 MB. Evidence: kinds "long labels" and "long lists" of the crowd test, which play 900 and 100 clients against memory 96 (bound 79 MB), fail without this change, also at a takeover. Why this works: both budgets are taken by Bytes, so that jobs beyond them are refused before they are handed over, or by the holder. Ruled out: a limit of the length of a label; it leaves the lists, and the limit of a body bounds both. Sharing equal lists: clients choose unlike ones.

--- a/internal/work/batch/batch.go
+++ b/internal/work/batch/batch.go
@@ -74,11 +74,19 @@
 const (
 	TaskBytes = 400
 	StepBytes = 300
+	// dependencyBytes is the size of an entry of Step.DependsOn.
+	dependencyBytes = 8
 )
 
-// Bytes returns an estimate of the memory in bytes that the job takes in a process.
+// Bytes returns an estimate of the memory in bytes that the job takes in a process. Clients choose the lengths of texts
+// and lists.
 func (b *Batch) Bytes() int64 {
-	return int64(len(b.Spec) + len(b.Steps)*StepBytes + b.Tasks()*TaskBytes)
+	bytes := len(b.Spec) + b.Tasks()*TaskBytes
+	for i := range b.Steps {
+		s := &b.Steps[i]
+		bytes += StepBytes + len(s.RequiredLabel) + len(s.DataRack) + cap(s.DependsOn)*dependencyBytes
+	}
+	return int64(bytes)
 }
 
 // TaskName returns the name of a task on workers. occurrence is 0 for jobs that run
