node: Share the memory for held jobs among the groups of an entry

Callers saw: a process that ended for lack of memory while it held several groups and clients sent large jobs and left. Cause: `[ingress] held` bounded the jobs of each group. An entry alone in its zone, or after the loss of others, holds all groups, and had that much for each. Evidence: kind "several groups" of the crowd test (8 groups, 8 clients that send 40 jobs of 20,000 tasks each and reset their connections) fails without this change. Change: holders report the memory of their jobs to an occupancy.Table, and plan.Admit gets what the other groups leave. The lock of the table is the last one, since holders ask for it under their own. An owner is a group and an epoch, so that the end of an earlier claim does not remove a later one. Why this works: what the holders of a process keep counts against one limit. Ruled out: the limit divided by the number of groups (jobs are refused while there is room); a sum over the holders (each has a lock, and they ask under it).

--- a/internal/gateway/node/groups.go
+++ b/internal/gateway/node/groups.go
@@ -121,7 +121,7 @@
 // reports whether a holder was started.
 func (n *Node) syncHolders() bool {
 	n.mu.Lock()
-	var ended []*holder.Holder
+	ended := map[heldGroup]*holder.Holder{}
 	changed := false
 	for _, c := range n.claims.Claims() {
 		own := c.Holder == n.settings.VM && c.Incarnation == n.incarnation
@@ -129,7 +129,7 @@
 		if held && own && h.Epoch() != c.Epoch {
 			// Claimed again: messages under the earlier claim may still be in flight.
 			delete(n.holders, c.Group)
-			ended = append(ended, h)
+			ended[heldGroup{c.Group, h.Epoch()}] = h
 			held = false
 		}
 		switch {
@@ -139,18 +139,25 @@
 			n.log.Info("group taken", "group", c.Group, "epoch", c.Epoch)
 		case !own && held:
 			delete(n.holders, c.Group)
-			ended = append(ended, h)
+			ended[heldGroup{c.Group, h.Epoch()}] = h
 			n.log.Info("group given up", "group", c.Group, "epoch", c.Epoch, "holder", c.Holder)
 		}
 	}
 	n.mu.Unlock()
-	for _, h := range ended {
+	for g, h := range ended {
 		h.Release()
+		n.occupancy.Remove(g)
 		n.loops.Go(h.Wait)
 	}
 	return changed
 }
 
+// heldGroup is a group that this entry holds under one claim.
+type heldGroup struct {
+	group string
+	epoch uint64
+}
+
 // newHolder starts the holder of a group under the given claim.
 func (n *Node) newHolder(c election.Claim) *holder.Holder {
 	incompleteUntil := n.workersIncompleteFor(c)
@@ -166,7 +173,8 @@
 		MayBeReplaced:     n.mayBeReplaced,
 		LastContact:       n.lastContact,
 		Cancelled:         n.cancels.Cancelled,
-		JobBytes:          func() int64 { return n.ingress.Limits().Held },
+		JobBytes:          func() int64 { return n.jobRoom(heldGroup{c.Group, c.Epoch}) },
+		OnJobBytes:        func(bytes int64) { n.occupancy.Set(heldGroup{c.Group, c.Epoch}, bytes) },
 		Lookahead:         n.settings.Lookahead,
 		Priorities:        n.settings.Priorities,
 		StartedElsewhere:  func(id string) string { return n.startedElsewhere(c.Group, id) },
@@ -179,6 +187,16 @@
 	})
 }
 
+// jobRoom returns how much memory the jobs of a group may take: what those of the other groups of this entry leave; 0
+// for any.
+func (n *Node) jobRoom(g heldGroup) int64 {
+	limit := n.ingress.Limits().Held
+	if limit <= 0 {
+		return 0
+	}
+	return max(1, n.occupancy.Room(g, limit))
+}
+
 // mayBeReplaced reports whether an entry that may be running is not heard: it may have taken over a
 // group of this one on the other side of a partition.
 func (n *Node) mayBeReplaced() bool {
--- a/internal/gateway/node/node.go
+++ b/internal/gateway/node/node.go
@@ -19,6 +19,7 @@
 	"github.com/radishgate/radishgate/internal/gateway/feed"
 	"github.com/radishgate/radishgate/internal/gateway/ingress"
 	"github.com/radishgate/radishgate/internal/gateway/isolation"
+	"github.com/radishgate/radishgate/internal/gateway/occupancy"
 	"github.com/radishgate/radishgate/internal/gateway/routes"
 	"github.com/radishgate/radishgate/internal/gateway/settings"
 	"github.com/radishgate/radishgate/internal/gateway/silence"
@@ -85,6 +86,7 @@
 	startedReports startedReports
 	rosters        rosters
 	remoteJobs     remote.Jobs
+	occupancy      occupancy.Table[heldGroup]
 
 	// syncMutex is held while the list of workers is applied to the holders, so that no older list
 	// replaces a newer one. It is locked before mu.
--- a/internal/placement/holder/holder.go
+++ b/internal/placement/holder/holder.go
@@ -66,8 +66,10 @@
 	Cancelled func(id string) bool
 	// Lookahead turns look-ahead placement on, Priorities the order of waiting jobs by priority.
 	Lookahead, Priorities bool
-	// JobBytes returns how much memory jobs may take, 0 for any. Nil means any.
-	JobBytes func() int64
+	// JobBytes returns how much memory jobs may take, 0 for any. Nil means any. OnJobBytes is called with what they take
+	// after each change and must not call the holder; nil means that nobody asks.
+	JobBytes   func() int64
+	OnJobBytes func(bytes int64)
 	// CountCall counts a call to a worker, named after its kind and answer, for metrics.
 	CountCall func(kind string)
 }
@@ -81,6 +83,7 @@
 	sessions     map[string]*session
 	ended        map[string]endedWorker // by worker ID
 	startTimeout answerTimeout          // adapts to the answer times of start orders
+	jobBytes     int64                  // last value passed to OnJobBytes
 	released     bool
 
 	ctx        context.Context
@@ -160,6 +163,10 @@
 		h.plan.SetEvacuations(h.options.Evacuations())
 	}
 	change(h.plan, now)
+	if bytes := h.plan.JobBytes(); bytes != h.jobBytes && h.options.OnJobBytes != nil {
+		h.jobBytes = bytes
+		h.options.OnJobBytes(bytes)
+	}
 	return h.dispatch(h.plan.Orders(), now)
 }
 
--- a/internal/placement/plan/memory.go
+++ b/internal/placement/plan/memory.go
@@ -28,6 +28,9 @@
 	delete(p.jobs, j.ID)
 }
 
+// JobBytes returns the memory of the jobs that the plan keeps, in bytes.
+func (p *Plan) JobBytes() int64 { return p.jobBytes }
+
 // lacksMemory reports whether a job that is not known must be refused because the memory for jobs is full. A job that
 // may have runs is never refused: neither one that its entry has handed over before, nor any while leases of an earlier
 // holder, or of one on the other side of a partition, may be valid: their runs need not be listed yet.
