plan: Keep no record of refused jobs of the entry's own clients

Callers saw: a process that grew beyond its memory while it refused jobs for lack of memory. Cause: a job refused for `[ingress] held` left a record of about 1 KB for 5 s, in no budget. Clients that send one request after the other over each connection leave tens of thousands. Why this works: the record keeps a delayed copy of the message from starting a job that was refused. A message within the process has no copies, so that nothing is kept for it. One of another entry is kept until Admit drops copies of its age (abandonTime), a second after it was sent, in place of 5 s; the number of those is bounded by what other entries send in that time. Ruled out: counting the records in `held` (it bounds nothing, refusals add more); a rejection in the answer to the message (entries take it for a change of holders). The new test of package plan fails before.

--- a/internal/gateway/node/groups.go
+++ b/internal/gateway/node/groups.go
@@ -175,6 +175,7 @@
 		Cancelled:         n.cancels.Cancelled,
 		JobBytes:          func() int64 { return n.jobRoom(heldGroup{c.Group, c.Epoch}) },
 		OnJobBytes:        func(bytes int64) { n.occupancy.Set(heldGroup{c.Group, c.Epoch}, bytes) },
+		Self:              n.settings.VM,
 		Lookahead:         n.settings.Lookahead,
 		Priorities:        n.settings.Priorities,
 		StartedElsewhere:  func(id string) string { return n.startedElsewhere(c.Group, id) },
--- a/internal/placement/holder/holder.go
+++ b/internal/placement/holder/holder.go
@@ -70,6 +70,7 @@
 	// after each change and must not call the holder; nil means that nobody asks.
 	JobBytes   func() int64
 	OnJobBytes func(bytes int64)
+	Self       string // ID of this entry
 	// CountCall counts a call to a worker, named after its kind and answer, for metrics.
 	CountCall func(kind string)
 }
@@ -107,7 +108,7 @@
 		options: options, sessions: map[string]*session{}, ended: map[string]endedWorker{},
 		plan: plan.New(plan.Options{
 			Lease: options.Lease, ClientRetryAfter: options.ClientRetryAfter, WorkersIncompleteUntil: options.WorkersIncompleteUntil,
-			StartedElsewhere: options.StartedElsewhere, Zone: options.Zone, EvacuationTarget: options.EvacuationTarget, Cancelled: options.Cancelled, JobBytes: options.JobBytes, Lookahead: options.Lookahead, Priorities: options.Priorities,
+			Self: options.Self, StartedElsewhere: options.StartedElsewhere, Zone: options.Zone, EvacuationTarget: options.EvacuationTarget, Cancelled: options.Cancelled, JobBytes: options.JobBytes, Lookahead: options.Lookahead, Priorities: options.Priorities,
 		}, now),
 	}
 	h.ctx, h.cancel = context.WithCancel(ctx)
--- a/internal/placement/plan/memory.go
+++ b/internal/placement/plan/memory.go
@@ -55,12 +55,18 @@
 	return false
 }
 
-// refuseForMemory refuses a job without keeping its tasks. Its ID and attempt are kept, so that a delayed copy of the
-// message that brought it starts nothing.
+// refuseForMemory refuses a job without keeping its tasks. If another entry has sent it, its ID and attempt are kept while
+// a delayed copy of its message could be admitted, so that the copy starts nothing.
 func (p *Plan) refuseForMemory(b *batch.Batch) {
+	result := batch.Result{ID: b.ID, Attempt: b.Attempt, State: batch.Refused, Reason: ReasonMemory, RetryAt: p.now.Add(memoryRetryDelay)}
+	if p.options.Self != "" && b.WaitingEntry == p.options.Self {
+		p.emit(Order{Kind: DeliverResult, Batch: b, Result: result})
+		return
+	}
 	bare := *b
 	bare.Spec, bare.Steps = "", nil
 	j := &job{Batch: &bare}
 	p.keep(j)
-	p.deliver(j, batch.Result{State: batch.Refused, Reason: ReasonMemory, RetryAt: p.now.Add(memoryRetryDelay)})
+	p.deliver(j, result)
+	j.forgetAt = p.abandonTime(b, p.askedAt(b))
 }
--- a/internal/placement/plan/memory_test.go
+++ b/internal/placement/plan/memory_test.go
@@ -84,3 +84,40 @@
 		})
 	}
 }
+
+// TestRefusedJobsAreForgotten guards against a holder whose memory grows with the jobs that it refuses: those of its own
+// clients leave nothing, those of other entries are forgotten once a copy of their message can no longer be admitted.
+func TestRefusedJobsAreForgotten(t *testing.T) {
+	for _, c := range []struct {
+		name, sender string
+		wantKept     int
+	}{{"own client", "e1", 0}, {"other entry", "e2", 1}} {
+		t.Run(c.name, func(t *testing.T) {
+			p := fencedPlan(testWorker("w1", 8))
+			p.options.Self = "e1"
+			p.options.JobBytes = func() int64 { return 1 }
+			b := testJob("00000000000000bb", 2, after(2000))
+			b.WaitingEntry, b.Attempt, b.AskedAt = c.sender, 7, after(2000)
+			p.Tick(after(1990))
+			p.Admit(b, nil, after(2000))
+			results := ordersOfKind(p.Orders(), DeliverResult)
+			if len(results) != 1 || results[0].Result.State != batch.Refused || results[0].Result.Attempt != 7 || results[0].Result.ID != b.ID {
+				t.Fatalf("results %+v, want one refusal of attempt 7", results)
+			}
+			if len(p.jobs) != c.wantKept {
+				t.Errorf("%d jobs are kept, want %d", len(p.jobs), c.wantKept)
+			}
+			end := p.abandonTime(b, b.AskedAt)
+			p.Tick(end.Add(-1))
+			if len(p.jobs) != c.wantKept {
+				t.Errorf("%d jobs are kept while a copy could be admitted, want %d", len(p.jobs), c.wantKept)
+			}
+			p.Tick(end.Add(1))
+			p.options.JobBytes = func() int64 { return 0 }
+			p.Admit(b, nil, end.Add(1))
+			if starts := ordersOfKind(p.Orders(), Start); len(p.jobs) != 0 || len(starts) != 0 {
+				t.Errorf("%d jobs and %d starts after a late copy, want none", len(p.jobs), len(starts))
+			}
+		})
+	}
+}
--- a/internal/placement/plan/plan.go
+++ b/internal/placement/plan/plan.go
@@ -94,8 +94,9 @@
 	Cancelled func(id string) bool
 	// JobBytes returns how much memory jobs may take, see batch.Batch.Bytes; 0 or nil means any.
 	JobBytes   func() int64
-	Priorities bool // order waiting jobs by the priority of their queue, see package order
-	Lookahead  bool // look-ahead placement, see package lookahead
+	Self       string // ID of this entry, whose own messages are never delayed; "" if not known
+	Priorities bool   // order waiting jobs by the priority of their queue, see package order
+	Lookahead  bool   // look-ahead placement, see package lookahead
 }
 
 // Defaults of options that are zero.
