entry: Bound the memory of accepted jobs in serve

Callers saw: a process beyond its memory while clients sent whole jobs of legal size, which were accepted at once. Cause: the budget `jobs` counts a job only until its caller has the answer, and 202 comes at once. From then on the bodies of accepted jobs were in no budget until the deadline, nor were those of jobs that another entry had forwarded. Tasks of ended jobs in the queue kept their bodies as well, until a slot was free. The heap had no limit, so that garbage took as much again as the jobs. Tasks take their body from the job when they are sent. `serve` limits its heap to six tenths of its memory, as `dispatch` does. The default of `held`, 15 % of the memory, takes the largest body (16 MB) from 107 MB of memory on. Ruled out: `jobs` until the end (a forwarded job is not in it, and a caller that waits would be counted twice); the queue's limit of 20,000 tasks (by number).

--- a/caller/server.go
+++ b/caller/server.go
@@ -190,11 +190,9 @@
 	return r
 }
 
-// Estimates of the memory of a job's body, in bytes.
-const (
-	parsedTaskBytes = 300 // for each object, of which each may be a task; slices grow by copying
-	jobTaskBytes    = 400 // besides the body of a task
-)
+// parsedTaskBytes is an estimate of the memory that parsing takes for each object of a job's body, of which each may be a
+// task. Slices grow by copying.
+const parsedTaskBytes = 300
 
 func isTimeout(err error) bool {
 	var timeout interface{ Timeout() bool }
@@ -331,7 +329,7 @@
 	if err != nil {
 		return err
 	}
-	releaseJob, ok := s.options.ReserveJob(int64(len(data) + len(submission.Tasks)*jobTaskBytes))
+	releaseJob, ok := s.options.ReserveJob(int64(len(data) + len(submission.Tasks)*job.TaskOverhead))
 	if !ok {
 		return s.busy(c)
 	}
--- a/commands/serve.go
+++ b/commands/serve.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"runtime/debug"
 
 	"github.com/radishgate/radishgate/entry"
 	"github.com/radishgate/radishgate/settings"
@@ -19,6 +20,7 @@
 	if err != nil {
 		return err
 	}
+	debug.SetMemoryLimit(int64(memoryLimitShare * float64(s.Memory<<20)))
 	e, err := entry.New(entry.Options{Settings: s, Log: newLogger(s, stderr)})
 	if err != nil {
 		return &UsageError{Reason: fmt.Sprintf("%s: %v", c.Settings, err)}
--- a/dispatch/admit.go
+++ b/dispatch/admit.go
@@ -109,7 +109,7 @@
 	for i := range list {
 		estimate := d.options.Estimator.Predict(j.Service.Name, list[i].RuntimeHint, j.Service.RuntimeHint)
 		lateFactor := d.options.Estimator.LatenessFactor(j.Service.Name, list[i].RuntimeHint)
-		tasks[i] = &task{job: j, index: i, spec: &list[i], estimate: estimate, lateFactor: lateFactor}
+		tasks[i] = &task{job: j, index: i, runtimeHint: list[i].RuntimeHint, estimate: estimate, lateFactor: lateFactor}
 		total += estimate
 		longest = max(longest, estimate)
 	}
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -82,7 +82,7 @@
 type task struct {
 	job             *job.Job
 	index           int
-	spec            *job.Task
+	runtimeHint     time.Duration // the caller's; the task's body stays with the job, which releases it at its end
 	estimate        time.Duration // run time on the fastest upstream
 	lateFactor      float64       // multiple of the estimate assumed for a slow run
 	item            queue.Item[*task]
@@ -95,8 +95,6 @@
 	runs            []*run
 }
 
-func (t *task) hint() time.Duration { return t.spec.RuntimeHint }
-
 // run is one execution of a task on an upstream.
 type run struct {
 	task        *task
--- a/dispatch/dispatcher_test.go
+++ b/dispatch/dispatcher_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"strings"
 	"sync/atomic"
@@ -361,3 +362,17 @@
 		}
 	})
 }
+
+// TestTasksOfEndedJobAreNotSent guards against tasks that stay in a queue, keep the body of an ended job in memory and send it
+// later.
+func TestTasksOfEndedJobAreNotSent(t *testing.T) {
+	f := newFixture(t, 1)
+	j := f.job("a", "once", time.Minute, time.Second)
+	j.Fail(refusal.New(refusal.Cancelled, refusal.NotRun, "its caller has cancelled it"))
+	j.ReleaseTasks()
+	_, err := f.Dispatcher.send(t.Context(), &run{task: &task{job: j}, target: &target{name: "u0"}})
+	var failure *upstream.Failure
+	if !errors.As(err, &failure) || failure.Outcome != upstream.NotRun || len(f.starts) != 0 {
+		t.Errorf("error %v and %d starts, want a failure that has not run and no start", err, len(f.starts))
+	}
+}
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -75,12 +75,7 @@
 func (d *Dispatcher) execute(ctx context.Context, r *run) {
 	defer r.cancel()
 	j := r.task.job
-	spec := r.task.spec
-	answer, err := d.options.Send(ctx, r.target.name, upstream.Call{
-		Path: j.Service.Path, TaskID: j.Key + "/" + strconv.Itoa(r.task.index),
-		ContentType: spec.ContentType, Body: spec.Body, Deadline: j.Deadline,
-		Repeatable: j.Service.Repeatable, MaxAnswerBytes: j.Service.MaxAnswerBytes,
-	})
+	answer, err := d.send(ctx, r)
 	if err == nil && !j.IsRequest && !json.Valid(answer.Body) {
 		err = &upstream.Failure{Upstream: r.target.name, Outcome: upstream.Corrupt, Cause: &NotJSONError{Bytes: len(answer.Body)}}
 	}
@@ -91,6 +86,21 @@
 	})
 }
 
+// send sends the task to the upstream, unless its job has released the tasks because it has ended.
+func (d *Dispatcher) send(ctx context.Context, r *run) (upstream.Answer, error) {
+	j := r.task.job
+	tasks := j.TaskList()
+	if tasks == nil {
+		return upstream.Answer{}, &upstream.Failure{Upstream: r.target.name, Outcome: upstream.NotRun, Cause: context.Cause(j.Context())}
+	}
+	spec := tasks[r.task.index]
+	return d.options.Send(ctx, r.target.name, upstream.Call{
+		Path: j.Service.Path, TaskID: j.Key + "/" + strconv.Itoa(r.task.index),
+		ContentType: spec.ContentType, Body: spec.Body, Deadline: j.Deadline,
+		Repeatable: j.Service.Repeatable, MaxAnswerBytes: j.Service.MaxAnswerBytes,
+	})
+}
+
 // NotJSONError reports that an upstream answered a task of a job with something
 // other than a JSON value.
 type NotJSONError struct{ Bytes int }
@@ -143,7 +153,7 @@
 func (d *Dispatcher) recordSuccess(r *run, now time.Time) {
 	took := now.Sub(r.startedAt)
 	j := r.task.job
-	d.options.Estimator.Observe(j.Service.Name, r.target.name, r.task.hint(), took)
+	d.options.Estimator.Observe(j.Service.Name, r.target.name, r.task.runtimeHint, took)
 	r.target.limit.Observe(took, r.task.estimate, r.usedShare)
 	r.target.retryBudget.Deposit()
 	d.options.Outliers.Observe(r.target.name, true)
--- a/internal/gateway/ingress/guard.go
+++ b/internal/gateway/ingress/guard.go
@@ -19,7 +19,7 @@
 const (
 	CauseMemory      = "memory"      // the budget for headers, bodies and parsing is full
 	CauseJobs        = "jobs"        // the budget for jobs is full
-	CauseHeld        = "held"        // the budget for the jobs of a group is full
+	CauseHeld        = "held"        // the budget for the jobs that the process keeps is full
 	CauseConnections = "connections" // there are too many
 	CauseAddress     = "address"     // there are too many from one address
 	CauseDescriptors = "descriptors" // the process has no more of them
@@ -75,7 +75,8 @@
 	freed   *sync.Cond // signalled when memory is released and when a request is ended
 	used    int64      // bytes charged
 	leaving int64      // bytes of used whose requests have been ended and will release them
-	jobs    int64      // bytes of jobs
+	jobs    int64      // bytes of jobs that clients wait for
+	held    int64      // bytes of jobs reserved with ReserveHeld
 	pools   []*pool
 	sweptAt int64
 }
@@ -181,17 +182,32 @@
 // ReserveJob reserves memory for a job that a client waits for. It returns false if the budget of jobs is full;
 // otherwise the returned function must be called once the job has ended.
 func (g *Guard) ReserveJob(bytes int64) (func(), bool) {
+	return g.reserve(&g.jobs, bytes, g.limits.Load().Jobs, CauseJobs)
+}
+
+// ReserveHeld reserves memory for a job that this process keeps, whether a client waits for it or not. It returns false
+// if the budget for them is full; otherwise the returned function must be called once the job is no longer kept.
+func (g *Guard) ReserveHeld(bytes int64) (func(), bool) {
+	limit := g.limits.Load().Held
+	if limit <= 0 {
+		return func() {}, true
+	}
+	return g.reserve(&g.held, bytes, limit, CauseHeld)
+}
+
+// reserve adds bytes to a sum, unless it would exceed its limit.
+func (g *Guard) reserve(sum *int64, bytes, limit int64, cause string) (func(), bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.jobs+bytes > g.limits.Load().Jobs {
-		g.refused(CauseJobs)
+	if *sum+bytes > limit {
+		g.refused(cause)
 		return nil, false
 	}
-	g.jobs += bytes
+	*sum += bytes
 	return sync.OnceFunc(func() {
 		g.mu.Lock()
 		defer g.mu.Unlock()
-		g.jobs -= bytes
+		*sum -= bytes
 	}), true
 }
 
--- a/internal/gateway/ingress/limits.go
+++ b/internal/gateway/ingress/limits.go
@@ -14,7 +14,7 @@
 type Limits struct {
 	Memory      int64         // bytes of unfinished headers, of bodies and of their parsing
 	Jobs        int64         // bytes of the jobs that clients wait for
-	Held        int64         // bytes of the jobs of a group that this process holds, with those answered lately; 0 for no bound
+	Held        int64         // bytes of the jobs that this process keeps, with those of its groups answered lately; 0 for no bound
 	Connections int           // of clients; probes and metrics have a sixteenth each
 	Entries     int           // connections of other entries
 	Address     int           // connections from one address, while there are others
--- a/internal/trial/crowd/cases_test.go
+++ b/internal/trial/crowd/cases_test.go
@@ -108,6 +108,9 @@
 	{name: "refused jobs", start: startWith("[ingress]\nheld = 1\n"), count: connections, request: func(e *entry, number int) (string, []byte) {
 		return e.clients, postAll(number, 200, func(n int) []byte { return post(path(n), smallJob, 0) })
 	}},
+	{name: "accepted jobs", start: startServeWithBundle, count: connections, returns: 5, request: func(e *entry, number int) (string, []byte) {
+		return e.clients, post(fmt.Sprintf("/v1/jobs/k%d", number), callerJob(250_000), 0)
+	}},
 	{name: "requests", start: startServeWithBundle, count: connections, request: func(e *entry, _ int) (string, []byte) {
 		return e.clients, post("/v1/requests/recall", taskBody(250_000), 64<<10)
 	}},
--- a/job/job.go
+++ b/job/job.go
@@ -112,6 +112,18 @@
 	return j.Tasks
 }
 
+// TaskOverhead is an estimate of the memory that a task takes besides its body, in bytes.
+const TaskOverhead = 400
+
+// TaskBytes returns an estimate of the memory that the tasks take until ReleaseTasks, in bytes.
+func (j *Job) TaskBytes() int64 {
+	total := int64(0)
+	for _, t := range j.TaskList() {
+		total += int64(len(t.Body)) + TaskOverhead
+	}
+	return total
+}
+
 // ReleaseTasks frees the tasks of a job that has ended and does nothing while the job
 // runs. The job is kept much longer under its key, but its tasks are no longer needed.
 func (j *Job) ReleaseTasks() {
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -111,8 +111,8 @@
 	}
 }
 
-// heapShare is the part of the memory from which the limits of clients are derived. Garbage may take as much as what
-// is in use, since the process has no limit of its own for its heap.
+// heapShare is the part of the memory from which the limits of clients are derived, and which the heap of `serve` is
+// limited to.
 const heapShare = 0.6
 
 // maxHeaderBytes is the default size of a request's header.
@@ -215,7 +215,8 @@
 listen = 127.0.0.1:8080
 peers = 127.0.0.1:8081
 operators = 127.0.0.1:8082
-# Memory for the process, in MB, from which the limits below are derived.
+# Memory for the process, in MB, from which the limits below are derived. The
+# heap is limited to six tenths of it.
 # Default: GOMEMLIMIT, or the memory of the machine.
 # memory = 1024
 # Descriptors that the process may open. Default: the limit of the process.
@@ -227,6 +228,8 @@
 # memory = 120
 # MB of the jobs that callers wait for.
 # jobs = 60
+# MB of the jobs that have not ended, also of those that no caller waits for.
+# held = 150
 # Connections of callers in all, and from one address while there are others.
 # connections = 400
 # address = 200
