ingress: Refuse bodies that the budget can never take with 413

Callers saw: 503 with `Retry-After`, again and again, for a single job inside `[limits] body` sent to an idle entry of `serve`. Cause: a body counts twice while it arrives, and its parsing once more, while three quarters of the budget are for large requests. Bodies above a quarter of `[ingress] memory` therefore always failed: above 8.5 MB on a VM of 284 MB, where `[limits] body` is 16 MB by default. Change: Limits.MaxBodyBytes. `serve` and `dispatch` take the lesser of it and the configured limit, and refuse a body that announces more before it is read. TestAnnouncedSizeIsRefusedUnread and the new row of TestRefusedRequestIsNotSubmitted get 503 before this change. Why this works: the client learns with the first answer that the job is too large, and the entry reads nothing of it. Ruled out: a larger budget for one request at a time. A job of 16 MB takes 50 MB while it is parsed, more than an entry of 96 MB has left beside its crowds.

--- a/caller/server.go
+++ b/caller/server.go
@@ -160,19 +160,24 @@
 	_ = control.SetWriteDeadline(s.options.Now().Add(s.options.TransferTimeout))
 }
 
-// readBody reads the whole body within the size and time limits.
+// readBody reads the whole body within the size and time limits. A body that announces a size beyond the limit is refused
+// before it is read.
 func (s *Server) readBody(c echo.Context) ([]byte, error) {
+	tooLarge := refusal.New(refusal.BodyTooLarge, refusal.NotRun, "body is over %d bytes", s.options.MaxBodyBytes)
+	if c.Request().ContentLength > s.options.MaxBodyBytes {
+		return nil, tooLarge // net/http closes the connection if much is left to read
+	}
 	control := http.NewResponseController(c.Response().Writer)
 	_ = control.SetReadDeadline(s.options.Now().Add(s.options.TransferTimeout))
 	body := http.MaxBytesReader(c.Response().Writer, c.Request().Body, s.options.MaxBodyBytes)
 	data, err := io.ReadAll(body)
-	var tooLarge *http.MaxBytesError
+	var overLimit *http.MaxBytesError
 	var refused *ingress.RefusedError
 	switch {
 	case errors.As(err, &refused):
 		return nil, s.busy(c)
-	case errors.As(err, &tooLarge):
-		return nil, refusal.New(refusal.BodyTooLarge, refusal.NotRun, "body is over %d bytes", s.options.MaxBodyBytes)
+	case errors.As(err, &overLimit):
+		return nil, tooLarge
 	case isTimeout(err):
 		return nil, refusal.New(refusal.CallerTooSlow, refusal.NotRun, "body did not arrive within %s", s.options.TransferTimeout)
 	case err != nil:
--- a/caller/server_test.go
+++ b/caller/server_test.go
@@ -356,6 +356,20 @@
 	})
 }
 
+// TestAnnouncedSizeIsRefusedUnread guards against a caller that sends a whole body for nothing, or is told to come back with
+// it.
+func TestAnnouncedSizeIsRefusedUnread(t *testing.T) {
+	s := newTestServer(t)
+	r := httptest.NewRequest(http.MethodPut, "/v1/jobs/k1", iotest.ErrReader(&ingress.RefusedError{}))
+	r.Header.Set(HeaderTenant, "shop")
+	r.ContentLength = s.options.MaxBodyBytes + 1
+	w := httptest.NewRecorder()
+	s.ServeHTTP(w, r)
+	if w.Code != http.StatusRequestEntityTooLarge || w.Header().Get("Retry-After") != "" || s.admitted != 0 {
+		t.Errorf("status %d, header %v, %d admitted; want 413 without Retry-After, and none", w.Code, w.Header(), s.admitted)
+	}
+}
+
 // TestCallBeyondMemory guards against a job that is admitted although its caller was told that it was not run, and against an
 // answer other than 503.
 func TestCallBeyondMemory(t *testing.T) {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -192,9 +192,11 @@
 		SlotWidth: s.KeyRetention / windowSlots, Slots: windowSlots, MaxKeys: s.MaxKeys,
 	})
 	e.buildRouter()
+	// A larger body would be refused for lack of memory each time that its caller sends it.
+	limits := e.guard.Limits()
 	e.callerHandler = caller.New(caller.Options{
 		Router: e.router, OnRefusal: e.countRefusal, IsStopping: e.closing.Load, IsReady: e.Ready,
-		MaxBodyBytes: s.MaxBodyBytes, TransferTimeout: s.TransferTimeout, Reserve: e.guard.Reserve, ReserveJob: e.guard.ReserveJob,
+		MaxBodyBytes: min(s.MaxBodyBytes, limits.MaxBodyBytes()), TransferTimeout: s.TransferTimeout, Reserve: e.guard.Reserve, ReserveJob: e.guard.ReserveJob,
 	})
 	e.registerGauges()
 }
--- a/internal/gateway/ingress/limits.go
+++ b/internal/gateway/ingress/limits.go
@@ -71,6 +71,13 @@
 	return l
 }
 
+// bodyCost is the memory that a body takes while it is read and parsed, in multiples of its size: it counts twice as it
+// arrives, and parsing copies it.
+const bodyCost = 3
+
+// MaxBodyBytes returns the size of the largest body that the budget has room for while no other one is read.
+func (l *Limits) MaxBodyBytes() int64 { return (l.Memory - l.Memory/ordinaryShare) / bodyCost }
+
 // ProcessMemory returns the memory in bytes that this process may take: GOMEMLIMIT, or else the memory of the machine.
 func ProcessMemory() int64 {
 	if limit := debug.SetMemoryLimit(-1); limit < math.MaxInt64 {
--- a/internal/gateway/node/serve.go
+++ b/internal/gateway/node/serve.go
@@ -123,7 +123,7 @@
 func (n *Node) clientRoutes() http.Handler {
 	ingress := &platform.Ingress{
 		Find: n.routes.Find, Submit: n.submit, JobState: n.jobState, Cancel: n.cancelBeforeStop, Backlog: n.backlog,
-		CloseConnection: n.closesConnections, MaxBodyBytes: n.routes.MaxBodyBytes,
+		CloseConnection: n.closesConnections, MaxBodyBytes: n.maxBodyBytes,
 		Reserve: n.ingress.Reserve, ReserveJob: n.ingress.ReserveJob,
 	}
 	e := echo.New()
@@ -131,6 +131,13 @@
 	return e
 }
 
+// maxBodyBytes returns the limit of the configuration for a request's body, or what the memory has room for if that is
+// less; 0 for the default.
+func (n *Node) maxBodyBytes() int64 {
+	limits := n.ingress.Limits()
+	return min(n.routes.MaxBodyBytes(), limits.MaxBodyBytes())
+}
+
 func (n *Node) peerRoutes() http.Handler {
 	return (&peer.Server{OnHeartbeat: n.onHeartbeat, JobHandlers: peer.JobHandlers{
 		OnPlace: n.onPlace, OnAwait: n.onAwait, OnResults: n.tracker.DeliverResults, OnWithdraw: n.onWithdraw, OnCancel: n.onCancel, OnRefuse: n.onRefuse,
--- a/internal/trial/crowd/cases_test.go
+++ b/internal/trial/crowd/cases_test.go
@@ -274,6 +274,7 @@
 		{"long list", startDispatch, path(0), longList, 0},
 		{"request", startServeWithBundle, "/v1/requests/recall", taskBody(1 << 20), 0},
 		{"accepted job", startServeWithBundle, "/v1/jobs/k0", callerJob(1 << 20), 16},
+		{"largest job", startServeWithBundle, "/v1/jobs/k0", callerJobOf(2, 1<<20), 0},
 	} {
 		for _, inPieces := range []bool{false, true} {
 			t.Run(fmt.Sprintf("%s in pieces %v", single.name, inPieces), func(t *testing.T) {
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -258,7 +258,7 @@
 # authority =
 
 [limits]
-# Largest body of a job, in bytes.
+# Largest body of a job, in bytes; at most a quarter of [ingress] memory.
 # body = 16777216
 # Memory for kept answers, in bytes.
 # answers = 67108864
