entry: Bound the memory of keys by one limit for all partitions

Callers saw: a process beyond its memory while clients sent many small jobs, each with a key of its own, and did not wait for them. Cause: a key is remembered for 10 minutes with its job. `[limits] keys` (200,000 by default, whatever the memory) applied to the window and to each of the eight partitions. A heap profile after 43,000 jobs has 50 MB for them, 1.2 KB each, a third of it contexts of jobs that have ended. A waiting job counted 400 bytes and took some 2 KB besides. Change: ReleaseTasks drops the context of an ended job. The window and the partitions share the limit by an occupancy.Table, and expire their keys with each heartbeat, so that unused ones hold no room. The default is a quarter of the memory at 1,100 bytes a key, 200,000 at most: 22,900 with 96 MB, 67,700 with 284. docs/CAPACITY.md plans 26,000 keys for an entry of 128 MB, which has 30,500. The memory of a job that has not ended includes what waits for its end. Why this works: a new key is refused as `overloaded`, not run, where memory would run out; what is remembered stays remembered. Ruled out: dropping keys early (a job could run twice); a limit divided by the number of partitions (entries own unequal numbers of them). Left: clients with many keys can use up the limit for others (docs/design/ingress.md, Open).

--- a/claim/errors.go
+++ b/claim/errors.go
@@ -47,7 +47,7 @@
 	return fmt.Sprintf("key %q was claimed by the earlier owner %q", e.Key, e.Owner)
 }
 
-// FullError reports that the partition holds Options.MaxKeys keys.
+// FullError reports that the partition remembers as many keys as it may.
 type FullError struct{ MaxKeys int }
 
 // Error implements error; it names the limit.
--- a/claim/partition.go
+++ b/claim/partition.go
@@ -37,10 +37,13 @@
 // Options configures a Partition. Log, Owner and Nonce are required; New replaces
 // other zero values by defaults.
 type Options struct {
-	Log              platform.Log
-	Owner            string        // VM and incarnation of this process, unique for each process start
-	KeyRetention     time.Duration // how long a key is remembered; must not exceed the log's retention; 10 minutes by default
-	MaxKeys          int           // maximum number of remembered keys; 200,000 by default
+	Log          platform.Log
+	Owner        string        // VM and incarnation of this process, unique for each process start
+	KeyRetention time.Duration // how long a key is remembered; must not exceed the log's retention; 10 minutes by default
+	MaxKeys      int           // maximum number of remembered keys; 200,000 by default
+	// KeyRoom, if set, is called with the number of remembered keys and returns their maximum in place of MaxKeys. It must
+	// not call the partition.
+	KeyRoom          func(held int) int
 	MaxBatch         int           // maximum number of claims in one record; 500 by default
 	ReadBackTries    int           // reads of the log after a lost reply to an append; 5 by default
 	ReadBackInterval time.Duration // pause between those reads; 50 ms by default
@@ -98,6 +101,9 @@
 	if options.MaxKeys == 0 {
 		options.MaxKeys = 200_000
 	}
+	if options.KeyRoom == nil {
+		options.KeyRoom = func(int) int { return options.MaxKeys }
+	}
 	if options.MaxBatch == 0 {
 		options.MaxBatch = 500
 	}
@@ -116,6 +122,14 @@
 	return &Partition[V]{options: options, ownershipOffset: -1, acquiredOffset: -1, keys: map[string]*keyState[V]{}}
 }
 
+// Expire drops the keys that are remembered no longer.
+func (p *Partition[V]) Expire() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.expireKeys()
+	p.options.KeyRoom(len(p.keys))
+}
+
 // Owned reports whether this process believes it is the owner. Only a successful
 // append to the log proves it.
 func (p *Partition[V]) Owned() bool {
@@ -284,11 +298,12 @@
 	if p.options.Now().Before(p.logDownUntil) {
 		return nil, false, &LogError{Cause: p.logDownCause}
 	}
-	if len(p.keys) >= p.options.MaxKeys {
-		return nil, false, &FullError{MaxKeys: p.options.MaxKeys}
+	if room := p.options.KeyRoom(len(p.keys)); len(p.keys) >= room {
+		return nil, false, &FullError{MaxKeys: room}
 	}
 	k := &keyState[V]{digest: digest, local: true, claimedAt: p.options.Now(), decided: make(chan struct{})}
 	p.addKey(key, k)
+	p.options.KeyRoom(len(p.keys))
 	p.pending = append(p.pending, pendingClaim[V]{key: claimedKey{Key: key, Digest: digest}, state: k, build: build})
 	return k, true, nil
 }
--- a/claim/partition_test.go
+++ b/claim/partition_test.go
@@ -183,3 +183,30 @@
 		}
 	})
 }
+
+// TestKeyRoom guards against a partition that ignores how many keys others leave to it, and against expired keys that still
+// count after Expire.
+func TestKeyRoom(t *testing.T) {
+	now, held, room := time.Unix(0, 0), 0, 2
+	p := New[int](Options{
+		Log: store.New(store.Options{}).Log("claims-0"), Owner: "a~1", Nonce: rand.Uint64, KeyRetention: time.Minute,
+		Now: func() time.Time { return now }, KeyRoom: func(count int) int {
+			held = count
+			return room
+		},
+	})
+	if err := p.Acquire(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	for i, want := range []int{1, 2, 2} {
+		_, claimed, err := p.Claim(t.Context(), string(rune('a'+i)), "d", func() int { return 7 })
+		var full *FullError
+		if held != want || claimed != (i < room) || errors.As(err, &full) == claimed {
+			t.Errorf("key %d: claimed %v, error %v, %d held; want %d held", i, claimed, err, held, want)
+		}
+	}
+	now = now.Add(time.Minute)
+	if p.Expire(); held != 0 {
+		t.Errorf("%d keys count after their retention, want 0", held)
+	}
+}
--- a/entry/admit.go
+++ b/entry/admit.go
@@ -13,7 +13,7 @@
 // to the dispatcher. It returns the refusal of whichever rejects the job. The memory counts until the job has ended, also
 // when no caller waits for it and when another entry has forwarded it.
 func (e *Entry) admit(j *job.Job) *refusal.Refusal {
-	release, ok := e.guard.ReserveHeld(j.TaskBytes())
+	release, ok := e.guard.ReserveHeld(j.PendingBytes())
 	if !ok {
 		return refusal.New(refusal.Overloaded, refusal.NotRun, "the entry has no memory for the job").WithRetryAt(time.Now().Add(ingress.RetryDelay))
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -23,6 +23,7 @@
 	"github.com/radishgate/radishgate/exchange"
 	"github.com/radishgate/radishgate/idempotency"
 	"github.com/radishgate/radishgate/internal/gateway/ingress"
+	"github.com/radishgate/radishgate/internal/gateway/occupancy"
 	"github.com/radishgate/radishgate/job"
 	"github.com/radishgate/radishgate/loan"
 	"github.com/radishgate/radishgate/measure"
@@ -81,6 +82,7 @@
 	dispatcher    *dispatch.Dispatcher
 	borrower      *exchange.Borrower
 	keyWindow     *window.Window[*job.Job]
+	keyCounts     occupancy.Table[string] // keys of the window and of each partition
 	router        *idempotency.Router
 	quotaLimiter  *quota.Limiter
 	callerHandler *caller.Server
@@ -189,7 +191,7 @@
 	e.quotaLimiter = quota.New(time.Now)
 	e.buildDispatcher()
 	e.keyWindow = window.New[*job.Job](window.Options{
-		SlotWidth: s.KeyRetention / windowSlots, Slots: windowSlots, MaxKeys: s.MaxKeys,
+		SlotWidth: s.KeyRetention / windowSlots, Slots: windowSlots, KeyRoom: e.keyRoom("window"),
 	})
 	e.buildRouter()
 	// A larger body would be refused for lack of memory each time that its caller sends it.
@@ -372,6 +374,14 @@
 	return end, ok
 }
 
+// keyRoom returns a function that records how many keys an owner holds, and returns how many the other owners leave to it.
+func (e *Entry) keyRoom(owner string) func(held int) int {
+	return func(held int) int {
+		e.keyCounts.Set(owner, int64(held))
+		return int(e.keyCounts.Room(owner, int64(e.settings.MaxKeys)))
+	}
+}
+
 // partition returns the partition of chosen keys with this index and creates it
 // on first use. The index is part of the name of its log stream.
 func (e *Entry) partition(index int) *claim.Partition[*job.Job] {
@@ -379,10 +389,11 @@
 	defer e.mu.Unlock()
 	p, ok := e.partitions[index]
 	if !ok {
+		name := "claims-" + strconv.Itoa(index)
 		p = claim.New[*job.Job](claim.Options{
-			Log:          e.platform.Log("claims-" + strconv.Itoa(index)),
+			Log:          e.platform.Log(name),
 			Owner:        e.settings.VM + "~" + strconv.FormatUint(e.incarnation, 16),
-			KeyRetention: e.settings.KeyRetention, MaxKeys: e.settings.MaxKeys, Nonce: rand.Uint64,
+			KeyRetention: e.settings.KeyRetention, KeyRoom: e.keyRoom(name), Nonce: rand.Uint64,
 		})
 		e.partitions[index] = p
 	}
--- a/entry/partitions.go
+++ b/entry/partitions.go
@@ -29,6 +29,7 @@
 			return
 		case <-ticker.C:
 		}
+		e.keyWindow.Expire()
 		b := e.rollout.Bundle()
 		if b == nil || !e.Ready() {
 			continue
@@ -43,6 +44,7 @@
 // the intended one.
 func (e *Entry) reconcilePartition(ctx context.Context, index int) {
 	p := e.partition(index)
+	p.Expire() // keys of a partition that is no longer used would take the room of others
 	shouldOwn := e.partitionOwner(index) == e.settings.VM
 	switch {
 	case shouldOwn && !p.Owned():
--- a/internal/trial/crowd/cases_test.go
+++ b/internal/trial/crowd/cases_test.go
@@ -108,6 +108,11 @@
 	{name: "refused jobs", start: startWith("[ingress]\nheld = 1\n"), count: connections, request: func(e *entry, number int) (string, []byte) {
 		return e.clients, postAll(number, 200, func(n int) []byte { return post(path(n), smallJob, 0) })
 	}},
+	{name: "accepted small jobs", start: startServeWithBundle, count: connections, request: func(e *entry, number int) (string, []byte) {
+		return e.clients, postAll(number, 200, func(n int) []byte {
+			return post(fmt.Sprintf("/v1/jobs/k%d", n), `{"service":"hold","tasks":[{"body":{"run":"1ms"}}]}`, 0)
+		})
+	}},
 	{name: "accepted jobs", start: startServeWithBundle, count: connections, returns: 5, request: func(e *entry, number int) (string, []byte) {
 		return e.clients, post(fmt.Sprintf("/v1/jobs/k%d", number), callerJob(250_000), 0)
 	}},
--- a/job/job.go
+++ b/job/job.go
@@ -52,10 +52,9 @@
 	Deadline       time.Time
 	MaxAnswerBytes int64 // maximum size of all answers together, 0 for no limit
 
-	ctx    context.Context
-	cancel context.CancelFunc
-
 	mu             sync.Mutex
+	ctx            context.Context // endedContext after ReleaseTasks
+	cancel         context.CancelFunc
 	state          State
 	taskCount      int // number of tasks, also after ReleaseTasks
 	idealResponse  time.Duration
@@ -85,14 +84,25 @@
 // expire fails the job when its context has ended.
 func (j *Job) expire() {
 	kind, detail := refusal.DeadlineExceeded, "the deadline passed before the answer was complete"
-	if context.Cause(j.ctx) == context.Canceled {
+	if context.Cause(j.Context()) == context.Canceled {
 		kind, detail = refusal.Draining, "the entry stopped before the answer was complete"
 	}
 	j.Fail(refusal.New(kind, refusal.NotRun, detail))
 }
 
 // Context returns a context that ends when the job needs no more work on its tasks.
-func (j *Job) Context() context.Context { return j.ctx }
+func (j *Job) Context() context.Context {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.ctx
+}
+
+// endedContext is the context of all jobs that have ended, so that none keeps its own as long as its key.
+var endedContext = func() context.Context {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	return ctx
+}()
 
 // Done returns a channel that is closed when the job is complete or failed.
 func (j *Job) Done() <-chan struct{} { return j.done }
@@ -112,26 +122,31 @@
 	return j.Tasks
 }
 
-// TaskOverhead is an estimate of the memory that a task takes besides its body, in bytes.
-const TaskOverhead = 400
+// Estimates of the memory that a job takes until ReleaseTasks besides the bodies of its tasks, in bytes.
+const (
+	jobOverhead  = 2000 // its context, and what waits for its end
+	TaskOverhead = 400  // of each task
+)
 
-// TaskBytes returns an estimate of the memory that the tasks take until ReleaseTasks, in bytes.
-func (j *Job) TaskBytes() int64 {
-	total := int64(0)
+// PendingBytes returns an estimate of the memory that ReleaseTasks frees, in bytes.
+func (j *Job) PendingBytes() int64 {
+	total := int64(jobOverhead)
 	for _, t := range j.TaskList() {
 		total += int64(len(t.Body)) + TaskOverhead
 	}
 	return total
 }
 
-// ReleaseTasks frees the tasks of a job that has ended and does nothing while the job
-// runs. The job is kept much longer under its key, but its tasks are no longer needed.
+// ReleaseTasks frees the tasks and the context of a job that has ended and does nothing while the job
+// runs. The job is kept much longer under its key, but they are no longer needed.
 func (j *Job) ReleaseTasks() {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	if j.state != Running {
-		j.Tasks = nil
+	if j.state == Running {
+		return
 	}
+	j.cancel()
+	j.Tasks, j.ctx, j.cancel = nil, endedContext, func() {}
 }
 
 // SetIdealResponse stores the shortest response time that the job could have.
@@ -184,14 +199,13 @@
 	j.answers[index] = answer
 	j.answerBytes += int64(len(answer.Body))
 	j.unanswered--
-	complete := j.unanswered == 0
-	if complete {
+	cancel := func() {}
+	if j.unanswered == 0 {
 		j.end(Complete)
+		cancel = j.cancel
 	}
 	j.mu.Unlock()
-	if complete {
-		j.cancel()
-	}
+	cancel()
 }
 
 // Fail ends the job without an answer, unless it has ended. If a task has started, an
@@ -209,8 +223,9 @@
 	j.failure = &corrected
 	j.answers = nil
 	j.end(Failed)
+	cancel := j.cancel
 	j.mu.Unlock()
-	j.cancel()
+	cancel()
 }
 
 // end sets the final state. The caller holds mu.
--- a/job/job_test.go
+++ b/job/job_test.go
@@ -122,3 +122,19 @@
 		}
 	}
 }
+
+// TestReleaseTasksDropsContext guards against ended jobs that keep their context as long as their key, and against a running
+// job that loses its own.
+func TestReleaseTasksDropsContext(t *testing.T) {
+	j := newRunningJob(t, 1)
+	j.ReleaseTasks()
+	if j.Context() == endedContext || j.Context().Err() != nil || j.TaskList() == nil {
+		t.Fatal("a running job has lost its context or its tasks")
+	}
+	j.FinishTask(0, Answer{Status: 200})
+	j.ReleaseTasks()
+	j.ReleaseTasks()
+	if j.Context() != endedContext || j.Context().Err() == nil || j.TaskList() != nil {
+		t.Error("a job that has ended keeps its context or its tasks")
+	}
+}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -172,7 +172,7 @@
 	const section = "limits"
 	s.MaxBodyBytes = f.Int(section, "body", 16<<20, 1<<10, 1<<30)
 	s.AnswerCacheBytes = f.Int(section, "answers", 64<<20, 1<<10, 1<<40)
-	s.MaxKeys = int(f.Int(section, "keys", 200_000, 1, 100_000_000))
+	s.MaxKeys = int(f.Int(section, "keys", s.defaultMaxKeys(), 1, 100_000_000))
 	s.KeyRetention = f.Duration(section, "window", 10*time.Minute, time.Second, 24*time.Hour)
 	s.TransferTimeout = f.Duration(section, "patience", 10*time.Second, 10*time.Millisecond, time.Hour)
 	s.DrainTimeout = f.Duration(section, "drain", 30*time.Second, 0, time.Hour)
@@ -181,6 +181,17 @@
 	s.LoanDuration = f.Duration(section, "loan", 2*time.Second, 50*time.Millisecond, time.Minute)
 }
 
+// Default of the limit of keys: a share of the memory, by the memory of a key whose job has ended with a small answer.
+const (
+	mostDefaultKeys = 200_000
+	keyShare        = 0.25
+	keyBytes        = 1100
+)
+
+func (s *Settings) defaultMaxKeys() int64 {
+	return min(mostDefaultKeys, int64(keyShare*float64(s.Memory<<20)/keyBytes))
+}
+
 func (s *Settings) readLogsAndOperators(f *inifile.File) {
 	s.LogLevel = f.String("logs", "level", "info")
 	switch s.LogLevel {
@@ -262,7 +273,8 @@
 # body = 16777216
 # Memory for kept answers, in bytes.
 # answers = 67108864
-# Keys remembered at most.
+# Keys remembered at most, of all partitions together. Default: 200000, or a
+# quarter of the memory at 1,100 bytes each if that is less.
 # keys = 200000
 # Time for which a key is remembered; older ones are refused as expired.
 # window = 10m
--- a/window/window.go
+++ b/window/window.go
@@ -12,7 +12,10 @@
 	SlotWidth time.Duration // duration of a slot; 10 s by default
 	Slots     int           // number of slots kept, with the current one; 60 by default
 	MaxKeys   int           // maximum number of keys held; 500,000 by default
-	Now       func() time.Time
+	// KeyRoom, if set, is called with the number of keys held and returns their maximum in place of MaxKeys. It must not
+	// call the window.
+	KeyRoom func(held int) int
+	Now     func() time.Time
 }
 
 // ExpiredError reports a key whose slot is no longer kept.
@@ -65,6 +68,9 @@
 	if options.MaxKeys == 0 {
 		options.MaxKeys = 500_000
 	}
+	if options.KeyRoom == nil {
+		options.KeyRoom = func(int) int { return options.MaxKeys }
+	}
 	return &Window[V]{options: options, start: options.Now(), slots: map[int64]map[string]V{}}
 }
 
@@ -80,6 +86,14 @@
 	return w.count
 }
 
+// Expire removes the keys of expired slots.
+func (w *Window[V]) Expire() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.removeBefore(w.CurrentSlot() - int64(w.options.Slots) + 1)
+	w.options.KeyRoom(w.count)
+}
+
 // GetOrCreate returns the value of a key, or creates it, and reports whether it was
 // created. It fails with an *ExpiredError, *FutureError or *FullError and creates
 // nothing then. create runs under the window's lock and must not call the window.
@@ -93,8 +107,8 @@
 	if value, ok := w.slots[slot][key]; ok {
 		return value, false, nil
 	}
-	if w.count >= w.options.MaxKeys {
-		return zero, false, &FullError{MaxKeys: w.options.MaxKeys}
+	if room := w.options.KeyRoom(w.count); w.count >= room {
+		return zero, false, &FullError{MaxKeys: room}
 	}
 	if w.slots[slot] == nil {
 		w.slots[slot] = map[string]V{}
@@ -102,6 +116,7 @@
 	value := create()
 	w.slots[slot][key] = value
 	w.count++
+	w.options.KeyRoom(w.count)
 	return value, true, nil
 }
 
--- a/window/window_test.go
+++ b/window/window_test.go
@@ -44,3 +44,24 @@
 		}
 	})
 }
+
+// TestKeyRoom guards against a window that ignores how many keys others leave to it, and against expired keys that still
+// count after Expire.
+func TestKeyRoom(t *testing.T) {
+	now, held, room := time.Unix(0, 0), 0, 2
+	w := New[int](Options{SlotWidth: time.Second, Slots: 3, Now: func() time.Time { return now }, KeyRoom: func(count int) int {
+		held = count
+		return room
+	}})
+	for i, want := range []int{1, 2, 2} {
+		_, created, err := w.GetOrCreate(0, fmt.Sprint(i), func() int { return 1 })
+		var full *FullError
+		if held != want || created != (i < room) || errors.As(err, &full) == created {
+			t.Errorf("key %d: created %v, error %v, %d held; want %d held", i, created, err, held, want)
+		}
+	}
+	now = now.Add(4 * time.Second)
+	if w.Expire(); held != 0 {
+		t.Errorf("%d keys count after their slot has expired, want 0", held)
+	}
+}
