settings: Derive the memory for kept answers from that of the process

Callers saw: a process beyond its memory after jobs with large answers. Cause: `[limits] answers` was 64 MB by default, on every VM. Evidence: kind "large answers" of the crowd test (an upstream that returns the 250 KB that the task has) fails without this change in the first of its four courses. Change: the default is an eighth of the memory and 64 MB at most. It is also the limit of the answers of one job, as before. Why this works: the cache evicts the oldest answers beyond it. Ruled out: counting answers in `held` (a job is refused before its answers are known).

--- a/internal/trial/crowd/cases_test.go
+++ b/internal/trial/crowd/cases_test.go
@@ -116,6 +116,9 @@
 	{name: "accepted jobs", start: startServeWithBundle, count: connections, returns: 5, request: func(e *entry, number int) (string, []byte) {
 		return e.clients, post(fmt.Sprintf("/v1/jobs/k%d", number), callerJob(250_000), 0)
 	}},
+	{name: "large answers", start: startServeWithBundle, count: connections, returns: 60, request: func(e *entry, number int) (string, []byte) {
+		return e.clients, post(fmt.Sprintf("/v1/jobs/k%d", number), `{"service":"hold","tasks":[{"body":{"run":"1ms","tag":"`+strings.Repeat("a", 250_000)+`"}}]}`, 0)
+	}},
 	{name: "requests", start: startServeWithBundle, count: connections, request: func(e *entry, _ int) (string, []byte) {
 		return e.clients, post("/v1/requests/recall", taskBody(250_000), 64<<10)
 	}},
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -171,7 +171,7 @@
 func (s *Settings) readLimits(f *inifile.File) {
 	const section = "limits"
 	s.MaxBodyBytes = f.Int(section, "body", 16<<20, 1<<10, 1<<30)
-	s.AnswerCacheBytes = f.Int(section, "answers", 64<<20, 1<<10, 1<<40)
+	s.AnswerCacheBytes = f.Int(section, "answers", min(mostDefaultAnswers, s.Memory<<20/answerShare), 1<<10, 1<<40)
 	s.MaxKeys = int(f.Int(section, "keys", s.defaultMaxKeys(), 1, 100_000_000))
 	s.KeyRetention = f.Duration(section, "window", 10*time.Minute, time.Second, 24*time.Hour)
 	s.TransferTimeout = f.Duration(section, "patience", 10*time.Second, 10*time.Millisecond, time.Hour)
@@ -188,6 +188,12 @@
 	keyBytes        = 1100
 )
 
+// Default of the memory for answers: one answerShare-th of the memory, and no more than this many bytes.
+const (
+	mostDefaultAnswers = 64 << 20
+	answerShare        = 8
+)
+
 func (s *Settings) defaultMaxKeys() int64 {
 	return min(mostDefaultKeys, int64(keyShare*float64(s.Memory<<20)/keyBytes))
 }
@@ -271,7 +277,8 @@
 [limits]
 # Largest body of a job, in bytes; at most a quarter of [ingress] memory.
 # body = 16777216
-# Memory for kept answers, in bytes.
+# Memory for kept answers, in bytes; also the most for the answers of one job.
+# Default: 64 MB, or an eighth of the memory if that is less.
 # answers = 67108864
 # Keys remembered at most, of all partitions together. Default: 200000, or a
 # quarter of the memory at 1,100 bytes each if that is less.
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 
@@ -69,3 +70,21 @@
 		_, _ = Parse("fuzz", []byte(text))
 	})
 }
+
+// TestDefaultsFollowMemory guards against keys and answers that take more memory than a small VM has, and against fewer keys
+// than docs/CAPACITY.md plans for an entry of 128 MB.
+func TestDefaultsFollowMemory(t *testing.T) {
+	for _, c := range []struct {
+		memory           int64 // MB
+		minKeys, maxKeys int
+		wantAnswers      int64
+	}{{96, 10_000, 30_000, 12 << 20}, {128, 26_250, 40_000, 16 << 20}, {284, 26_250, 90_000, 284 << 20 / 8}, {4096, 200_000, 200_000, 64 << 20}} {
+		s, err := Parse("test", fmt.Appendf(nil, "[entry]\nvm = a\nzone = z\nlisten = 127.0.0.1:1\npeers = 127.0.0.1:2\noperators = 127.0.0.1:3\nmemory = %d\n[platform]\naddress = 127.0.0.1:4\n[keys]\nsigners = x\n", c.memory))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if s.MaxKeys < c.minKeys || s.MaxKeys > c.maxKeys || s.AnswerCacheBytes != c.wantAnswers {
+			t.Errorf("with %d MB: %d keys and %d bytes of answers; want %d to %d and %d", c.memory, s.MaxKeys, s.AnswerCacheBytes, c.minKeys, c.maxKeys, c.wantAnswers)
+		}
+	}
+}
