node: End clients that have waited for long when others find no room

Callers saw: 503 for as long as some hundred other clients had connections with a job each that no worker can run. Cause: a request that is being served is never ended for another one, and clients say how long they wait. With `Deadline-Ms` of an hour, 384 small jobs held all connections of an entry with 96 MB, for an hour. Evidence: kind "jobs that wait" of the crowd test (900 clients, a job of one task with a label that no worker has) fails without this change in both courses with whole requests: no ordinary request is answered within 30 s. Change: the guard reports a client that it refuses for lack of connections or memory for jobs, and the node one that a holder refuses. The tracker then ends jobs of clients that have waited for more than `[ingress] wait` (10 s, what a client without `Deadline-Ms` is taken to wait; clients on the users' pages wait for 1.5 s). As at the end of a drain, the holder is asked to refuse the job, so that a 503 is true; otherwise the outcome is unknown and the job is withdrawn. The reason that a holder gives no longer says that the entry stops. Ruled out: a bound of `Deadline-Ms` (clients that wait longer are served while there is room); refusing labels that no known worker has (tasks that run for hours hold connections as well, and the list of workers may be incomplete).

--- a/internal/gateway/ingress/guard.go
+++ b/internal/gateway/ingress/guard.go
@@ -27,6 +27,7 @@
 	CauseStall       = "stall"       // a header or body stands still or is too slow
 	CauseIdle        = "idle"        // no request for too long
 	CauseUnread      = "unread"      // the client does not read its answer
+	CauseWait        = "wait"        // the client has waited for its job for long, and there was no room for others
 )
 
 // Intervals of the sweep. A longer time between two sweeps than maxSweepGap is a pause of this process, in which
@@ -49,6 +50,9 @@
 type Options struct {
 	Limits Limits
 	Log    *slog.Logger
+	// OnFull is called when a client is refused although nothing that stands still could be ended for it. It must not
+	// block or call the guard.
+	OnFull func()
 	// OnRefuse is called with the cause for each request or connection that is refused or ended. It must not block.
 	OnRefuse func(cause string)
 	// HeaderBytes, HeaderTimeout and IdleTimeout return limits of the configuration, 0 for none.
@@ -94,6 +98,9 @@
 	if options.OnRefuse == nil {
 		options.OnRefuse = func(string) {}
 	}
+	if options.OnFull == nil {
+		options.OnFull = func() {}
+	}
 	if options.Log == nil {
 		options.Log = slog.New(slog.DiscardHandler)
 	}
@@ -201,6 +208,7 @@
 	defer g.mu.Unlock()
 	if *sum+bytes > limit {
 		g.refused(cause)
+		g.options.OnFull()
 		return nil, false
 	}
 	*sum += bytes
--- a/internal/gateway/ingress/guard_test.go
+++ b/internal/gateway/ingress/guard_test.go
@@ -363,10 +363,11 @@
 
 // TestReserveJob guards against jobs beyond their budget, and against memory that is released twice.
 func TestReserveJob(t *testing.T) {
-	g := New(Options{Limits: testLimits})
+	full := 0
+	g := New(Options{Limits: testLimits, OnFull: func() { full++ }})
 	release, ok := g.ReserveJob(testLimits.Jobs)
-	if _, second := g.ReserveJob(1); !ok || second {
-		t.Fatalf("reserved %v, then beyond the budget %v; want only the first", ok, second)
+	if _, second := g.ReserveJob(1); !ok || second || full != 1 {
+		t.Fatalf("reserved %v, then beyond the budget %v, reported %d times; want only the first and one report", ok, second, full)
 	}
 	release()
 	release()
--- a/internal/gateway/ingress/limits.go
+++ b/internal/gateway/ingress/limits.go
@@ -20,6 +20,7 @@
 	Address     int           // connections from one address, while there are others
 	HeaderBytes int64         // of one request; 0 for the limit of the configuration
 	Stall       time.Duration // without a byte, in either direction, after which a transfer is ended
+	Wait        time.Duration // time after which a client that waits for its job is ended if others need the room
 	Rate        int64         // lowest rate of a header or body over Stall, in bytes a second
 }
 
@@ -44,7 +45,7 @@
 	entries := max(16, count/2, min(fleetConnections, (descriptors-files)/5))
 	return Limits{
 		Memory: memory / 5, Jobs: memory / 10, Held: memory / 4, Connections: count, Entries: entries, Address: max(1, count/2),
-		Stall: 3 * time.Second, Rate: 2048,
+		Stall: 3 * time.Second, Wait: 10 * time.Second, Rate: 2048,
 	}
 }
 
@@ -65,6 +66,7 @@
 		Connections: int(f.Int(section, "connections", int64(d.Connections), 16, most)),
 		HeaderBytes: f.Int(section, "header", 0, 1<<10, most),
 		Stall:       f.Duration(section, "stall", d.Stall, 100*time.Millisecond, time.Minute),
+		Wait:        f.Duration(section, "wait", d.Wait, time.Second, 24*time.Hour),
 		Rate:        f.Int(section, "rate", d.Rate, 1, most),
 	}
 	l.Address = int(f.Int(section, "address", int64(max(1, l.Connections/2)), 1, most))
--- a/internal/gateway/ingress/listener.go
+++ b/internal/gateway/ingress/listener.go
@@ -81,6 +81,7 @@
 	}, cause) {
 		g.refused(cause)
 		if p.clients {
+			g.options.OnFull()
 			_ = inner.SetWriteDeadline(time.Now().Add(unavailableTimeout))
 			_, _ = inner.Write([]byte(unavailable))
 		}
--- a/internal/gateway/node/metrics.go
+++ b/internal/gateway/node/metrics.go
@@ -8,6 +8,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
+	"github.com/radishgate/radishgate/internal/placement/plan"
 	"github.com/radishgate/radishgate/internal/work/batch"
 )
 
@@ -108,6 +109,9 @@
 
 // jobEnded counts and logs the result of a job.
 func (n *Node) jobEnded(b *batch.Batch, r batch.Result, tries int) {
+	if r.Reason == plan.ReasonMemory {
+		n.noteCrowd()
+	}
 	took := time.Since(b.ArrivedAt)
 	n.instruments.jobs.WithLabelValues(string(r.State)).Inc()
 	n.instruments.response.WithLabelValues(b.Queue).Observe(took.Seconds())
--- a/internal/gateway/node/node.go
+++ b/internal/gateway/node/node.go
@@ -87,6 +87,7 @@
 	rosters        rosters
 	remoteJobs     remote.Jobs
 	occupancy      occupancy.Table[heldGroup]
+	crowded        chan struct{} // holds a value after a client has found no room
 
 	// syncMutex is held while the list of workers is applied to the holders, so that no older list
 	// replaces a newer one. It is locked before mu.
@@ -123,6 +124,7 @@
 		routes: routes.New(), registry: registry.New(), holders: map[string]*holder.Holder{},
 		contacts:      newContacts(options.Log),
 		registryState: registryState{changed: make(chan struct{}, 1)},
+		crowded:       make(chan struct{}, 1),
 		pauseDetector: pauseDetector{threshold: suspectHeartbeats * s.HeartbeatInterval},
 		doubtedGroups: doubtedGroups{},
 		freeSlots:     freeSlotsTable{groups: map[string]groupFreeSlots{}},
--- a/internal/gateway/node/serve.go
+++ b/internal/gateway/node/serve.go
@@ -84,7 +84,7 @@
 	for _, f := range n.followers() {
 		n.loops.Go(func() { f.Run(n.ctx) })
 	}
-	for _, loop := range []func(context.Context){n.heartbeatLoop, n.contactLoop, n.rosterLoop, n.tracker.Run, n.registryExpiryLoop, n.ingress.Run} {
+	for _, loop := range []func(context.Context){n.heartbeatLoop, n.contactLoop, n.rosterLoop, n.tracker.Run, n.registryExpiryLoop, n.ingress.Run, n.crowdLoop} {
 		n.loops.Go(func() { loop(n.ctx) })
 	}
 	var failure error
@@ -162,7 +162,7 @@
 		limits = ingress.DefaultLimits(n.settings.Memory<<20, ingress.DescriptorLimit())
 	}
 	return ingress.New(ingress.Options{
-		Limits: limits, Log: n.log, OnRefuse: n.instruments.countRefused,
+		Limits: limits, Log: n.log, OnRefuse: n.instruments.countRefused, OnFull: n.noteCrowd,
 		HeaderBytes:   func() int64 { bytes, _, _ := n.routes.Limits(); return bytes },
 		HeaderTimeout: func() time.Duration { _, timeout, _ := n.routes.Limits(); return timeout },
 		IdleTimeout:   func() time.Duration { _, _, timeout := n.routes.Limits(); return timeout },
--- a/internal/gateway/submission/stop.go
+++ b/internal/gateway/submission/stop.go
@@ -31,25 +31,30 @@
 
 // stopJob ends a job before the entry stops, see Stop.
 func (t *Tracker) stopJob(ctx context.Context, job *pendingJob) {
-	t.askForRefusal(ctx, job)
+	t.askForRefusal(ctx, job, reasonStopping)
 	select {
 	case <-job.done:
 		return
 	case <-ctx.Done():
 	}
+	t.giveUp(job, reasonStopping)
+}
+
+// giveUp ends a job that has not ended, outcome unknown, and withdraws it.
+func (t *Tracker) giveUp(job *pendingJob, reason string) {
 	t.mu.Lock()
 	if t.jobs[job.batch.ID] != job {
 		t.mu.Unlock()
 		return
 	}
 	withdraw := job.withdrawal(t)
-	t.end(job, batch.Result{ID: job.batch.ID, Attempt: job.batch.Attempt, State: batch.Unknown, Reason: reasonStopping})
+	t.end(job, batch.Result{ID: job.batch.ID, Attempt: job.batch.Attempt, State: batch.Unknown, Reason: reason})
 	t.mu.Unlock()
 	withdraw()
 }
 
 // askForRefusal refuses a job that no holder may have, or asks its holder to do so, until the holder answers.
-func (t *Tracker) askForRefusal(ctx context.Context, job *pendingJob) {
+func (t *Tracker) askForRefusal(ctx context.Context, job *pendingJob, reason string) {
 	for calls := 0; calls < maxRefusalCalls && ctx.Err() == nil; {
 		t.mu.Lock()
 		if t.jobs[job.batch.ID] != job || t.refuseIfUnsent(job) {
@@ -67,7 +72,7 @@
 		refused, err := t.options.Refuse(callCtx, holder, b)
 		cancel()
 		if err == nil {
-			t.noteRefusal(job, holder, refused)
+			t.noteRefusal(job, holder, refused, reason)
 			return
 		}
 		t.options.Log.Warn("job not refused by its holder", "job", b.ID, "holder", holder.ID, "call", calls, "error", err)
@@ -76,11 +81,11 @@
 
 // noteRefusal ends a job that its holder has refused. Like any refusal it does not count if another holder
 // may have got the job.
-func (t *Tracker) noteRefusal(job *pendingJob, holder GroupHolder, refused bool) {
+func (t *Tracker) noteRefusal(job *pendingJob, holder GroupHolder, refused bool, reason string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if refused && t.jobs[job.batch.ID] == job && job.holder == holder && !job.multipleHolders {
-		t.end(job, job.refusal(reasonStopping, retryDelay))
+		t.end(job, job.refusal(reason, retryDelay))
 	}
 }
 
--- a/internal/placement/plan/stop.go
+++ b/internal/placement/plan/stop.go
@@ -19,10 +19,10 @@
 	case j.started:
 		return false
 	}
-	p.refuse(j, reasonEntryStops)
+	p.refuse(j, reasonEntryGivesUp)
 	p.placeAll()
 	return true
 }
 
-// reasonEntryStops is the reason for refusing a job whose entry stops.
-const reasonEntryStops = "the entry that waits for it stops"
+// reasonEntryGivesUp is the reason for refusing a job whose entry stops, or needs the room for others.
+const reasonEntryGivesUp = "the entry that waits for it has given it up"
--- a/internal/trial/crowd/cases_test.go
+++ b/internal/trial/crowd/cases_test.go
@@ -104,6 +104,10 @@
 	{name: "long labels", count: connections, returns: 5, request: withBody(jobWithLabel(240_000), 0)},
 	{name: "long lists", count: 100, returns: 20, request: withBody(longList, 0)},
 	{name: "several groups", start: startWith("[workers]\ngroups = 8\n"), count: 8, returns: 40, reset: true, request: withBody(`{"best-effort":true,"steps":[{"count":20000,"required-label":"none"}]}`, 0)},
+	{name: "jobs that wait", count: connections, request: func(e *entry, number int) (string, []byte) {
+		request := post(path(number), `{"best-effort":true,"steps":[{"count":1,"required-label":"none"}]}`, 0)
+		return e.clients, bytes.Replace(request, []byte("Deadline-Ms: 1500"), []byte("Deadline-Ms: 3600000"), 1)
+	}},
 	{name: "long spec", count: connections, returns: 5, request: withBody(`{"best-effort":true,"spec":"`+strings.Repeat("s", 4000)+`","steps":[{"count":1,"required-label":"none"}]}`, 0)},
 	{name: "refused jobs", start: startWith("[ingress]\nheld = 1\n"), count: connections, request: func(e *entry, number int) (string, []byte) {
 		return e.clients, postAll(number, 200, func(n int) []byte { return post(path(n), smallJob, 0) })
