--- a/entry/entry.go
+++ b/entry/entry.go
@@ -378,7 +378,7 @@
 func (e *Entry) keyRoom(owner string) func(held int) int {
 	return func(held int) int {
 		e.keyCounts.Set(owner, int64(held))
-		return int(e.keyCounts.Room(owner, int64(e.settings.MaxKeys)))
+		return int(max(0, e.keyCounts.Room(owner, int64(e.settings.MaxKeys))))
 	}
 }
 
