--- a/review/stand3/fleet.go
+++ b/review/stand3/fleet.go
@@ -15,7 +15,6 @@
 	"strconv"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -56,7 +55,6 @@
 	milliCores int
 	memoryMB   int // of an entry's machine
 	share      float64
-	proxied    bool // runners, entries and the store are reached through proxies
 }
 
 // fleet is a small deployment: a store, runners and entries, which are processes of their own.
@@ -65,13 +63,15 @@
 	dir     string
 	record  *record
 	monitor *monitor
-	network *network
 	store   *ledger.TopicStore
 	runners []*machine
 	entries []*entry
 	seq     int
-	late    atomic.Int64 // percent of the orders that get no answer and are carried out late
-	stop    chan struct{}
+
+	orderLock    sync.Mutex
+	withheldTask string // whose starts get no answer
+	withheld     chan<- withheldOrder
+	stop         chan struct{}
 }
 
 // machine is a place for a runner: its address stays.
@@ -93,30 +93,78 @@
 	if present == nil {
 		panic(http.ErrAbortHandler)
 	}
-	if rand.Int64N(100) < m.fleet.late.Load() {
-		body, err := io.ReadAll(r.Body)
-		if err == nil {
-			go m.carryOutLate(r.URL.Path, r.Header.Get("Expect-Instance"), body)
-		}
-		time.Sleep(13 * time.Second) // no answer
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	r.Body = io.NopCloser(bytes.NewReader(body))
+	if m.fleet.leavesUnanswered(r, body, m) {
+		<-r.Context().Done() // the caller has given up
 		panic(http.ErrAbortHandler)
 	}
 	present.ServeHTTP(out, r)
 }
 
-// carryOutLate carries out an order 2 to 12 s later, at whatever runner the machine has then.
-func (m *machine) carryOutLate(path, instance string, body []byte) {
-	time.Sleep(2*time.Second + rand.N(10*time.Second))
-	m.mu.Lock()
-	present := m.runner
-	m.mu.Unlock()
+// withheldOrder is an order that got no answer.
+type withheldOrder struct {
+	at   *machine
+	path string
+	body []byte
+}
+
+// withhold leaves the starts of a task unanswered and passes them on; "" ends that.
+func (f *fleet) withhold(task string, orders chan<- withheldOrder) {
+	f.orderLock.Lock()
+	defer f.orderLock.Unlock()
+	f.withheldTask, f.withheld = task, orders
+}
+
+// leavesUnanswered reports whether an order is withheld.
+func (f *fleet) leavesUnanswered(r *http.Request, body []byte, at *machine) bool {
+	f.orderLock.Lock()
+	defer f.orderLock.Unlock()
+	var o order
+	if f.withheldTask == "" || r.URL.Path != "/run-start" || json.Unmarshal(body, &o) != nil || o.Task != f.withheldTask {
+		return false
+	}
+	select {
+	case f.withheld <- withheldOrder{at, r.URL.Path, body}:
+	default: // one of many copies
+	}
+	return true
+}
+
+// execute carries out the order, at whatever runner the machine has now.
+func (o withheldOrder) execute() {
+	o.at.mu.Lock()
+	present := o.at.runner
+	o.at.mu.Unlock()
 	if present == nil {
 		return
 	}
-	request := httptest.NewRequest(http.MethodPost, path, bytes.NewReader(body))
-	request.Header.Set("Expect-Instance", instance)
-	defer func() { _ = recover() }() // the runner has crashed
-	present.ServeHTTP(httptest.NewRecorder(), request)
+	request := httptest.NewRequest(http.MethodPost, o.path, bytes.NewReader(o.body))
+	request.Header.Set("Expect-Instance", o.at.id)
+	recorder := httptest.NewRecorder()
+	present.ServeHTTP(recorder, request)
+	o.at.fleet.record.printf("%s answers to nobody: %d %s", o.at.id, recorder.Code, recorder.Body)
+}
+
+// crash ends the runner of the machine.
+func (m *machine) crash() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.runner != nil {
+		m.runner.crash()
+		m.runner = nil
+	}
+}
+
+// comeBack starts the next runner of the machine, under the same ID.
+func (m *machine) comeBack() {
+	m.mu.Lock()
+	m.runner = newRunner(m.id, m.zone, m.fleet.monitor)
+	m.mu.Unlock()
+	m.register()
 }
 
 func (m *machine) register() {
@@ -177,7 +225,7 @@
 
 // newFleet starts the stand-ins and writes the settings. The entries are started with start.
 func newFleet(o options, dir string, r *record) (*fleet, error) {
-	f := &fleet{options: o, dir: dir, record: r, monitor: &monitor{record: r}, network: newNetwork(), store: ledger.New(), stop: make(chan struct{})}
+	f := &fleet{options: o, dir: dir, record: r, monitor: &monitor{record: r}, store: ledger.New(), stop: make(chan struct{})}
 	store, err := serveOn(f.store)
 	if err != nil {
 		return nil, err
@@ -189,13 +237,6 @@
 			if m.address, err = serveOn(m); err != nil {
 				return nil, err
 			}
-			if o.proxied {
-				k, err := f.network.newLink(m.id, m.address)
-				if err != nil {
-					return nil, err
-				}
-				m.address = k.address
-			}
 			m.runner = newRunner(m.id, zone, f.monitor)
 			m.register()
 			f.runners = append(f.runners, m)
@@ -240,32 +281,16 @@
 	if err != nil {
 		return err
 	}
-	storeLink, err := f.network.newLink("store", store)
-	if err != nil {
-		return err
-	}
 	var seeds []string
 	for i := range count {
 		a := addresses[4*i : 4*i+4]
 		zone := f.zones[i%len(f.zones)]
 		e := &entry{fleet: f, id: fmt.Sprintf("front-%s-%d", zone, i/len(f.zones)), zone: zone, clients: a[0], ready: a[1], metrics: a[3]}
 		f.entries = append(f.entries, e)
-		peers, storeAddress := a[2], store
-		if f.proxied {
-			k, err := f.network.newLink(e.id, peers)
-			if err != nil {
-				return err
-			}
-			peers, storeAddress = k.address, storeLink.address
-		}
-		seeds = append(seeds, peers)
-		reach := ""
-		if f.proxied {
-			reach = "reach = " + peers + "\n"
-		}
+		seeds = append(seeds, a[2])
 		e.file = filepath.Join(f.dir, e.id+".ini")
-		text := fmt.Sprintf("[entry]\nvm = %s\nzone = %s\nzones = %s\ncores = 1\nshare = %g\nmemory = %d\ndescriptors = 4100\nlisten = %s\nready = %s\npeers = %s\nmetrics = %s\n%sseeds = SEEDS\n[platform]\nstore = %s\nlease = 1000ms\ngrace = 6s\nresend = 1300ms\n[logs]\nlevel = info\n",
-			e.id, zone, strings.Join(f.zones, ","), f.share, f.options.memoryMB, a[0], a[1], a[2], a[3], reach, storeAddress)
+		text := fmt.Sprintf("[entry]\nvm = %s\nzone = %s\nzones = %s\ncores = 1\nshare = %g\nmemory = %d\ndescriptors = 4100\nlisten = %s\nready = %s\npeers = %s\nmetrics = %s\nseeds = SEEDS\n[platform]\nstore = %s\nlease = 1000ms\ngrace = 6s\nresend = 1300ms\n[logs]\nlevel = info\n",
+			e.id, zone, strings.Join(f.zones, ","), f.share, f.options.memoryMB, a[0], a[1], a[2], a[3], store)
 		if err := os.WriteFile(e.file, []byte(text), 0o600); err != nil {
 			return err
 		}
@@ -296,7 +321,6 @@
 	if err := e.command.Start(); err != nil {
 		return err
 	}
-	e.fleet.network.own(e.command.Process.Pid, e.id)
 	e.ended = make(chan struct{})
 	command, ended := e.command, e.ended
 	go func() {
--- a/review/stand3/worker.go
+++ b/review/stand3/worker.go
@@ -157,7 +157,7 @@
 	runtime, outcome := planOf(o.Spec)
 	u := &run{task: o.Task, number: o.Run, startedAt: now, endsAt: now.Add(runtime), outcome: outcome}
 	w.runs[o.Task] = u
-	w.monitor.started(w, u, o)
+	w.monitor.noteStart(w, u, o)
 	time.AfterFunc(runtime, func() { w.endLater(u, outcome) })
 	return http.StatusOK, answer{}
 }
@@ -267,6 +267,33 @@
 	return a
 }
 
+// started is the start of a run.
+type started struct {
+	task      string
+	at        string // ID of the runner
+	startedAt time.Time
+}
+
+// awaitStart waits until tasks of a job have been started a number of times, and returns the last of these starts; nil if
+// that takes too long.
+func (m *monitor) awaitStart(id string, number int, limit time.Duration) *started {
+	for deadline := time.Now().Add(limit); time.Now().Before(deadline); time.Sleep(2 * time.Millisecond) {
+		m.mu.Lock()
+		seen := 0
+		for _, s := range m.log {
+			if strings.HasPrefix(s.task, id+".") {
+				if seen++; seen == number {
+					found := s
+					m.mu.Unlock()
+					return &found
+				}
+			}
+		}
+		m.mu.Unlock()
+	}
+	return nil
+}
+
 // monitor notes all runs of all runners and finds those of one task that overlap.
 type monitor struct {
 	record  *record
@@ -274,21 +301,19 @@
 	mu      sync.Mutex
 	running map[string]map[*run]*runner // by task
 	starts  int
-	byJob   map[string]int // starts
 	ends    map[string]int
 	twice   []string
+	log     []started
 }
 
-func (m *monitor) started(w *runner, u *run, o order) {
+func (m *monitor) noteStart(w *runner, u *run, o order) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.running == nil {
 		m.running, m.ends = map[string]map[*run]*runner{}, map[string]int{}
-		m.byJob = map[string]int{}
 	}
 	m.starts++
-	id, _, _ := strings.Cut(u.task, ".")
-	m.byJob[id]++
+	m.log = append(m.log, started{u.task, w.id, u.startedAt})
 	for other, on := range m.running[u.task] {
 		m.twice = append(m.twice, fmt.Sprintf("%s: run %d on %s while run %d goes on on %s", u.task, u.number, w.id, other.number, on.id))
 		m.record.printf("TWICE %s: run %d on %s in zone %s, while run %d on %s in zone %s goes on, started %d ms before",
