--- a/review/stand3/fleet.go
+++ b/review/stand3/fleet.go
@@ -15,6 +15,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -66,7 +67,7 @@
 	store   *ledger.TopicStore
 	runners []*machine
 	entries []*entry
-	seq     int
+	seq     atomic.Int64 // of the registrations
 
 	orderLock    sync.Mutex
 	withheldTask string // whose starts get no answer
@@ -173,10 +174,9 @@
 	if m.runner == nil {
 		return
 	}
-	m.fleet.seq++
 	m.fleet.store.Put("keyed.servers", m.id, fmt.Appendf(nil,
 		`{"backend":%q,"address":%q,"zone":%q,"version":"v1","slots":8,"state":"ready","cold-left-ms":0,"seq":%d,"born":%d,"capacity":{"cpu":%d,"mem-mb":131072,"gpu":0},"labels":["a","r-%s"]}`,
-		service, m.address, m.zone, m.fleet.seq, m.runner.born.UnixMilli(), m.fleet.milliCores, m.zone))
+		service, m.address, m.zone, m.fleet.seq.Add(1), m.runner.born.UnixMilli(), m.fleet.milliCores, m.zone))
 }
 
 // entry is a process of the system under test.
@@ -379,7 +379,7 @@
 	return response.StatusCode == http.StatusOK
 }
 
-// holds returns the number of workers in the groups that the entry holds, by its metrics.
+// holds reports whether the entry holds a group of runners, by its metrics.
 func (e *entry) holds() bool {
 	client := http.Client{Timeout: time.Second}
 	response, err := client.Get("http://" + e.metrics + "/metrics")
--- a/review/stand3/main.go
+++ b/review/stand3/main.go
@@ -16,7 +16,7 @@
 	failed = 2
 )
 
-// a trial is one case. It returns broken or held, or an error if it could not run.
+// trial plays one case. It returns broken or held, or an error if it could not run.
 type trial func(dir string, r *record, trouble bool) (int, error)
 
 var trials = map[string]trial{}
