--- a/review/stand3/main.go
+++ b/review/stand3/main.go
@@ -5,7 +5,6 @@
 import (
 	"fmt"
 	"os"
-	"path/filepath"
 	"time"
 )
 
@@ -24,8 +23,8 @@
 func main() { os.Exit(play()) }
 
 func play() int {
-	if len(os.Args) != 3 || trials[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: stand3 CASE FOLDER")
+	if len(os.Args) != 4 || trials[os.Args[1]] == nil {
+		fmt.Fprintln(os.Stderr, "usage: stand3 CASE RECORD TROUBLE, with 0 for TROUBLE to leave the disruption out")
 		return failed
 	}
 	dir, err := os.MkdirTemp("", "radishgate-review-")
@@ -38,12 +37,12 @@
 	} else {
 		fmt.Println("logs in", dir)
 	}
-	r, err := newRecord(filepath.Join(os.Args[2], "record.txt"))
+	r, err := newRecord(os.Args[2])
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return failed
 	}
-	trouble := os.Getenv("TROUBLE") != "0"
+	trouble := os.Args[3] != "0"
 	r.printf("case %s, trouble: %t, %s", os.Args[1], trouble, time.Now().UTC().Format(time.RFC3339))
 	code, err := trials[os.Args[1]](dir, r, trouble)
 	if err != nil {
